--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -63,9 +63,10 @@
       | learners | caught_up | change            | members                              |
       | -        | -         | add c2            | voters a1 b1 c1 learners c2          |
       | c2       | -         | add c3            | voters a1 b1 c1 learners c3          |
-      | d1       | -         | add e1            | refused                              |
+      | d1       | -         | add e1            | voters a1 b1 c1 learners d1 e1       |
+      | d1 e1 f1 g1 h1 i1 j1 k1 l1 | - | add m1  | refused                              |
       | -        | -         | add b1            | refused                              |
-      | c2       | c2        | replace c1 by c2  | voters a1 b1 c1 c2 departing c1      |
+      | c2       | c2        | replace c1 by c2  | voters a1 b1 c2 previous a1 b1 c1      |
       | c2       | -         | replace c1 by c2  | refused                              |
       | c2       | c2        | promote c2        | refused                              |
       | c2       | c2        | replace b1 by c2  | refused                              |
@@ -73,7 +74,7 @@
       | c2       | c2        | replace c9 by c2  | refused                              |
       | -        | -         | promote c2        | refused                              |
       | d1       | d1        | promote d1        | voters a1 b1 c1 d1                   |
-      | d1       | d1        | replace b1 by d1  | voters a1 b1 c1 d1 departing b1      |
+      | d1       | d1        | replace b1 by d1  | voters a1 c1 d1 previous a1 b1 c1      |
       | d1       | -         | remove d1         | voters a1 b1 c1                      |
       | -        | -         | remove c1         | voters a1 b1                         |
       | -        | -         | remove a1         | refused                              |
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -116,8 +116,8 @@
     text = f"voters {' '.join(lives)}"
     if configuration.learners:
         text += " learners " + " ".join(found.incarnation for found in configuration.learners)
-    if configuration.departing:
-        text += f" departing {configuration.departing.incarnation}"
+    if configuration.previous_voters:
+        text += " previous " + " ".join(found.incarnation for found in configuration.previous_voters)
     return text
 
 
--- a/features/support/agreement_member_scripts.py
+++ b/features/support/agreement_member_scripts.py
@@ -6,6 +6,7 @@
 from features.support.agreement_world import ScriptedCluster, is_leading
 from limedyke.core.agreement.commands import (
     ProposalAccepted,
+    ProposalRefused,
 )
 from limedyke.core.agreement.events import (
     AddLearner,
@@ -60,7 +61,7 @@
 
 
 def early_promotion(cluster: ScriptedCluster) -> None:
-    """A learner that hears nothing is promoted, and a voter is lost at once."""
+    """A learner that hears nothing is to be promoted: it is refused, and the others go on."""
     leader = cluster.lead("a")
     lost = cluster.machines["c"]
     old = lost.identity
@@ -72,6 +73,8 @@
     cluster.run(1.0)
     number = cluster.change_members(leader, PromoteLearner(lost.identity, replaces=old))
     cluster.run_until(lambda: number in leader.answers, 2.0)
+    answer = leader.answers.get(number)
+    require(isinstance(answer, ProposalRefused), f"a deaf learner became a voter: {answer}")
     accept(cluster, leader)
 
 
--- a/features/support/agreement_mutants.py
+++ b/features/support/agreement_mutants.py
@@ -15,7 +15,7 @@
 from limedyke.core.agreement.leader import Leader
 from limedyke.core.agreement.lease import LeaderLease
 from limedyke.core.agreement.replication import Replication
-from limedyke.core.agreement.state import AgreementState
+from limedyke.core.agreement.state import AgreementState, majority_of
 from limedyke.core.agreement.timing import AgreementTiming
 from limedyke.messages.agreement import AppendEntriesResponse, ControllerIdentity
 from limedyke.result_codes import Failure, ResultCode
@@ -122,7 +122,9 @@
 def _majority_index_with_learners(self: Leader) -> int:
     state = self._state
     others = [progress.match_index for progress in self.replication.progress.values()]
-    return sorted([state.synced_index, *others], reverse=True)[state.majority - 1]
+    return sorted([state.synced_index, *others], reverse=True)[
+        majority_of(state.configuration.voters) - 1
+    ]
 
 
 _CONFIRM = LeaderLease.confirm
--- a/limedyke/core/agreement/election.py
+++ b/limedyke/core/agreement/election.py
@@ -93,8 +93,7 @@
             self._become_leader()
 
     def _reaches_majority(self, identities: set[ControllerIdentity]) -> bool:
-        counted = identities.intersection(self._state.configuration.voters)
-        return len(counted) >= self._state.majority
+        return self._state.holds_majorities(identities)
 
     def on_pre_vote_request(self, sender: ControllerIdentity, request: PreVoteRequest) -> None:
         """Say whether a vote would be given; the term and vote stay as they are."""
--- a/limedyke/core/agreement/leader.py
+++ b/limedyke/core/agreement/leader.py
@@ -16,7 +16,7 @@
     ReadRequested,
 )
 from limedyke.core.agreement.lease import LeaderLease
-from limedyke.core.agreement.membership import change_configuration, without_voter
+from limedyke.core.agreement.membership import change_configuration
 from limedyke.core.agreement.records import encode_configuration
 from limedyke.core.agreement.replication import Replication
 from limedyke.core.agreement.state import AgreementState
@@ -124,8 +124,6 @@
             return Failure(code, "The leader has committed nothing in its term yet.", 200)
         if state.log.configuration_index > state.commit_index:
             return Failure(code, "Another membership change is not committed yet.", 200)
-        if state.configuration.departing is not None:
-            return Failure(code, "A replaced voter is still being removed.", 200)
         return None
 
     def _caught_up_learners(self) -> frozenset[ControllerIdentity]:
@@ -168,25 +166,24 @@
         self.replication.replicate()
         self._commit()
         self._answer_applied()
-        self._remove_departing()
         return self._continue_transfer()
 
     def _commit(self) -> None:
         index = self._majority_index()
         if index > self._state.commit_index and self._may_commit_by_counting(index):
             self._state.advance_commit(index)
+            if self._state.configuration.previous_voters:
+                self.replication.refresh_members()
         self._state.advance_commit(self._state.commit_index)
 
     def _majority_index(self) -> int:
+        """Return the last index that majorities of all sets of voters in force have synced."""
         state = self._state
-        indexes = []
-        for voter in state.configuration.voters:
-            if voter == state.identity:
-                indexes.append(state.synced_index)
-            else:
-                indexes.append(self.replication.progress[voter].match_index)
-        indexes.sort(reverse=True)
-        return indexes[state.majority - 1]
+        match_indexes = {
+            voter: progress.match_index for voter, progress in self.replication.progress.items()
+        }
+        match_indexes[state.identity] = state.synced_index
+        return state.reached_by_majorities(match_indexes)
 
     def _may_commit_by_counting(self, index: int) -> bool:
         return self._state.log.term_at(index) == self._state.term
@@ -200,25 +197,6 @@
             request_id = self._pending.pop(index)
             state.emit(ProposalAccepted(request_id, index, state.term))
 
-    def _remove_departing(self) -> None:
-        """Finish a replacement: remove the replaced voter once the new one is committed."""
-        state = self._state
-        departing = state.configuration.departing
-        if departing is None or self._membership_is_unsettled():
-            return
-        if departing == state.identity:
-            self.begin_transfer()
-            return
-        self._append_configuration(without_voter(state.configuration, departing))
-        self.replication.replicate()
-
-    def _membership_is_unsettled(self) -> bool:
-        state = self._state
-        return (
-            state.commit_index < self._first_index
-            or state.log.configuration_index > state.commit_index
-        )
-
     def begin_transfer(self) -> None:
         """Refuse new proposals and hand over as soon as all old ones are answered."""
         if self._transfer_deadline is None and self._state.other_voters():
@@ -243,7 +221,6 @@
             voter
             for voter in state.other_voters()
             if progress[voter].match_index == state.log.last_index
-            and voter != state.configuration.departing
         ]
         return max(candidates, key=lambda voter: progress[voter].heard_at, default=None)
 
--- a/limedyke/core/agreement/lease.py
+++ b/limedyke/core/agreement/lease.py
@@ -50,15 +50,12 @@
             del self._sent_at[old_round]
 
     def _majority_round(self) -> int:
-        state = self._state
-        rounds = []
-        for voter in state.configuration.voters:
-            if voter == state.identity:
-                rounds.append(self._replication.round_number)
-            else:
-                rounds.append(self._replication.progress[voter].acknowledged_round)
-        rounds.sort(reverse=True)
-        return rounds[state.majority - 1] if len(rounds) >= state.majority else 0
+        rounds = {
+            voter: progress.acknowledged_round
+            for voter, progress in self._replication.progress.items()
+        }
+        rounds[self._state.identity] = self._replication.round_number
+        return self._state.reached_by_majorities(rounds)
 
     def revoke(self) -> None:
         """Give the lease up for the rest of the term."""
--- a/limedyke/core/agreement/membership.py
+++ b/limedyke/core/agreement/membership.py
@@ -1,4 +1,8 @@
-"""Rules for changing the members, one voter at a time."""
+"""Rules for changing the members: one voter is added, removed or replaced at a time.
+
+A replacement is one entry that holds the old voters too: it takes effect in elections and
+commits at once beside them, and alone as soon as it is committed by majorities of both sets.
+"""
 
 from __future__ import annotations
 
@@ -15,7 +19,8 @@
 from limedyke.messages.agreement import ControllerIdentity, MemberConfiguration
 from limedyke.result_codes import Failure, ResultCode
 
-MAXIMUM_MEMBERS = 4
+MAXIMUM_MEMBERS = 12
+"""Voters and learners together: seven voters, and as many machines in exchange as fit."""
 
 
 def _refuse(detail: str) -> Err[Failure]:
@@ -50,7 +55,7 @@
     learners = tuple(other for other in configuration.learners if other.name != identity.name)
     if len(configuration.voters) + len(learners) >= MAXIMUM_MEMBERS:
         return _refuse(f"there are {MAXIMUM_MEMBERS} members already")
-    return Ok(replace(configuration, learners=(*learners, identity)))
+    return Ok(replace(configuration, learners=(*learners, identity), previous_voters=()))
 
 
 def _promote_learner(
@@ -71,12 +76,13 @@
     namesakes = [voter for voter in configuration.voters if voter.name == identity.name]
     if namesakes and change.replaces != namesakes[0]:
         return _refuse(f"{namesakes[0]} has the same name and must be replaced by the promotion")
+    remaining = tuple(voter for voter in configuration.voters if voter != change.replaces)
     return Ok(
         replace(
             configuration,
-            voters=(*configuration.voters, identity),
+            voters=(*remaining, identity),
             learners=tuple(other for other in configuration.learners if other != identity),
-            departing=change.replaces,
+            previous_voters=configuration.voters if change.replaces is not None else (),
         )
     )
 
@@ -89,16 +95,15 @@
         return _refuse(f"{leader} leads; transfer the leadership first")
     if identity in configuration.learners:
         learners = tuple(other for other in configuration.learners if other != identity)
-        return Ok(replace(configuration, learners=learners))
+        return Ok(replace(configuration, learners=learners, previous_voters=()))
     if identity not in configuration.voters:
         return _refuse(f"{identity} is no member")
-    return Ok(without_voter(configuration, identity))
+    return Ok(_without_voter(configuration, identity))
 
 
-def without_voter(
+def _without_voter(
     configuration: MemberConfiguration, identity: ControllerIdentity
 ) -> MemberConfiguration:
     """Return the configuration without one voter."""
     voters = tuple(voter for voter in configuration.voters if voter != identity)
-    departing = None if configuration.departing == identity else configuration.departing
-    return replace(configuration, voters=voters, departing=departing)
+    return replace(configuration, voters=voters, previous_voters=())
--- a/limedyke/core/agreement/records.py
+++ b/limedyke/core/agreement/records.py
@@ -64,25 +64,31 @@
 
 
 def encode_configuration(configuration: MemberConfiguration) -> bytes:
-    """Return the stored form of a configuration."""
-    return ormsgpack.packb(
-        [
-            configuration.cluster,
-            [_pack_identity(voter) for voter in configuration.voters],
-            [_pack_identity(learner) for learner in configuration.learners],
-            _pack_identity(configuration.departing),
-        ]
-    )
+    """Return the stored form of a configuration.
+
+    The fourth item is always None; an earlier version kept a voter to be removed there.  The
+    previous voters follow only where there are any, so that it can read all other entries.
+    """
+    packed = [
+        configuration.cluster,
+        [_pack_identity(voter) for voter in configuration.voters],
+        [_pack_identity(learner) for learner in configuration.learners],
+        None,
+    ]
+    if configuration.previous_voters:
+        packed.append([_pack_identity(voter) for voter in configuration.previous_voters])
+    return ormsgpack.packb(packed)
 
 
 def decode_configuration(data: bytes) -> MemberConfiguration:
     """Return the configuration from its stored form."""
-    cluster, voters, learners, departing = ormsgpack.unpackb(data)
+    cluster, voters, learners, _, *rest = ormsgpack.unpackb(data)
+    previous_voters = rest[0] if rest else []
     return MemberConfiguration(
         cluster=cluster,
         voters=tuple(ControllerIdentity(*voter) for voter in voters),
         learners=tuple(ControllerIdentity(*learner) for learner in learners),
-        departing=_unpack_identity(departing),
+        previous_voters=tuple(ControllerIdentity(*voter) for voter in previous_voters),
     )
 
 
--- a/limedyke/core/agreement/state.py
+++ b/limedyke/core/agreement/state.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections import deque
+from collections.abc import Collection, Mapping
 
 from limedyke.core.agreement.commands import (
     AppendEntries,
@@ -31,6 +33,20 @@
     """A rule of the agreement was broken; the process must not go on."""
 
 
+def majority_of(voters: Collection[ControllerIdentity]) -> int:
+    """Return how many of the voters make a majority."""
+    return len(voters) // 2 + 1
+
+
+def _reached_by_majority(
+    voters: Collection[ControllerIdentity], values: Mapping[ControllerIdentity, int]
+) -> int:
+    if not voters:
+        return 0
+    reached = sorted((values.get(voter, 0) for voter in voters), reverse=True)
+    return reached[majority_of(voters) - 1]
+
+
 class AgreementState:
     """Role, term, log and unsynced writes of one controller.
 
@@ -86,9 +102,30 @@
         return self.identity in self.configuration.voters
 
     @property
-    def majority(self) -> int:
-        """How many voters make a majority."""
-        return len(self.configuration.voters) // 2 + 1
+    def voter_sets(self) -> tuple[tuple[ControllerIdentity, ...], ...]:
+        """The sets of voters of each of which a majority is needed.
+
+        While the newest configuration is not known committed, those that it replaces count too.
+        """
+        configuration = self.configuration
+        is_committed = self.log.configuration_index <= self.commit_index
+        if is_committed or not configuration.previous_voters:
+            return (configuration.voters,)
+        return (configuration.voters, configuration.previous_voters)
+
+    def holds_majorities(self, identities: Collection[ControllerIdentity]) -> bool:
+        """Tell whether ``identities`` hold a majority of every set of voters in force."""
+        return all(
+            sum(voter in identities for voter in voters) >= majority_of(voters)
+            for voters in self.voter_sets
+        )
+
+    def reached_by_majorities(self, values: Mapping[ControllerIdentity, int]) -> int:
+        """Return the highest value that majorities of all sets of voters have reached.
+
+        :param values: what each known voter has reached; 0 for those not named
+        """
+        return min(_reached_by_majority(voters, values) for voters in self.voter_sets)
 
     def is_member(self, identity: ControllerIdentity) -> bool:
         """Tell whether this very incarnation is a voter or learner."""
@@ -97,12 +134,13 @@
 
     def other_members(self) -> tuple[ControllerIdentity, ...]:
         """Return all voters and learners but this controller."""
-        members = self.configuration.voters + self.configuration.learners
+        members = dict.fromkeys(itertools.chain(*self.voter_sets, self.configuration.learners))
         return tuple(member for member in members if member != self.identity)
 
     def other_voters(self) -> tuple[ControllerIdentity, ...]:
-        """Return all voters but this controller."""
-        return tuple(voter for voter in self.configuration.voters if voter != self.identity)
+        """Return all voters but this controller, those being replaced included."""
+        voters = dict.fromkeys(itertools.chain(*self.voter_sets))
+        return tuple(voter for voter in voters if voter != self.identity)
 
     def reset_election_deadline(self) -> None:
         """Draw a new random time to stand for election, if no leader is heard before."""
--- a/limedyke/core/agreement/view.py
+++ b/limedyke/core/agreement/view.py
@@ -52,10 +52,9 @@
 
     @property
     def membership_settled(self) -> bool:
-        """Whether the newest configuration is committed and no replacement is under way."""
+        """Whether the newest configuration is committed."""
         state = self._state
-        is_committed = state.log.configuration_index <= state.commit_index
-        return is_committed and state.configuration.departing is None
+        return state.log.configuration_index <= state.commit_index
 
     @property
     def commit_index(self) -> int:
--- a/limedyke/messages/agreement.py
+++ b/limedyke/messages/agreement.py
@@ -59,13 +59,14 @@
     :param cluster: identifier made when the cluster was founded; empty before
     :param voters: identities that count for elections and commits
     :param learners: identities that receive entries but do not count
-    :param departing: a voter that the leader removes as soon as this entry is committed
+    :param previous_voters: the voters that this configuration replaces in one step; until its
+        entry is committed, elections and commits need a majority of these too (joint consensus)
     """
 
     cluster: str = NO_CLUSTER
     voters: tuple[ControllerIdentity, ...] = ()
     learners: tuple[ControllerIdentity, ...] = ()
-    departing: ControllerIdentity | None = None
+    previous_voters: tuple[ControllerIdentity, ...] = ()
 
 
 @message(103)
