--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -117,7 +117,9 @@
     if configuration.learners:
         text += " learners " + " ".join(found.incarnation for found in configuration.learners)
     if configuration.previous_voters:
-        text += " previous " + " ".join(found.incarnation for found in configuration.previous_voters)
+        text += " previous " + " ".join(
+            found.incarnation for found in configuration.previous_voters
+        )
     return text
 
 
--- /dev/null
+++ b/limedyke/controller/call_desk.py
@@ -0,0 +1,139 @@
+"""Takes calls from outside at any controller, and passes them on to the leader."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from itertools import count
+
+import curio
+from result import Err
+
+from limedyke.controller.leader_calls import LeaderCalls, failed
+from limedyke.event_log import EventLog
+from limedyke.link_tasks import until_closed
+from limedyke.messages.calls import Call, CallAnswer, ForwardedAnswer, ForwardedCall
+from limedyke.result_codes import Failure, ResultCode
+from limedyke.transport.link import KeyLookup, Link, LinkClosedError, LinkIdentity, dial
+
+DIAL_TIMEOUT_S = 0.6
+EVENTS = EventLog("calls")
+
+
+class _LeaderLink:
+    """An open link to the leader, with the calls that wait for their answers."""
+
+    def __init__(self, link: Link, address: str) -> None:
+        self.link = link
+        self.address = address
+        self.is_open = True
+        self._numbers = count(1)
+        self._waiting: dict[int, curio.Queue] = {}
+
+    async def ask(self, call: Call) -> CallAnswer:
+        number = next(self._numbers)
+        answers = self._waiting[number] = curio.Queue()
+        try:
+            await self.link.send(ForwardedCall(number, call))
+            return await answers.get()
+        except LinkClosedError as error:
+            return _lost(str(error))
+        finally:
+            self._waiting.pop(number, None)
+
+    async def receive_all(self) -> None:
+        """Hand out answers until the link ends; then tell those that wait."""
+        reason = await until_closed(self._receive)
+        self.is_open = False
+        for answers in list(self._waiting.values()):
+            await answers.put(_lost(reason))
+        await self.link.close()
+
+    async def _receive(self) -> None:
+        while True:
+            message = await self.link.receive()
+            if not isinstance(message, ForwardedAnswer):
+                raise LinkClosedError(f"unexpected {type(message).__name__}")
+            answers = self._waiting.get(message.number)
+            if answers is not None:
+                await answers.put(message.answer)
+
+
+def _lost(reason: str) -> CallAnswer:
+    return failed(Failure(ResultCode.CONTROL_OUTCOME_UNKNOWN, reason))
+
+
+class CallDesk:
+    """Answers calls: on the leader itself, else through a link to the leader.
+
+    :param calls: carries calls out on the leader; None before the cluster is founded
+    :param leader_address: internal address of the known leader, or an empty string
+    """
+
+    def __init__(
+        self,
+        calls: Callable[[], LeaderCalls | None],
+        leader_address: Callable[[], str],
+        identity: LinkIdentity,
+        keys: KeyLookup,
+        source_ip: str,
+    ) -> None:
+        self._calls = calls
+        self._leader_address = leader_address
+        self._identity = identity
+        self._keys = keys
+        self._source_ip = source_ip
+        self._link: _LeaderLink | None = None
+        self._dialling = curio.Lock()
+
+    async def ask(self, call: Call, timeout_s: float) -> CallAnswer:
+        """Return the answer to a call within ``timeout_s``."""
+        async with curio.ignore_after(timeout_s):
+            return await self._ask(call)
+        return _lost("no answer in time")
+
+    async def serve(self, link: Link) -> None:
+        """Answer the calls that another controller passes on."""
+        while True:
+            message = await link.receive()
+            if not isinstance(message, ForwardedCall):
+                raise LinkClosedError(f"unexpected {type(message).__name__}")
+            await curio.spawn(self._answer_forwarded, link, message, daemon=True)
+
+    async def _answer_forwarded(self, link: Link, message: ForwardedCall) -> None:
+        calls = self._calls()
+        answer = failed(Failure(ResultCode.NOT_LEADER))
+        if calls is not None:
+            answer = await calls.answer(message.call)
+        await until_closed(link.send, ForwardedAnswer(message.number, answer))
+
+    async def _ask(self, call: Call) -> CallAnswer:
+        calls = self._calls()
+        if calls is None:
+            return failed(Failure(ResultCode.NOT_LEADER, "No cluster is known yet."))
+        answer = await calls.answer(call)
+        if answer.code != ResultCode.NOT_LEADER.value.number:
+            return answer
+        address = self._leader_address()
+        if not address:
+            return answer
+        link = await self._leader_link(address)
+        return answer if link is None else await link.ask(call)
+
+    async def _leader_link(self, address: str) -> _LeaderLink | None:
+        """Return a link to the leader, opened anew when there is none; None when it fails."""
+        async with self._dialling:
+            known = self._link
+            if known is not None and known.is_open and known.address == address:
+                return known
+            if known is not None:
+                await known.link.close()
+            self._link = None
+            dialled = await dial(
+                address, self._identity, self._keys, self._source_ip, DIAL_TIMEOUT_S
+            )
+            if isinstance(dialled, Err):
+                EVENTS.info("leader-not-reached", address=address, reason=dialled.err_value)
+                return None
+            self._link = _LeaderLink(dialled.ok_value, address)
+            await curio.spawn(self._link.receive_all, daemon=True)
+            return self._link
--- a/limedyke/controller/keys.py
+++ b/limedyke/controller/keys.py
@@ -23,6 +23,6 @@
 
     def __call__(self, role: PeerRole, name: str) -> bytes | None:
         """Return the key of a peer, or None for an unknown one."""
-        if role is PeerRole.OPERATOR:
+        if role is PeerRole.OPERATOR:  # each operator proves a key of its own
             return self._operators.get(name)
         return self.cluster_key
--- /dev/null
+++ b/limedyke/controller/leader_calls.py
@@ -0,0 +1,119 @@
+"""Carries out calls from outside, here on the leader."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from result import Err
+
+from limedyke.controller.clock import boot_seconds
+from limedyke.controller.leader_service import LeaderService
+from limedyke.controller.replica import Replica
+from limedyke.event_log import EventLog
+from limedyke.messages.calls import (
+    AnnounceCall,
+    Call,
+    CallAnswer,
+    DeclareCall,
+    ReadDeclarationCall,
+    WithdrawCall,
+)
+from limedyke.messages.control_entries import ControlEntry, DeclaredVersion, DeclareVersion
+from limedyke.result_codes import Failure, ResultCode
+
+VOTERS_WAIT_S = 6.0
+"""A declaration is not acknowledged by fewer voters than wanted, unless there seem to be no more
+controllers: then it is, after the leader has led for so long."""
+EVENTS = EventLog("calls")
+
+
+def failed(failure: Failure) -> CallAnswer:
+    """Return a failure as the answer to a call."""
+    return CallAnswer(code=failure.code.value.number, detail=str(failure))
+
+
+class LeaderCalls:
+    """Answers calls while this controller leads.
+
+    :param leader: gives the service while this controller leads, else None
+    :param voters_wanted: how many voters must hold a declaration's log before it is acknowledged
+    :param advertise: internal address of this controller (``ip:port``)
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        leader: Callable[[], LeaderService | None],
+        voters_wanted: int,
+        advertise: str,
+    ) -> None:
+        self._replica = replica
+        self._leader = leader
+        self._voters_wanted = voters_wanted
+        self._advertise = advertise
+
+    async def answer(self, call: Call) -> CallAnswer:
+        """Carry out a call, or say that this controller does not lead."""
+        service = self._leader()
+        if service is None or not self._replica.leads:
+            return failed(Failure(ResultCode.NOT_LEADER))
+        match call:
+            case DeclareCall():
+                return await self._declare(call, service)
+            case ReadDeclarationCall():
+                return await self._read()
+            case AnnounceCall():
+                return await self._announce(call, service)
+            case WithdrawCall():
+                return await self._withdraw(call, service)
+
+    async def _declare(self, call: DeclareCall, service: LeaderService) -> CallAnswer:
+        if not self._has_enough_voters(service):
+            detail = "Too few controllers hold the log yet."
+            return failed(Failure(ResultCode.NOT_LEADER, detail, 200))
+        entry = DeclareVersion(call.version, call.document, call.declaration)
+        result = await self._replica.propose(entry)
+        if isinstance(result, Err):
+            return failed(result.err_value)
+        if not isinstance(result.ok_value, DeclaredVersion):
+            return failed(Failure(ResultCode.CONTROL_OUTCOME_UNKNOWN, "The leadership was lost."))
+        in_force = result.ok_value.version
+        EVENTS.info("declaration", version=call.version, in_force=in_force)
+        return CallAnswer(version=in_force, leader=self._advertise)
+
+    def _has_enough_voters(self, service: LeaderService) -> bool:
+        voters = self._replica.agreement.configuration.voters
+        if len(voters) >= self._voters_wanted and self._replica.agreement.membership_settled:
+            return True
+        if self._replica.state.version > 0:
+            return True
+        return boot_seconds() - service.started_at > VOTERS_WAIT_S
+
+    async def _read(self) -> CallAnswer:
+        confirmed = await self._replica.confirm_leadership()
+        if isinstance(confirmed, Err):
+            return failed(confirmed.err_value)
+        state = self._replica.state
+        return CallAnswer(version=state.version, document=state.document, leader=self._advertise)
+
+    async def _announce(self, call: AnnounceCall, service: LeaderService) -> CallAnswer:
+        book = service.decisions.announcements
+        entry = book.announced(call.member, call.sequence, boot_seconds())
+        return await self._record(entry)
+
+    async def _withdraw(self, call: WithdrawCall, service: LeaderService) -> CallAnswer:
+        entry = service.decisions.announcements.withdrawn(call.identity, boot_seconds())
+        return await self._record(entry)
+
+    async def _record(self, entry: ControlEntry | None) -> CallAnswer:
+        """Acknowledge a member's word once a quorum holds what it changes."""
+        if entry is None:
+            return CallAnswer(leader=self._advertise)
+        result = await self._replica.propose(entry)
+        if isinstance(result, Err):
+            return failed(result.err_value)
+        if result.ok_value is None:
+            return failed(Failure(ResultCode.CONTROL_OUTCOME_UNKNOWN, "The leadership was lost."))
+        members = ",".join(f"{m.identity}:{m.state}" for m in entry.members)
+        EVENTS.info("members-recorded", members=members, removed=",".join(entry.removed))
+        return CallAnswer(leader=self._advertise)
--- a/limedyke/controller/leader_service.py
+++ b/limedyke/controller/leader_service.py
@@ -12,13 +12,17 @@
 from limedyke.controller.mailbox import Mailbox
 from limedyke.controller.news import NewsBoard
 from limedyke.controller.platform_list import PlatformListReader
+from limedyke.controller.promotion_authority import PromotionAuthority
 from limedyke.controller.proxy_sessions import ProxySessions
 from limedyke.controller.replica import Replica
 from limedyke.core.control.events import (
     AnswerHeartbeat,
+    AskAuthority,
+    AuthorityAnswered,
     DisconnectProxy,
     LeaderCommand,
     LeaderEvent,
+    NoteDecision,
     Propose,
     SendToProxy,
     TimePassed,
@@ -47,6 +51,9 @@
     :param platform_list_url: where the platform's list is, or empty
     :param source_ip: local address to connect to the platform from, or empty
     :param metrics: counts what is heard and decided; None keeps it from view
+    :param authority: promotes members that announce themselves; None where there is none
+
+    :ivar started_at: when this controller began to lead
     """
 
     def __init__(
@@ -57,8 +64,11 @@
         platform_list_url: str = "",
         source_ip: str = "",
         metrics: ControllerMetrics | None = None,
+        authority: PromotionAuthority | None = None,
     ) -> None:
         self._replica = replica
+        self._authority = authority
+        self.started_at = boot_seconds()
         self._meter = LeaderMeter(metrics or ControllerMetrics(CollectorRegistry()))
         self._timing = timing
         self._events: Mailbox[LeaderEvent] = Mailbox()
@@ -122,6 +132,24 @@
                 await self._replica.propose_without_answer(command.entry)
             case DisconnectProxy():
                 await self.sessions.disconnect(command.proxy, command.reason)
+            case NoteDecision():
+                EVENTS.info("decision", group=command.group, text=command.text)
+            case AskAuthority():
+                await curio.spawn(self._ask_authority, command, daemon=True)
+
+    async def _ask_authority(self, command: AskAuthority) -> None:
+        """Call the promotion authority, only under the leader lease."""
+        if self._authority is None or not self._replica.leads:
+            return
+        outcome = await self._authority.promote(command.group, command.member, command.fence)
+        EVENTS.info(
+            "authority-answered",
+            group=command.group,
+            member=command.member,
+            fence=command.fence,
+            outcome=outcome,
+        )
+        await self._events.put(AuthorityAnswered(command.group, command.fence, outcome))
 
     async def _answer_heartbeat(self, command: AnswerHeartbeat) -> None:
         """Prolong a proxy's leases, only under the leader lease."""
@@ -134,6 +162,7 @@
             stamp=stamp.counter,
             control_index=self._replica.state.control_index,
             lease_duration_ms=int(self._timing.lease_s * 1000),
+            primary_lease_ms=int(self._timing.primary_lease_s * 1000),
         )
         await self.sessions.send(command.proxy, answer)
 
--- a/limedyke/controller/replica.py
+++ b/limedyke/controller/replica.py
@@ -45,18 +45,26 @@
 )
 from limedyke.core.agreement.founding import ANY_INCARNATION, answer_founding_query
 from limedyke.core.agreement.records import Snapshot, StoredState
+from limedyke.core.agreement.voter_policy import WaitingController
 from limedyke.core.control.state import ControlState
 from limedyke.core.control.update_ring import UpdateRing
 from limedyke.core.home import HomeDirectory
 from limedyke.event_log import EventLog
-from limedyke.messages.agreement import ControllerIdentity, EntryKind, FoundingQuery, LogEntry
+from limedyke.messages.agreement import (
+    ControllerIdentity,
+    EntryKind,
+    FoundingAnswer,
+    FoundingQuery,
+    LogEntry,
+    PeerAddress,
+)
 from limedyke.messages.control import ControlUpdate
 from limedyke.messages.control_entries import ControlEntry, pack_entry, unpack_entry
 from limedyke.metrics import ControllerMetrics
 from limedyke.result_codes import Failure
 from limedyke.storage.agreement_storage import AgreementStorage
 
-ANNOUNCEMENT_INTERVAL_S = 1.0
+ANNOUNCEMENT_INTERVAL_S = 0.3
 EVENTS = EventLog("controller")
 
 
@@ -73,6 +81,10 @@
         whose home proxies it changed
     :param metrics: counts roles, snapshots and messages, and measures syncs and commits
     :param on_role: called when the role, term or known leader changed, and on restored state
+    :param advertise: where the other controllers reach this one (``ip:port``)
+
+    :ivar strangers: controllers that are no members and announced themselves, by name
+    :ivar waiting: those of them that said where they are reached
     """
 
     def __init__(
@@ -87,6 +99,7 @@
         on_update: Callable[[ControlUpdate, frozenset[str]], Awaitable[None]],
         on_role: Callable[[], Awaitable[None]],
         metrics: ControllerMetrics | None = None,
+        advertise: str = "",
     ) -> None:
         self.agreement = Agreement(identity, stored, timing, random.Random(), boot_seconds())
         self.state = ControlState()
@@ -94,6 +107,8 @@
         self.homes = HomeDirectory(self.state.home_proxies_per_group)
         self.storage_failure = ""
         self.strangers: dict[str, ControllerIdentity] = {}
+        self.waiting: dict[str, WaitingController] = {}
+        self._advertise = advertise
         self._snapshot = stored.snapshot
         self._storage = storage
         self._network = network
@@ -131,18 +146,43 @@
             await tasks.spawn(self._run_events)
             await tasks.spawn(self._run_writes)
 
+    @property
+    def known_addresses(self) -> dict[str, str]:
+        """Where the other controllers are reached, by name."""
+        return self._network.addresses
+
+    def learn_address(self, name: str, address: str) -> None:
+        """Learn where another controller is reached."""
+        self._network.set_address(name, address)
+
     async def receive(self, sender: ControllerIdentity, message: PeerMessage) -> None:
         """Take a message of another controller."""
         if isinstance(message, FoundingQuery):
-            self.strangers[sender.name] = sender
-            answer = answer_founding_query(
-                sender, self._snapshot, self.agreement.configuration, self._voter_names
-            )
-            await self._network.send(answer.to, answer.message)
+            await self._answer_stranger(sender, message)
+            return
+        if isinstance(message, FoundingAnswer):
+            for known in message.controllers:
+                self._network.set_address(known.name, known.address)
             return
         self._metrics.peer_messages.labels("in").inc()
         await self._events.put(MessageReceived(sender, message))
 
+    async def _answer_stranger(self, sender: ControllerIdentity, query: FoundingQuery) -> None:
+        """Note a controller that waits to be added, and tell it what it asks."""
+        self.strangers[sender.name] = sender
+        if query.address:
+            self._network.set_address(sender.name, query.address)
+            self.waiting[sender.name] = WaitingController(sender, query.address, boot_seconds())
+        known = {self.agreement.identity.name: self._advertise, **self._network.addresses}
+        answer = answer_founding_query(
+            sender,
+            self._snapshot,
+            self.agreement.configuration,
+            self._voter_names,
+            tuple(PeerAddress(name, address) for name, address in known.items() if address),
+        )
+        await self._network.send(answer.to, answer.message)
+
     async def propose(self, entry: ControlEntry) -> Result[object, Failure]:
         """Put an entry into the log; return the answer it gave when it was applied."""
         payload = pack_entry(entry)
@@ -210,7 +250,7 @@
         if is_member or now < self._next_announcement_at:
             return
         self._next_announcement_at = now + ANNOUNCEMENT_INTERVAL_S
-        query = FoundingQuery(self._voter_names)
+        query = FoundingQuery(self._voter_names, self._advertise)
         for name in self._network.addresses:
             await self._network.send(ControllerIdentity(name, ANY_INCARNATION), query)
 
--- a/limedyke/controller/server.py
+++ b/limedyke/controller/server.py
@@ -3,21 +3,28 @@
 from __future__ import annotations
 
 import secrets as random_secrets
+from dataclasses import replace
+from typing import Protocol
 
 import curio
 from result import Err
 
+from limedyke.controller.call_desk import CallDesk
 from limedyke.controller.founding_phase import FoundingPhase
 from limedyke.controller.keys import ControllerKeys
+from limedyke.controller.leader_calls import LeaderCalls
 from limedyke.controller.leader_service import LeaderService
 from limedyke.controller.operator_changes import ControllerChanges
 from limedyke.controller.operator_requests import OperatorRequests
 from limedyke.controller.peer_network import PeerMessage, PeerNetwork
+from limedyke.controller.promotion_authority import PromotionAuthority
 from limedyke.controller.replica import Replica
 from limedyke.controller.status_pages import StatusPages
 from limedyke.controller.status_report import StatusReport
 from limedyke.controller.timings import agreement_timing, control_timing
+from limedyke.controller.voter_care import VoterCare
 from limedyke.core.agreement.commands import Role
+from limedyke.core.agreement.voter_policy import VoterPolicy
 from limedyke.event_log import EventLog
 from limedyke.messages.agreement import ControllerIdentity
 from limedyke.messages.control import ControlUpdate, NotLeader, ProxyHello
@@ -26,6 +33,7 @@
 from limedyke.stop_signal import StopSignal
 from limedyke.storage.agreement_storage import AgreementStorage
 from limedyke.storage.durable_log import DurableLog
+from limedyke.storage.file_system import LocalFileSystem
 from limedyke.storage.open_log import open_durable_log
 from limedyke.transport.link import Link, LinkIdentity, listen, serve_links
 
@@ -37,16 +45,34 @@
 EVENTS = EventLog("controller")
 
 
+class ControllerEdge(Protocol):
+    """How a controller meets the world beside links: calls from outside, and an authority."""
+
+    authority: PromotionAuthority | None
+
+    async def run(self, desk: CallDesk) -> None:
+        """Serve calls until cancelled."""
+
+
 class Controller:
     """One controller process.
 
     :param settings: checked settings
     :param secrets: holds the cluster key and the operators' keys
     :param log: the open durable log
+    :param edge: takes calls from outside; None where operators' links are all there is
     """
 
-    def __init__(self, settings: ControllerSettings, secrets: Secrets, log: DurableLog) -> None:
+    def __init__(
+        self,
+        settings: ControllerSettings,
+        secrets: Secrets,
+        log: DurableLog,
+        edge: ControllerEdge | None = None,
+    ) -> None:
         self._settings = settings
+        self._edge = edge
+        self._calls: LeaderCalls | None = None
         self._log = log
         self._keys = ControllerKeys(settings, secrets)
         self._link_identity = LinkIdentity(
@@ -65,6 +91,13 @@
         self._leader_task: curio.Task | None = None
         self._requests: OperatorRequests | None = None
         self._pages = StatusPages(lambda: self._replica, lambda: self._leader)
+        self._desk = CallDesk(
+            lambda: self._calls,
+            self._leader_address,
+            replace(self._link_identity, role=PeerRole.FORWARDER),
+            self._keys,
+            settings.source_ip,
+        )
 
     async def run(self) -> int:
         """Run until a signal or a storage failure; return the exit status."""
@@ -79,6 +112,8 @@
                 serve_links, listened.ok_value, self._link_identity, self._keys, self._serve_link
             )
             await tasks.spawn(self._pages.run, self._settings.status_listen)
+            if self._edge is not None:
+                await tasks.spawn(self._edge.run, self._desk)
             work = await tasks.spawn(self._work)
             waiter = await tasks.spawn(self._wait_for_stop, stop)
         finished = tasks.completed
@@ -104,9 +139,17 @@
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._replica.run)
             await tasks.spawn(self._follow_leadership)
+            if self._settings.voters_wanted:
+                await tasks.spawn(self._voter_care().run)
         ended = tasks.completed
         EVENTS.error("work-ended", task=ended.name, reason=repr(ended.exception))
 
+    def _voter_care(self) -> VoterCare:
+        settings = self._settings
+        silence_limit_s = settings.voter_silence_limit_ms / 1000
+        policy = VoterPolicy(settings.voters_wanted, silence_limit_s)
+        return VoterCare(self._replica, policy, settings.advertise)
+
     def _start_replica(self) -> None:
         stored = self._log.take_stored_state()
         self._network.cluster = stored.snapshot.configuration.cluster
@@ -121,6 +164,7 @@
             on_update=self._on_update,
             on_role=self._on_role,
             metrics=self._pages.metrics,
+            advertise=self._settings.advertise if self._settings.voters_wanted else "",
         )
         addresses = {self._settings.name: self._settings.advertise, **self._network.addresses}
         self._requests = OperatorRequests(
@@ -133,6 +177,9 @@
             metrics=self._pages.metrics,
         )
         self._replica = replica
+        self._calls = LeaderCalls(
+            replica, lambda: self._leader, self._settings.voters_wanted, self._settings.advertise
+        )
 
     async def _on_update(self, update: ControlUpdate, changed_homes: frozenset[str]) -> None:
         if self._leader is not None:
@@ -164,6 +211,7 @@
             self._settings.platform_list_url,
             self._settings.source_ip,
             self._pages.metrics,
+            self._edge.authority if self._edge is not None else None,
         )
         task = await curio.spawn(leader.run)
         if self._leader is leader:
@@ -194,6 +242,8 @@
                 await self._serve_proxy(link)
             case PeerRole.OPERATOR:
                 await self._serve_operator(link)
+            case PeerRole.FORWARDER:
+                await self._desk.serve(link)
 
     async def _serve_proxy(self, link: Link) -> None:
         async with curio.timeout_after(HELLO_TIMEOUT_S):
@@ -225,14 +275,20 @@
         await curio.sleep(LEADERSHIP_CHECK_S)
 
 
-def run_controller(settings: ControllerSettings, secrets: Secrets) -> int:
-    """Run a controller process; return its exit status."""
+def run_controller(
+    settings: ControllerSettings, secrets: Secrets, edge: ControllerEdge | None = None
+) -> int:
+    """Run a controller process; return its exit status.
+
+    :param edge: see ``Controller``
+    """
     keys = ControllerKeys(settings, secrets)
     if keys.missing():
         EVENTS.error("secrets-missing", names=",".join(keys.missing()))
         return EXIT_SETTINGS_INVALID
     identity = ControllerIdentity(settings.name, random_secrets.token_hex(INCARNATION_BYTES))
-    opened = open_durable_log(settings.data_folder / "agreement", identity)
+    files = LocalFileSystem(settings.keeps_unsynced_writes)
+    opened = open_durable_log(settings.data_folder / "agreement", identity, files)
     if isinstance(opened, Err):
         EVENTS.error("log-not-opened", reason=opened.err_value)
         return EXIT_FAILED
@@ -240,6 +296,6 @@
     if log.torn_tail is not None:
         EVENTS.warning("torn-tail-cut", detail=log.torn_tail)
     try:
-        return curio.run(Controller(settings, secrets, log).run)
+        return curio.run(Controller(settings, secrets, log, edge).run)
     finally:
         log.close()
--- a/limedyke/controller/timings.py
+++ b/limedyke/controller/timings.py
@@ -25,4 +25,7 @@
         lease_s=settings.connection_lease_ms / MILLISECONDS,
         report_hold_s=settings.failure_report_hold_ms / MILLISECONDS,
         promotion_timeout_s=settings.promotion_timeout_ms / MILLISECONDS,
+        primary_lease_s=settings.primary_lease_ms / MILLISECONDS,
+        authority_timeout_s=settings.authority_timeout_ms / MILLISECONDS,
+        member_silence_s=settings.member_silence_ms / MILLISECONDS,
     )
--- a/limedyke/core/agreement/founding.py
+++ b/limedyke/core/agreement/founding.py
@@ -20,6 +20,7 @@
     FoundingMessage,
     FoundingQuery,
     MemberConfiguration,
+    PeerAddress,
 )
 
 QUERY_INTERVAL_S = 0.25
@@ -155,15 +156,17 @@
     snapshot: Snapshot,
     configuration: MemberConfiguration,
     voter_names: tuple[str, ...],
+    controllers: tuple[PeerAddress, ...] = (),
 ) -> SendFoundingMessage:
     """Return what a controller that belongs to a cluster answers to an empty one.
 
     :param snapshot: the responder's newest snapshot; while it is the one the cluster was
         founded with, a founding voter that missed the founding still gets it
     :param configuration: the responder's newest configuration
+    :param controllers: the controllers that the responder knows
     """
     is_genesis = (snapshot.index, snapshot.data) == (1, b"")
     if is_genesis and sender in snapshot.configuration.voters:
         return SendFoundingMessage(sender, ClusterFounded(snapshot.configuration))
-    answer = FoundingAnswer(configuration.cluster, tuple(voter_names))
+    answer = FoundingAnswer(configuration.cluster, tuple(voter_names), controllers)
     return SendFoundingMessage(sender, answer)
--- a/limedyke/core/control/declaration_change.py
+++ b/limedyke/core/control/declaration_change.py
@@ -9,6 +9,7 @@
 
 from limedyke.messages.codec import encode
 from limedyke.messages.control_entries import DeclarationChange
+from limedyke.messages.databases import Database
 from limedyke.messages.declaration import Declaration, Group, ProxyIntent, Tenant, TokenKey
 
 PLAN_ID_PREFIX = "p"
@@ -24,6 +25,8 @@
         self.groups: dict[str, Group] = {group.name: group for group in declaration.groups}
         self.token_keys: tuple[TokenKey, ...] = declaration.token_keys
         self.proxies: tuple[ProxyIntent, ...] = declaration.proxies
+        self.databases: dict[str, Database] = {item.name: item for item in declaration.databases}
+        self.session_limits = declaration.session_limits
 
     def declaration(self) -> Declaration:
         """Return the declaration, items in the order of their names."""
@@ -32,6 +35,8 @@
             groups=_sorted(self.groups),
             token_keys=self.token_keys,
             proxies=self.proxies,
+            databases=_sorted(self.databases),
+            session_limits=self.session_limits,
         )
 
     def apply(self, change: DeclarationChange) -> None:
@@ -46,11 +51,18 @@
             self.token_keys = change.token_keys
         if change.proxies is not None:
             self.proxies = change.proxies
+        for name in change.removed_databases:
+            self.databases.pop(name, None)
+        self.databases.update((database.name, database) for database in change.databases)
+        if change.session_limits is not None:
+            self.session_limits = change.session_limits
 
     def change_to(self, wanted: Declaration) -> DeclarationChange:
         """Return the change that turns this state into ``wanted``."""
         tenants, removed_tenants = _difference(self.tenants, wanted.tenants)
         groups, removed_groups = _difference(self.groups, wanted.groups)
+        databases, removed_databases = _difference(self.databases, wanted.databases)
+        limits = wanted.session_limits
         return DeclarationChange(
             tenants=tenants,
             removed_tenants=removed_tenants,
@@ -58,6 +70,9 @@
             removed_groups=removed_groups,
             token_keys=None if wanted.token_keys == self.token_keys else wanted.token_keys,
             proxies=None if wanted.proxies == self.proxies else wanted.proxies,
+            databases=databases,
+            removed_databases=removed_databases,
+            session_limits=None if limits == self.session_limits else limits,
         )
 
 
--- a/limedyke/core/control/events.py
+++ b/limedyke/core/control/events.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 
 from limedyke.messages.control import (
@@ -104,6 +105,23 @@
     """To be sent several times a second."""
 
 
+class AuthorityOutcome(enum.StrEnum):
+    """What is known of a call to the promotion authority."""
+
+    PROMOTED = "promoted"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class AuthorityAnswered:
+    """The promotion authority answered a call, or did not in time."""
+
+    group: str
+    fence: int
+    outcome: AuthorityOutcome
+
+
 LeaderEvent = (
     ProxyConnected
     | ProxyDisconnected
@@ -116,6 +134,7 @@
     | UpdateApplied
     | PlatformListed
     | TimePassed
+    | AuthorityAnswered
 )
 
 
@@ -150,4 +169,26 @@
     reason: str
 
 
-LeaderCommand = Propose | SendToProxy | AnswerHeartbeat | DisconnectProxy
+@dataclass(frozen=True, slots=True)
+class AskAuthority:
+    """Have the promotion authority make a member the primary of its group.
+
+    :param fence: no call under a lower number may be carried out afterwards
+    """
+
+    group: str
+    member: str
+    fence: int
+
+
+@dataclass(frozen=True, slots=True)
+class NoteDecision:
+    """Write to the event log why something is done."""
+
+    group: str
+    text: str
+
+
+LeaderCommand = (
+    Propose | SendToProxy | AnswerHeartbeat | DisconnectProxy | AskAuthority | NoteDecision
+)
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -8,8 +8,11 @@
 
 from random import Random
 
+from limedyke.core.control.announcements import AnnouncementBook
+from limedyke.core.control.authority_failover import AuthorityFailover
 from limedyke.core.control.events import (
     AnswerHeartbeat,
+    AuthorityAnswered,
     DisconnectProxy,
     HeartbeatReceived,
     LeaderCommand,
@@ -82,6 +85,17 @@
         self.failover = FailoverCoordinator(
             state.primaries, state.switchover_targets, self.membership, timing, generator
         )
+        self.announcements = AnnouncementBook(state.announced, now)
+        self.authority = AuthorityFailover(
+            state.primaries,
+            state.announced,
+            state.proxies,
+            self.announcements,
+            self.membership,
+            timing,
+            now,
+        )
+        self._timing = timing
         if home_proxies_per_group != state.home_proxies_per_group:
             self._commands.append(Propose(RecordLimits(home_proxies_per_group)))
         for group in state.declared.groups.values():
@@ -101,6 +115,9 @@
                 self._on_heartbeat(event, now)
             case MemberReported():
                 self.failover.report(event.proxy, event.report, now)
+                self.authority.report(event.proxy, event.report, now)
+            case AuthorityAnswered():
+                self.authority.authority_answered(event.group, event.fence, event.outcome, now)
             case LeasesReturned():
                 self.leases.returned(event.proxy, event.leases)
             case UpdateApplied():
@@ -127,6 +144,7 @@
         commands, self._commands = self._commands, []
         commands += [Propose(entry) for entry in self._membership_entries()]
         commands += self.failover.take_commands()
+        commands += self.authority.take_commands()
         commands += self._lease_messages()
         return commands
 
@@ -170,6 +188,7 @@
         self.membership.disconnected(proxy)
         self.leases.disconnected(proxy)
         self.failover.proxy_disconnected(proxy, now)
+        self.authority.proxy_disconnected(proxy)
 
     def _on_left(self, event: ProxyLeft) -> None:
         if event.done:
@@ -178,12 +197,16 @@
 
     def _on_time(self, now: float) -> None:
         self.failover.tick(now)
+        self.authority.tick(now)
         if now < self._next_judgement_at:
             return
         self._next_judgement_at = now + JUDGE_INTERVAL_S
         for proxy in self.leases.expire(now):
             self._commands.append(DisconnectProxy(proxy, LEASES_RUN_OUT))
         self.membership.judge(now, self.leases.holders())
+        gone = self.announcements.silent(self._timing.member_forgotten_s, now)
+        if gone is not None:
+            self._commands.append(Propose(gone))
 
     def _on_update(self, event: UpdateApplied, now: float) -> None:
         update = event.update
@@ -195,6 +218,7 @@
         for name in update.removed_groups:
             self.leases.remove_group(name)
             self.failover.remove_group(name)
+            self.authority.remove_group(name)
         for group in update.groups:
             self._put_group(group, now)
         for name in changed.difference(group.name for group in update.groups):
@@ -202,12 +226,18 @@
             self.failover.set_homes(name, self.homes.homes(name))
         for primary in update.primaries:
             self.failover.primary_applied(primary, now)
+            self.authority.primary_applied(primary, now)
+        if update.announced or update.removed_announced:
+            self.authority.members_applied(now)
 
     def _put_group(self, group: Group, now: float) -> None:
         homes = self.homes.homes(group.name)
         self.leases.set_group(group)
         self.leases.set_homes(group.name, homes)
-        self.failover.put_group(group, homes, now)
+        if group.announced:
+            self.authority.put_group(group.name, now)
+        else:
+            self.failover.put_group(group, homes, now)
 
     def _lease_messages(self) -> list[SendToProxy]:
         """Return one message to each proxy whose leases changed."""
--- a/limedyke/core/control/primary_table.py
+++ b/limedyke/core/control/primary_table.py
@@ -61,14 +61,19 @@
         self.primaries.pop(group, None)
         self.switchover_targets.pop(group, None)
 
-    def grant_terms(self, entry: GrantTerms, declared: Container[str]) -> tuple[GroupPrimary, ...]:
-        """Record higher terms that have no primary yet; return the groups changed."""
+    def grant_terms(
+        self, index: int, entry: GrantTerms, declared: Container[str]
+    ) -> tuple[GroupPrimary, ...]:
+        """Record higher terms that have no primary yet; return the groups changed.
+
+        :param index: of the entry in the log; the fence of these terms
+        """
         changed = []
         for grant in entry.grants:
             known = self.find(grant.group, declared)
             if known is None or known.term != grant.expected_term or grant.term <= known.term:
                 continue
-            changed.append(self.keep(GroupPrimary(grant.group, grant.term, "")))
+            changed.append(self.keep(GroupPrimary(grant.group, grant.term, "", fence=index)))
         return tuple(changed)
 
     def record_primaries(
@@ -83,5 +88,6 @@
             if change.term == known.term and known.primary:
                 continue
             self.switchover_targets.pop(change.group, None)
-            changed.append(self.keep(GroupPrimary(change.group, change.term, change.primary)))
+            recorded = GroupPrimary(change.group, change.term, change.primary, fence=known.fence)
+            changed.append(self.keep(recorded))
         return tuple(changed)
--- a/limedyke/core/control/state.py
+++ b/limedyke/core/control/state.py
@@ -23,18 +23,23 @@
     ControllerAddress,
     ControlStateSnapshot,
     DeclarationChange,
+    DeclaredVersion,
+    DeclareVersion,
     GrantTerms,
+    MembersRecorded,
     PlanOutcome,
     PlanRecord,
     RecordAnswer,
     RecordControllers,
     RecordLimits,
+    RecordMembers,
     RecordPlan,
     RecordPrimaries,
     RecordProxies,
     RemoveProxies,
     pack_entry,
 )
+from limedyke.messages.databases import AnnouncedMember
 from limedyke.messages.declaration import Declaration
 from limedyke.messages.operator import Confirmed, HistoryEntry, Refused, SwitchoverAnswer
 from limedyke.result_codes import ResultCode
@@ -48,6 +53,9 @@
     :ivar revision: how many plans have come into force
     :ivar time: the log's clock, seconds since the epoch; moves with operators' entries only
     :ivar controllers: addresses of the controllers by name
+    :ivar version: of the whole declaration in force; 0 when there was none
+    :ivar document: that declaration as the operator sent it
+    :ivar announced: members that announced themselves, by identity
     """
 
     def __init__(self) -> None:
@@ -59,6 +67,9 @@
         self.proxies: dict[str, ProxyRecord] = {}
         self.home_proxies_per_group = 3
         self.controllers: dict[str, str] = {}
+        self.version = 0
+        self.document = b""
+        self.announced: dict[str, AnnouncedMember] = {}
         self.plans = PlanBook()
         self._primary_table = PrimaryTable()
         self._answers = AnswerBook()
@@ -82,7 +93,7 @@
             case ConfirmPlan():
                 return self._confirm_plan(index, entry)
             case GrantTerms():
-                granted = self._primary_table.grant_terms(entry, self.declared.groups)
+                granted = self._primary_table.grant_terms(index, entry, self.declared.groups)
                 return self._announce(index, primaries=granted)
             case RecordPrimaries():
                 recorded = self._primary_table.record_primaries(entry, self.declared.groups)
@@ -99,7 +110,11 @@
             case RecordAnswer():
                 return Applied(answer=self._record_answer(entry))
             case RecordControllers():
-                self._learn_controllers(entry.controllers)
+                return self._record_controllers(index, entry)
+            case DeclareVersion():
+                return self._declare_version(index, entry)
+            case RecordMembers():
+                return self._record_members(index, entry)
         return Applied()
 
     def first_answer(self, operator: str, request_id: str) -> object | None:
@@ -120,6 +135,8 @@
             primaries=tuple(self.primaries.values()),
             proxies=tuple(self.proxies.values()),
             home_proxies_per_group=self.home_proxies_per_group,
+            announced=tuple(self.announced.values()),
+            controllers=tuple(self.controllers.values()),
         )
 
     def to_bytes(self) -> bytes:
@@ -142,6 +159,9 @@
                 controllers=tuple(
                     ControllerAddress(name, address) for name, address in self.controllers.items()
                 ),
+                version=self.version,
+                document=self.document,
+                announced=tuple(self.announced.values()),
             )
         )
 
@@ -169,10 +189,45 @@
         self.plans = PlanBook(snapshot.plans, snapshot.outcomes, snapshot.history)
         self._answers = AnswerBook(snapshot.answers)
         self._learn_controllers(snapshot.controllers)
+        self.version = snapshot.version
+        self.document = snapshot.document
+        self.announced = {member.identity: member for member in snapshot.announced}
 
     def _learn_controllers(self, controllers: tuple[ControllerAddress, ...]) -> None:
         self.controllers.update((found.name, found.address) for found in controllers)
 
+    def _record_controllers(self, index: int, entry: RecordControllers) -> Applied:
+        known = dict(self.controllers)
+        for name in entry.removed:
+            self.controllers.pop(name, None)
+        self._learn_controllers(entry.controllers)
+        if known == self.controllers:
+            return Applied()
+        addresses = tuple(self.controllers.values())
+        return Applied(update=self._update(index, controllers=addresses))
+
+    def _declare_version(self, index: int, entry: DeclareVersion) -> Applied:
+        """Bring a whole declaration into force; one that isn't newer changes nothing."""
+        if entry.version <= self.version:
+            return Applied(DeclaredVersion(self.version))
+        self.version = entry.version
+        self.document = entry.document
+        change = self.declared.change_to(entry.declaration)
+        if is_empty(change):
+            return Applied(DeclaredVersion(self.version))
+        self.revision += 1
+        self.declared.apply(change)
+        return Applied(DeclaredVersion(self.version), self._update_of(index, change))
+
+    def _record_members(self, index: int, entry: RecordMembers) -> Applied:
+        removed = tuple(name for name in entry.removed if self.announced.pop(name, None))
+        changed = tuple(
+            member for member in entry.members if self.announced.get(member.identity) != member
+        )
+        self.announced.update((member.identity, member) for member in changed)
+        applied = self._announce(index, announced=changed, removed_announced=removed)
+        return Applied(MembersRecorded(), applied.update)
+
     def _announce(self, index: int, **changes: tuple) -> Applied:
         """Return the update for the proxies, if there are changes."""
         if not any(changes.values()):
@@ -242,6 +297,9 @@
             removed_groups=change.removed_groups,
             token_keys=change.token_keys,
             proxy_intents=change.proxies,
+            databases=change.databases,
+            removed_databases=change.removed_databases,
+            session_limits=change.session_limits,
         )
 
     def _write_history(self, plan_id: str, operator: str, summary: str) -> None:
--- a/limedyke/core/control/timing.py
+++ b/limedyke/core/control/timing.py
@@ -27,6 +27,11 @@
         with the promotion it ends before a leaving member has to be free of new work
     :param promotions_at_once: promotions under way over all groups
     :param promotions_per_proxy: promotions under way at one proxy
+    :param primary_lease_s: for so long after its heartbeat a proxy may take the recorded primary
+        of a group of announced members for the only one; 0 gives no such lease
+    :param authority_timeout_s: a call to the promotion authority is given up after this long
+    :param member_silence_s: an announced member silent for longer is doubted
+    :param member_forgotten_s: an announced member silent for longer is forgotten
     """
 
     lease_s: float = 30.0
@@ -44,3 +49,7 @@
     switchover_pause_s: float = 1.5
     promotions_at_once: int = 256
     promotions_per_proxy: int = 16
+    primary_lease_s: float = 1.5
+    authority_timeout_s: float = 3.0
+    member_silence_s: float = 5.0
+    member_forgotten_s: float = 30.0
--- a/limedyke/core/control/update_ring.py
+++ b/limedyke/core/control/update_ring.py
@@ -71,7 +71,8 @@
 
 
 def _key(item: object) -> str:
-    return getattr(item, "name", None) or item.group
+    name = getattr(item, "name", None) or getattr(item, "identity", None)
+    return name or item.group
 
 
 def merge_updates(updates: list[ControlUpdate]) -> ControlUpdate:
@@ -79,7 +80,8 @@
     if len(updates) == 1:
         return updates[0]
     tenants, groups, primaries, proxies = _Items(), _Items(), _Items(), _Items()
-    token_keys = intents = home_proxies_per_group = None
+    databases, announced = _Items(), _Items()
+    token_keys = intents = home_proxies_per_group = session_limits = controllers = None
     for update in updates:
         tenants.take(update.tenants, update.removed_tenants)
         groups.take(update.groups, update.removed_groups)
@@ -89,6 +91,11 @@
         intents = intents if update.proxy_intents is None else update.proxy_intents
         if update.home_proxies_per_group is not None:
             home_proxies_per_group = update.home_proxies_per_group
+        databases.take(update.databases, update.removed_databases)
+        announced.take(update.announced, update.removed_announced)
+        if update.session_limits is not None:
+            session_limits = update.session_limits
+        controllers = controllers if update.controllers is None else update.controllers
     return ControlUpdate(
         base_index=updates[0].base_index,
         control_index=updates[-1].control_index,
@@ -103,4 +110,10 @@
         removed_proxies=proxies.removed(),
         proxy_intents=intents,
         home_proxies_per_group=home_proxies_per_group,
+        databases=databases.items(),
+        removed_databases=databases.removed(),
+        session_limits=session_limits,
+        announced=announced.items(),
+        removed_announced=announced.removed(),
+        controllers=controllers,
     )
--- /dev/null
+++ b/limedyke/core/statements/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about sessions of statements and the members that run them, sans-IO."""
--- /dev/null
+++ b/limedyke/core/statements/member_belief.py
@@ -0,0 +1,84 @@
+"""What a proxy believes of one member: whether it answers, how fast, how far; sans-IO."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from limedyke.messages.control import MemberHealth
+from limedyke.messages.databases import AnnouncedMember, MemberState
+from limedyke.messages.work import LogPosition
+
+LATENCY_SMOOTHING = 0.2
+INITIAL_LATENCY_S = 0.02
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 1.0
+FIRST_BEHIND_S = 0.02
+LONGEST_BEHIND_S = 0.32
+TROUBLES_FOR_UNREACHABLE = 2
+
+
+@dataclass(slots=True)
+class MemberBelief:
+    """One member as this proxy sees it; times are seconds of a monotonic clock.
+
+    :ivar outstanding: statements of this proxy under way there
+    :ivar latency_s: smoothed time of an answer, the network's part included
+    :ivar paused_until: no new work goes there before, unless nothing else is left
+    :ivar behind_until: its log lacked a wanted position a moment ago
+    :ivar position: the last one it told
+    :ivar contact_at: when it last answered anything
+    """
+
+    record: AnnouncedMember
+    outstanding: int = 0
+    latency_s: float = INITIAL_LATENCY_S
+    paused_until: float = 0.0
+    behind_until: float = 0.0
+    position: LogPosition = field(default_factory=LogPosition)
+    contact_at: float = float("-inf")
+    health: MemberHealth = MemberHealth.REACHABLE
+    _troubles: int = 0
+    _behind_s: float = FIRST_BEHIND_S
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the member itself takes new work."""
+        return self.record.state is MemberState.READY
+
+    def answered(self, now: float, position: LogPosition | None) -> None:
+        """Take any sign that the member works."""
+        self.contact_at = now
+        self.paused_until = 0.0
+        self._troubles = 0
+        self.health = MemberHealth.REACHABLE
+        if position is not None:
+            self.position = position
+
+    def served(self, seconds: float) -> None:
+        """Take how long an answer took."""
+        self.latency_s += LATENCY_SMOOTHING * (seconds - self.latency_s)
+        self._behind_s = FIRST_BEHIND_S
+
+    def was_behind(self, now: float) -> None:
+        """Take its word that its log lacks a position."""
+        self.behind_until = now + self._behind_s
+        self._behind_s = min(2 * self._behind_s, LONGEST_BEHIND_S)
+
+    def is_busy(self, now: float) -> None:
+        """Take its word that it has no room."""
+        self.paused_until = max(self.paused_until, now + FIRST_PAUSE_S / 2)
+
+    def was_silent(self, now: float) -> None:
+        """Note that a probe got no answer for its whole time."""
+        self._trouble(now, TROUBLES_FOR_UNREACHABLE)
+
+    def broke(self, now: float) -> None:
+        """Note that a connection was refused, reset or closed."""
+        self._trouble(now, 1)
+
+    def _trouble(self, now: float, weight: int) -> None:
+        self._troubles += weight
+        pause_s = min(FIRST_PAUSE_S * 2 ** (self._troubles - 1), LONGEST_PAUSE_S)
+        self.paused_until = now + pause_s
+        if self._troubles >= TROUBLES_FOR_UNREACHABLE:
+            self.health = MemberHealth.UNREACHABLE
--- /dev/null
+++ b/limedyke/core/statements/primary_positions.py
@@ -0,0 +1,50 @@
+"""Positions of a group's primary, each known to have been its at a moment; sans-IO."""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from limedyke.messages.work import LogPosition
+
+SAMPLES_KEPT = 128
+SAMPLE_SPACING_S = 0.02
+
+
+@dataclass(frozen=True, slots=True)
+class PositionSample:
+    """The primary's position, asked for at ``asked_at`` (seconds, monotonic)."""
+
+    asked_at: float
+    position: LogPosition
+
+
+class PrimaryPositions:
+    """What is known of where the primary's log has reached.
+
+    A sample holds every commit acknowledged before it was asked for.
+    """
+
+    def __init__(self) -> None:
+        self._samples: deque[PositionSample] = deque(maxlen=SAMPLES_KEPT)
+
+    def clear(self) -> None:
+        """Forget everything, when the primary was replaced."""
+        self._samples.clear()
+
+    def add(self, asked_at: float, position: LogPosition) -> None:
+        """Take the position that a member gave while it was surely the primary."""
+        if self._samples and asked_at < self._samples[-1].asked_at + SAMPLE_SPACING_S:
+            return
+        self._samples.append(PositionSample(asked_at, position))
+
+    def not_older_than(self, since: float) -> LogPosition | None:
+        """Return the least position that holds all that was acknowledged before ``since``."""
+        for sample in self._samples:
+            if sample.asked_at >= since:
+                return sample.position
+        return None
+
+    def newest_asked_at(self) -> float:
+        """Return when the newest sample was asked for; minus infinity when there is none."""
+        return self._samples[-1].asked_at if self._samples else float("-inf")
--- /dev/null
+++ b/limedyke/core/statements/session.py
@@ -0,0 +1,189 @@
+"""One client's session of statements: what it may ask next, and what it has set; sans-IO.
+
+The session answers by itself what needs no member.  A transaction begins at a member only with
+its first statement, so that an empty one costs nothing.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from limedyke.messages.databases import Consistency, Database
+from limedyke.messages.statements import Statement, StatementAnswer, StatementKind
+from limedyke.messages.work import LogPosition, TransactionStatus
+from limedyke.result_codes import ResultCode
+
+
+@dataclass(frozen=True, slots=True)
+class PreparedShape:
+    """What a prepared name stands for."""
+
+    shape: str
+    writes: bool
+
+
+@dataclass(frozen=True, slots=True)
+class RunOnMember:
+    """The statement needs a member.
+
+    :param begin: the statement that began the transaction; None outside one, and once the
+        transaction is open at a member
+    :param writes: it must run at the primary
+    :param prepared: what an execution runs
+    """
+
+    statement: Statement
+    begin: Statement | None
+    writes: bool
+    prepared: PreparedShape | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class EndTransaction:
+    """The transaction is to be rolled back at its member; the client is answered at once."""
+
+    answer: StatementAnswer
+
+
+Plan = StatementAnswer | RunOnMember | EndTransaction
+
+
+def refusal(code: ResultCode, detail: str = "", retry_after_ms: int = 0) -> StatementAnswer:
+    """Return a refusal or failure as an answer."""
+    return StatementAnswer(code.value.number, detail or code.value.meaning, retry_after_ms)
+
+
+@dataclass(slots=True)
+class OpenTransaction:
+    """A transaction that a client began.
+
+    :param begin: the statement that began it
+    :param at_member: its first statement was sent to a member
+    """
+
+    begin: Statement
+    at_member: bool = False
+    wrote: bool = False
+
+    @property
+    def reads_only(self) -> bool:
+        """Whether the client said that it only reads."""
+        return self.begin.kind is StatementKind.BEGIN_READ
+
+
+@dataclass(slots=True)
+class StatementSession:
+    """The state of one client's session.
+
+    :ivar database: how its statements are served; renewed at the start of each operation
+    :ivar written: up to where the session has written; None before its first commit
+    """
+
+    database: Database
+    settings: dict[str, str] = field(default_factory=dict)
+    prepared: dict[str, PreparedShape] = field(default_factory=dict)
+    status: TransactionStatus = TransactionStatus.IDLE
+    transaction: OpenTransaction | None = None
+    written: LogPosition | None = None
+
+    def plan(self, statement: Statement) -> Plan:
+        """Return what to do with the next statement."""
+        if self.status is TransactionStatus.FAILED:
+            return self._plan_after_failure(statement)
+        match statement.kind:
+            case StatementKind.BEGIN | StatementKind.BEGIN_READ:
+                return self._begin(statement)
+            case StatementKind.COMMIT:
+                return self._commit(statement)
+            case StatementKind.ROLLBACK:
+                return self._rollback()
+            case StatementKind.SET:
+                self.settings[statement.name] = statement.value
+                return StatementAnswer()
+            case StatementKind.PREPARE:
+                shape = PreparedShape(statement.value, statement.writes)
+                self.prepared[statement.name] = shape
+                return StatementAnswer()
+            case StatementKind.DEALLOCATE:
+                return self._deallocate(statement.name)
+            case StatementKind.EXECUTE:
+                return self._execute(statement)
+        return self._run(statement, writes=statement.kind is StatementKind.WRITE)
+
+    def needs_primary(self, run: RunOnMember) -> bool:
+        """Tell whether a statement outside an open transaction must go to the primary."""
+        if run.begin is not None and run.begin.kind is StatementKind.BEGIN:
+            return True
+        return run.writes or self.database.consistency is Consistency.PRIMARY
+
+    def ran(self, run: RunOnMember) -> None:
+        """Note that a statement was answered by its member with success."""
+        transaction = self.transaction
+        if run.statement.kind is StatementKind.COMMIT:
+            self.close_transaction()
+        elif transaction is not None:
+            transaction.at_member = True
+            transaction.wrote = transaction.wrote or run.writes
+
+    def wrote_up_to(self, position: LogPosition | None) -> None:
+        """Note the position behind a commit of this session."""
+        if position is not None and (self.written is None or position > self.written):
+            self.written = position
+
+    def fail_transaction(self) -> None:
+        """Note that the transaction can't go on; the client has to end it."""
+        if self.transaction is not None:
+            self.transaction = None
+            self.status = TransactionStatus.FAILED
+
+    def close_transaction(self) -> None:
+        """Return to the state outside a transaction."""
+        self.transaction = None
+        self.status = TransactionStatus.IDLE
+
+    def _begin(self, statement: Statement) -> Plan:
+        if self.transaction is not None:
+            return refusal(ResultCode.PROTOCOL_VIOLATION, "A transaction is open already.")
+        self.transaction = OpenTransaction(statement)
+        self.status = TransactionStatus.IN_TRANSACTION
+        return StatementAnswer()
+
+    def _commit(self, statement: Statement) -> Plan:
+        if self.transaction is None:
+            return refusal(ResultCode.PROTOCOL_VIOLATION, "No transaction is open.")
+        return self._run(statement, writes=self.transaction.wrote)
+
+    def _rollback(self) -> Plan:
+        if self.transaction is None:
+            return refusal(ResultCode.PROTOCOL_VIOLATION, "No transaction is open.")
+        was_at_member = self.transaction.at_member
+        self.close_transaction()
+        return EndTransaction(StatementAnswer()) if was_at_member else StatementAnswer()
+
+    def _plan_after_failure(self, statement: Statement) -> Plan:
+        if statement.kind is StatementKind.ROLLBACK:
+            self.close_transaction()
+            return StatementAnswer()
+        if statement.kind is StatementKind.COMMIT:
+            self.close_transaction()
+            return refusal(ResultCode.TRANSACTION_LOST)
+        return refusal(ResultCode.PROTOCOL_VIOLATION, "The transaction failed: end it first.")
+
+    def _deallocate(self, name: str) -> Plan:
+        if self.prepared.pop(name, None) is None:
+            return refusal(ResultCode.UNKNOWN_STATEMENT_NAME, name)
+        return StatementAnswer()
+
+    def _execute(self, statement: Statement) -> Plan:
+        prepared = self.prepared.get(statement.name)
+        if prepared is None:
+            return refusal(ResultCode.UNKNOWN_STATEMENT_NAME, statement.name)
+        return self._run(statement, prepared.writes, prepared)
+
+    def _run(
+        self, statement: Statement, writes: bool, prepared: PreparedShape | None = None
+    ) -> RunOnMember:
+        transaction = self.transaction
+        begins = transaction is not None and not transaction.at_member
+        begin = transaction.begin if begins else None
+        return RunOnMember(statement, begin, writes, prepared)
--- a/limedyke/messages/agreement.py
+++ b/limedyke/messages/agreement.py
@@ -221,15 +221,26 @@
     body: bytes
 
 
+@message(123)
+@dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Where a controller is reached by the other controllers (``ip:port``)."""
+
+    name: str
+    address: str
+
+
 @message(120)
 @dataclass(frozen=True, slots=True)
 class FoundingQuery:
     """A controller with an empty data folder asks a peer, by name only, for a cluster.
 
     :param voter_names: the founding voters according to the sender's settings
+    :param address: where the sender is reached; empty when the operator is to say it
     """
 
     voter_names: tuple[str, ...]
+    address: str = ""
 
 
 @message(121)
@@ -239,10 +250,12 @@
 
     :param cluster: the responder's cluster; empty when its data folder is empty too
     :param voter_names: the founding voters according to the responder's settings
+    :param controllers: the controllers that the responder knows, itself included
     """
 
     cluster: str
     voter_names: tuple[str, ...]
+    controllers: tuple[PeerAddress, ...] = ()
 
 
 @message(122)
--- a/limedyke/messages/control.py
+++ b/limedyke/messages/control.py
@@ -12,6 +12,7 @@
 import enum
 from dataclasses import dataclass
 
+from limedyke.messages.databases import AnnouncedMember, Database, SessionLimits
 from limedyke.messages.declaration import Declaration, Group, ProxyIntent, Tenant, TokenKey
 from limedyke.messages.registry import message
 
@@ -42,12 +43,15 @@
     :param primary: member name, or empty while a promotion is under way
     :param switching_over: a planned switchover follows: hold new writes, let open ones finish,
         then send ``WritesPaused``
+    :param fence: index of the log entry that granted the term; 0 when no promotion was begun.
+        It rises over all terms, groups and leaders
     """
 
     group: str
     term: int
     primary: str
     switching_over: bool = False
+    fence: int = 0
 
 
 @message(21)
@@ -97,7 +101,10 @@
 @message(24)
 @dataclass(frozen=True, slots=True)
 class ControlSnapshot:
-    """The whole state a proxy needs, at ``control_index`` of the controllers' log."""
+    """The whole state a proxy needs, at ``control_index`` of the controllers' log.
+
+    :param controllers: addresses of the controllers; empty when the log holds none
+    """
 
     control_index: int
     revision: int
@@ -105,6 +112,8 @@
     primaries: tuple[GroupPrimary, ...]
     proxies: tuple[ProxyRecord, ...]
     home_proxies_per_group: int = 3
+    announced: tuple[AnnouncedMember, ...] = ()
+    controllers: tuple[str, ...] = ()
 
 
 @message(25)
@@ -129,6 +138,12 @@
     removed_proxies: tuple[str, ...] = ()
     proxy_intents: tuple[ProxyIntent, ...] | None = None
     home_proxies_per_group: int | None = None
+    databases: tuple[Database, ...] = ()
+    removed_databases: tuple[str, ...] = ()
+    session_limits: SessionLimits | None = None
+    announced: tuple[AnnouncedMember, ...] = ()
+    removed_announced: tuple[str, ...] = ()
+    controllers: tuple[str, ...] | None = None
 
 
 @message(26)
@@ -171,6 +186,8 @@
     :param controller_term: term of the controllers' agreement
     :param stamp: advances only with the assent of a quorum of controllers
     :param lease_duration_ms: counted by the proxy from the send time of heartbeat ``sequence``
+    :param primary_lease_ms: counted alike: for so long no promotion begins that the proxy was
+        not told of, so the recorded primaries are the only ones; 0 promises nothing
     """
 
     sequence: int
@@ -178,6 +195,7 @@
     stamp: int
     control_index: int
     lease_duration_ms: int
+    primary_lease_ms: int = 0
 
 
 @message(29)
--- a/limedyke/messages/control_entries.py
+++ b/limedyke/messages/control_entries.py
@@ -14,6 +14,7 @@
 
 from limedyke.messages.codec import decode, encode
 from limedyke.messages.control import GroupPrimary, ProxyRecord
+from limedyke.messages.databases import AnnouncedMember, Database, SessionLimits
 from limedyke.messages.declaration import Declaration, Group, ProxyIntent, Tenant, TokenKey
 from limedyke.messages.operator import HistoryEntry, PlannedChange
 from limedyke.messages.registry import message
@@ -36,6 +37,9 @@
     removed_groups: tuple[str, ...] = ()
     token_keys: tuple[TokenKey, ...] | None = None
     proxies: tuple[ProxyIntent, ...] | None = None
+    databases: tuple[Database, ...] = ()
+    removed_databases: tuple[str, ...] = ()
+    session_limits: SessionLimits | None = None
 
 
 @message(151)
@@ -182,9 +186,32 @@
 @message(164)
 @dataclass(frozen=True, slots=True)
 class RecordControllers:
-    """Record or change the addresses of controllers."""
+    """Record or change the addresses of controllers, and forget those that have left."""
 
     controllers: tuple[ControllerAddress, ...]
+    removed: tuple[str, ...] = ()
+
+
+@message(165)
+@dataclass(frozen=True, slots=True)
+class DeclareVersion:
+    """Bring a whole declaration into force, if its version is above the one in force.
+
+    :param document: the declaration as the operator sent it, kept byte for byte
+    """
+
+    version: int
+    document: bytes
+    declaration: Declaration
+
+
+@message(166)
+@dataclass(frozen=True, slots=True)
+class RecordMembers:
+    """Record what members announced, and forget members that are gone."""
+
+    members: tuple[AnnouncedMember, ...]
+    removed: tuple[str, ...] = ()
 
 
 ControlEntry = (
@@ -198,9 +225,25 @@
     | RecordLimits
     | RecordAnswer
     | RecordControllers
+    | DeclareVersion
+    | RecordMembers
 )
 
 
+@message(167)
+@dataclass(frozen=True, slots=True)
+class DeclaredVersion:
+    """What applying ``DeclareVersion`` gave: the version now in force."""
+
+    version: int
+
+
+@message(168)
+@dataclass(frozen=True, slots=True)
+class MembersRecorded:
+    """The members of an entry are recorded."""
+
+
 @message(170)
 @dataclass(frozen=True, slots=True)
 class PlanRecord:
@@ -265,6 +308,9 @@
     answers: tuple[RecordedAnswer, ...]
     history: tuple[HistoryEntry, ...]
     controllers: tuple[ControllerAddress, ...] = ()
+    version: int = 0
+    document: bytes = b""
+    announced: tuple[AnnouncedMember, ...] = ()
 
 
 def pack_entry(entry: object) -> bytes:
--- a/limedyke/messages/declaration.py
+++ b/limedyke/messages/declaration.py
@@ -10,6 +10,7 @@
 import enum
 from dataclasses import dataclass
 
+from limedyke.messages.databases import NO_SESSION_LIMITS, Database, SessionLimits
 from limedyke.messages.registry import message
 
 
@@ -22,10 +23,14 @@
 
 
 class PromotionMode(enum.StrEnum):
-    """Who promotes a new primary after a failure."""
+    """Who promotes a new primary after a failure.
+
+    ``AUTHORITY``: the leading controller asks an authority outside, under a fencing number.
+    """
 
     CONTROLLERS = "controllers"
     EXTERNAL = "external"
+    AUTHORITY = "authority"
 
 
 @message(1)
@@ -93,6 +98,8 @@
     :param connection_limit: connections each member accepts from all proxies together
     :param slots: statements a member executes at once
     :param admin_secret: secret of the ``limedyke_admin`` login used for probes and promotion
+    :param announced: its members are not declared but announce themselves
+    :param synchronous_replicas: how many replicas hold a commit before it is acknowledged
     """
 
     name: str
@@ -102,6 +109,8 @@
     access: tuple[TenantAccess, ...]
     admin_secret: str
     promotion: PromotionMode = PromotionMode.CONTROLLERS
+    announced: bool = False
+    synchronous_replicas: int = 0
 
 
 @message(6)
@@ -131,3 +140,5 @@
     groups: tuple[Group, ...] = ()
     token_keys: tuple[TokenKey, ...] = ()
     proxies: tuple[ProxyIntent, ...] = ()
+    databases: tuple[Database, ...] = ()
+    session_limits: SessionLimits = NO_SESSION_LIMITS
--- a/limedyke/messages/handshake.py
+++ b/limedyke/messages/handshake.py
@@ -11,11 +11,12 @@
 
 
 class PeerRole(enum.StrEnum):
-    """What a process is towards its peer."""
+    """What a process is towards its peer; a forwarder is a controller that passes calls on."""
 
     CONTROLLER = "controller"
     PROXY = "proxy"
     OPERATOR = "operator"
+    FORWARDER = "forwarder"
 
 
 @message(10)
--- a/limedyke/proxy/control_client.py
+++ b/limedyke/proxy/control_client.py
@@ -79,6 +79,8 @@
         self._link: Link | None = None
         self._address = ""
         self._silence_limit_s = settings.control_silence_limit_ms / 1000
+        self._primary_lease_ends_at = 0.0
+        self._heartbeats_sent_at: dict[int, float] = {}
         self.clients = 0
         self.links_opened = 0
 
@@ -108,6 +110,11 @@
         """The moment on the monotonic clock at which all leases end unless renewed."""
         return self._leases.held.expires_at
 
+    @property
+    def primary_lease_ends_at(self) -> float:
+        """Until when the recorded primaries of announced members are surely the only ones."""
+        return self._primary_lease_ends_at
+
     async def run(self) -> None:
         """Stay in touch with the controllers until cancelled.
 
@@ -253,7 +260,9 @@
 
     async def _send_heartbeat(self, link: Link, leases: tuple[ConnectionLease, ...]) -> None:
         heartbeat = self._announcements.next_heartbeat(self.view, self.clients, leases)
-        self._leases.held.heartbeat_sent(heartbeat.sequence, time.monotonic())
+        now = time.monotonic()
+        self._leases.held.heartbeat_sent(heartbeat.sequence, now)
+        self._heartbeats_sent_at[heartbeat.sequence] = now
         await link.send(heartbeat)
 
     async def _receive_all(self, link: Link, first: object) -> None:
@@ -270,14 +279,39 @@
     def _receivers(self) -> dict[type, Callable[..., Awaitable[None]]]:
         return {
             ControlTarget: self._intake.take_target,
-            ControlSnapshot: self._intake.take_snapshot,
-            ControlUpdate: self._intake.take_update,
+            ControlSnapshot: self._take_snapshot,
+            ControlUpdate: self._take_update,
             QuorumStamp: self._take_stamp,
             LeaseUpdate: self._leases.take,
             PromoteOrder: self._take_order,
             NotLeader: self._take_not_leader,
         }
 
+    async def _take_snapshot(self, snapshot: ControlSnapshot) -> None:
+        await self._intake.take_snapshot(snapshot)
+        self._learn_controllers()
+
+    async def _take_update(self, update: ControlUpdate) -> None:
+        """Take a change; a change of primaries is confirmed at once, for a promotion waits."""
+        await self._intake.take_update(update)
+        self._learn_controllers()
+        link = self._link
+        if link is not None and any(primary.fence for primary in update.primaries):
+            await self._send_heartbeat(link, ())
+
+    def _learn_controllers(self) -> None:
+        view = self._intake.in_force
+        if view is not None and view.controllers:
+            self._choice.learn(view.controllers)
+
+    def _renew_primary_lease(self, stamp: QuorumStamp) -> None:
+        sent_at = self._heartbeats_sent_at.pop(stamp.sequence, None)
+        for sequence in [old for old in self._heartbeats_sent_at if old < stamp.sequence]:
+            del self._heartbeats_sent_at[sequence]
+        if sent_at is not None and stamp.primary_lease_ms:
+            ends_at = sent_at + stamp.primary_lease_ms / 1000
+            self._primary_lease_ends_at = max(self._primary_lease_ends_at, ends_at)
+
     async def _take_stamp(self, stamp: QuorumStamp) -> None:
         if self._quorum.is_outdated(stamp):
             raise LinkClosedError("the quorum stamp is older than one already seen")
@@ -285,6 +319,7 @@
         if self._quorum.advance(stamp, time.monotonic()):
             self._choice.accepted(self._address)
             await self._leases.renew(stamp.sequence, stamp.lease_duration_ms / 1000)
+            self._renew_primary_lease(stamp)
 
     async def _take_order(self, order: PromoteOrder) -> None:
         await curio.spawn(self._promote, order, daemon=True)
--- a/limedyke/proxy/control_view.py
+++ b/limedyke/proxy/control_view.py
@@ -7,6 +7,12 @@
 
 from limedyke.core.home import HomeDirectory
 from limedyke.messages.control import ControlSnapshot, ControlUpdate, GroupPrimary, ProxyRecord
+from limedyke.messages.databases import (
+    NO_SESSION_LIMITS,
+    AnnouncedMember,
+    Database,
+    SessionLimits,
+)
 from limedyke.messages.declaration import Declaration, Group, ProxyIntent, Tenant, TokenKey
 
 
@@ -23,6 +29,9 @@
     :param proxies: proxies by name
     :param intents: declared state of proxies by name
     :param homes: home proxies by group, the heaviest first
+    :param databases: databases by name
+    :param announced: announced members by identity
+    :param controllers: addresses of the controllers; empty when the log holds none
     """
 
     control_index: int
@@ -35,6 +44,10 @@
     intents: Mapping[str, ProxyIntent] = field(default_factory=dict)
     homes: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
     home_proxies_per_group: int = 3
+    databases: Mapping[str, Database] = field(default_factory=dict)
+    session_limits: SessionLimits = NO_SESSION_LIMITS
+    announced: Mapping[str, AnnouncedMember] = field(default_factory=dict)
+    controllers: tuple[str, ...] = ()
 
     def home_proxies(self, group: str) -> tuple[str, ...]:
         """Return the names of the group's home proxies, the heaviest first."""
@@ -74,6 +87,10 @@
             intents={intent.name: intent for intent in declaration.proxies},
             homes=self._homes.snapshot(),
             home_proxies_per_group=snapshot.home_proxies_per_group,
+            databases={database.name: database for database in declaration.databases},
+            session_limits=declaration.session_limits,
+            announced={member.identity: member for member in snapshot.announced},
+            controllers=snapshot.controllers,
         )
         return self.view
 
@@ -102,6 +119,10 @@
             intents=intents,
             homes=self._homes.snapshot(),
             home_proxies_per_group=self._homes.count,
+            databases=_changed(view.databases, update.databases, update.removed_databases),
+            session_limits=update.session_limits or view.session_limits,
+            announced=_changed_members(view.announced, update),
+            controllers=view.controllers if update.controllers is None else update.controllers,
         )
         return self.view
 
@@ -113,6 +134,8 @@
         groups=tuple(view.groups.values()),
         token_keys=view.token_keys,
         proxies=tuple(view.intents.values()),
+        databases=tuple(view.databases.values()),
+        session_limits=view.session_limits,
     )
     return ControlSnapshot(
         control_index=view.control_index,
@@ -121,9 +144,24 @@
         primaries=tuple(view.primaries.values()),
         proxies=tuple(view.proxies.values()),
         home_proxies_per_group=view.home_proxies_per_group,
+        announced=tuple(view.announced.values()),
+        controllers=view.controllers,
     )
 
 
+def _changed_members(
+    members: Mapping[str, AnnouncedMember], update: ControlUpdate
+) -> Mapping[str, AnnouncedMember]:
+    """Return the announced members after an update."""
+    if not update.announced and not update.removed_announced:
+        return members
+    result = dict(members)
+    for identity in update.removed_announced:
+        result.pop(identity, None)
+    result.update((member.identity, member) for member in update.announced)
+    return result
+
+
 def _changed(items: Mapping, replaced: tuple, removed: tuple[str, ...]) -> Mapping:
     """Return ``items`` without the removed names, then with whole items replaced."""
     if not replaced and not removed:
--- a/limedyke/proxy/controller_choice.py
+++ b/limedyke/proxy/controller_choice.py
@@ -22,6 +22,14 @@
         self._position = generator.randrange(len(addresses))
         self._redirected = ""
         self._attempts = 0
+        self._first_addresses = addresses
+
+    def learn(self, addresses: tuple[str, ...]) -> None:
+        """Take the present controllers; those of the settings are kept as a last resort."""
+        known = tuple(dict.fromkeys((*addresses, *self._first_addresses)))
+        if known != self._addresses:
+            self._addresses = known
+            self._position %= len(known)
 
     def next_address(self) -> str:
         """Return the address to dial now."""
--- /dev/null
+++ b/limedyke/proxy/statements/__init__.py
@@ -0,0 +1,1 @@
+"""A proxy without a disk, for sessions of statements: the shell around ``core.statements``."""
--- /dev/null
+++ b/limedyke/proxy/statements/client.py
@@ -0,0 +1,212 @@
+"""One client's connection: reads its statements one after the other and answers them."""
+
+from __future__ import annotations
+
+import time
+from collections import deque
+from dataclasses import dataclass
+
+import curio
+from curio import socket
+
+from limedyke.core.statements.session import (
+    EndTransaction,
+    RunOnMember,
+    StatementSession,
+    refusal,
+)
+from limedyke.event_log import EventLog
+from limedyke.messages.statements import Statement, StatementAnswer
+from limedyke.messages.work import TransactionStatus
+from limedyke.proxy.statements.client_codec import (
+    ClientCodec,
+    ClientEvent,
+    MalformedStatement,
+    SessionEnded,
+    SessionRequested,
+    StatementReceived,
+)
+from limedyke.proxy.statements.groups import StatementGroups
+from limedyke.proxy.statements.runner import PinnedConnection, StatementRunner
+from limedyke.proxy.statements.statement_log import StatementLog
+from limedyke.result_codes import ResultCode
+
+RECEIVE_BYTES = 64 * 1024
+EVENTS = EventLog("client")
+
+
+@dataclass(slots=True)
+class ClientServices:
+    """What all clients of a proxy share.
+
+    :param is_leaving: the proxy was asked to stop
+    :param transactions_end_at: when open transactions are ended, while it stops
+    """
+
+    groups: StatementGroups
+    runner: StatementRunner
+    log: StatementLog
+    is_leaving: bool = False
+    transactions_end_at: float = float("inf")
+
+
+class StatementClient:
+    """Serves one client until its connection ends.
+
+    :ivar is_idle: it waits for the client, outside a transaction
+    """
+
+    def __init__(self, sock: socket.socket, codec: ClientCodec, services: ClientServices) -> None:
+        self._socket = sock
+        self._codec = codec
+        self._services = services
+        self._session: StatementSession | None = None
+        self._pinned: PinnedConnection | None = None
+        self._events: deque[ClientEvent] = deque()
+        self.is_idle = False
+        self.task: curio.Task | None = None
+
+    async def run(self) -> None:
+        """Serve the client; never raises for what the client or its network does."""
+        try:
+            while await self._serve_next():
+                continue
+        except OSError:
+            return
+        finally:
+            async with curio.disable_cancellation():
+                await self._clean_up()
+
+    async def _clean_up(self) -> None:
+        if self._pinned is not None:
+            pinned, self._pinned = self._pinned, None
+            await self._services.runner.abandon(pinned)
+        try:
+            await self._socket.close()
+        except OSError:
+            return
+
+    async def _serve_next(self) -> bool:
+        """Serve the client's next event; tell whether there can be another."""
+        event = await self._next_event()
+        async with curio.disable_cancellation():
+            match event:
+                case SessionRequested():
+                    return await self._open_session(event)
+                case StatementReceived():
+                    return await self._serve_statement(event.statement)
+                case MalformedStatement():
+                    return await self._refuse_malformed(event)
+        return False
+
+    async def _next_event(self) -> ClientEvent:
+        while not self._events:
+            data = await self._receive()
+            if data is None:
+                await self._end_idle_transaction()
+                continue
+            if not data:
+                return SessionEnded("closed by the client")
+            self._events.extend(self._codec.feed(data))
+        return self._events.popleft()
+
+    async def _receive(self) -> bytes | None:
+        """Return received bytes; None when an open transaction has rested for too long."""
+        rest_s = self._rest_limit_s()
+        self.is_idle = self._session is not None and self._session.transaction is None
+        try:
+            if rest_s is None:
+                return await self._socket.recv(RECEIVE_BYTES)
+            async with curio.timeout_after(rest_s):
+                return await self._socket.recv(RECEIVE_BYTES)
+        except curio.TaskTimeout:
+            return None
+        finally:
+            self.is_idle = False
+
+    def _rest_limit_s(self) -> float | None:
+        if self._session is None or self._session.transaction is None:
+            return None
+        limits = []
+        view = self._services.groups.view
+        if view is not None and view.session_limits.idle_in_transaction_ms:
+            limits.append(view.session_limits.idle_in_transaction_ms / 1_000)
+        ends_at = self._services.transactions_end_at
+        if ends_at != float("inf"):
+            limits.append(max(0.0, ends_at - time.monotonic()))
+        return min(limits, default=1.0)
+
+    async def _end_idle_transaction(self) -> None:
+        """Roll back a transaction that rests for too long, or because the proxy stops."""
+        view = self._services.groups.view
+        is_limited = view is not None and view.session_limits.idle_in_transaction_ms > 0
+        is_stopping = time.monotonic() >= self._services.transactions_end_at
+        if not is_limited and not is_stopping:
+            return
+        self._session.fail_transaction()
+        if self._pinned is not None:
+            pinned, self._pinned = self._pinned, None
+            await self._services.runner.roll_back(pinned)
+
+    async def _open_session(self, event: SessionRequested) -> bool:
+        view = self._services.groups.view
+        database = view.databases.get(event.database) if view is not None else None
+        if database is None:
+            answer = refusal(ResultCode.UNKNOWN_DATABASE, event.database)
+            self._services.log.session_refused(event.database, answer)
+            await self._socket.sendall(self._codec.refuse_session(answer))
+            return False
+        self._session = StatementSession(database)
+        await self._socket.sendall(self._codec.ready())
+        return True
+
+    async def _refuse_malformed(self, event: MalformedStatement) -> bool:
+        answer = refusal(ResultCode.PROTOCOL_VIOLATION, event.reason)
+        if self._session is None:
+            await self._socket.sendall(self._codec.refuse_session(answer))
+            return False
+        await self._socket.sendall(self._codec.answer(answer, self._session.status))
+        return True
+
+    async def _serve_statement(self, statement: Statement) -> bool:
+        session = self._session
+        if session is None:
+            answer = refusal(ResultCode.PROTOCOL_VIOLATION, "No session is open.")
+            await self._socket.sendall(self._codec.refuse_session(answer))
+            return False
+        started_at = time.monotonic()
+        was_idle = session.status is TransactionStatus.IDLE
+        refused = self._renew_database(session) if was_idle else None
+        answer = refused or await self._answer(session, statement)
+        self._services.log.answered(session.database, statement, answer, started_at)
+        await self._socket.sendall(self._codec.answer(answer, session.status))
+        return not (self._services.is_leaving and session.transaction is None)
+
+    def _renew_database(self, session: StatementSession) -> StatementAnswer | None:
+        """Take the newest declaration of the session's database; refuse when it is gone."""
+        view = self._services.groups.view
+        database = view.databases.get(session.database.name) if view is not None else None
+        if database is None:
+            return refusal(ResultCode.UNKNOWN_DATABASE, session.database.name)
+        session.database = database
+        return None
+
+    async def _answer(self, session: StatementSession, statement: Statement) -> StatementAnswer:
+        plan = session.plan(statement)
+        match plan:
+            case EndTransaction():
+                if self._pinned is not None:
+                    pinned, self._pinned = self._pinned, None
+                    await curio.spawn(self._services.runner.roll_back, pinned, daemon=True)
+                return plan.answer
+            case RunOnMember():
+                return await self._run(session, plan)
+        return plan
+
+    async def _run(self, session: StatementSession, run: RunOnMember) -> StatementAnswer:
+        group = self._services.groups.groups.get(session.database.group)
+        if group is None:
+            session.fail_transaction()
+            return refusal(ResultCode.NO_MEMBER, "the group is not declared any more", 200)
+        answer, self._pinned = await self._services.runner.run(session, run, group, self._pinned)
+        return answer
--- /dev/null
+++ b/limedyke/proxy/statements/group.py
@@ -0,0 +1,107 @@
+"""One group of announced members as this proxy serves it."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Mapping
+
+import curio
+
+from limedyke.core.statements.member_belief import MemberBelief
+from limedyke.core.statements.primary_positions import PrimaryPositions
+from limedyke.messages.control import GroupPrimary
+from limedyke.messages.databases import AnnouncedMember
+from limedyke.messages.work import LogPosition
+from limedyke.proxy.statements.member_pool import MemberPool
+
+MakePool = Callable[[MemberBelief], MemberPool]
+
+
+class StatementGroup:
+    """Members, pools and the primary of one group.
+
+    :param name: of the group
+    :param make_pool: makes the pool of a member
+    :param lease_ends_at: gives the moment until which the recorded primary is surely the only one
+    """
+
+    def __init__(self, name: str, make_pool: MakePool, lease_ends_at: Callable[[], float]) -> None:
+        self.name = name
+        self.pools: dict[str, MemberPool] = {}
+        self.positions = PrimaryPositions()
+        self.primary = ""
+        self.fence = 0
+        self.term = 0
+        self.limit = 0
+        self.primary_changed = curio.Event()
+        self._make_pool = make_pool
+        self._lease_ends_at = lease_ends_at
+
+    @property
+    def beliefs(self) -> list[MemberBelief]:
+        """What is believed of each member."""
+        return [pool.belief for pool in self.pools.values()]
+
+    def primary_pool(self) -> MemberPool | None:
+        """Return the pool of the recorded primary; None while there is none."""
+        return self.pools.get(self.primary)
+
+    def is_surely_primary(self, identity: str, since: float) -> bool:
+        """Tell whether a member is the recorded primary, and nobody else can have been since.
+
+        :param since: when the lease must have been in force at the latest
+        """
+        return identity == self.primary and time.monotonic() < self._lease_ends_at()
+
+    async def take_members(self, members: Mapping[str, AnnouncedMember]) -> None:
+        """Take the recorded members of this group, by identity."""
+        for identity in [name for name in self.pools if name not in members]:
+            await self.pools.pop(identity).drain()
+        for identity, record in members.items():
+            pool = self.pools.get(identity)
+            if pool is not None and pool.belief.record.address == record.address:
+                pool.belief.record = record
+                continue
+            if pool is not None:
+                await pool.drain()
+            self.pools[identity] = self._make_pool(MemberBelief(record))
+            await self.pools[identity].set_limit(self.limit)
+
+    async def take_primary(self, primary: GroupPrimary | None) -> None:
+        """Take the recorded primary."""
+        identity = primary.primary if primary is not None else ""
+        term = primary.term if primary is not None else 0
+        if (identity, term) == (self.primary, self.term):
+            return
+        self.primary = identity
+        self.term = term
+        self.positions.clear()
+        event, self.primary_changed = self.primary_changed, curio.Event()
+        await event.set()
+
+    async def set_limit(self, limit: int) -> None:
+        """Take the lease of connections to each member."""
+        self.limit = limit
+        for pool in self.pools.values():
+            await pool.set_limit(limit)
+
+    def most_open(self) -> int:
+        """Return the connections held to the member with the most of them."""
+        return max((pool.open_connections for pool in self.pools.values()), default=0)
+
+    def learn_position(
+        self, identity: str, asked_at: float, position: LogPosition | None, proven: bool
+    ) -> None:
+        """Take a position that a member told.
+
+        :param proven: the answer itself shows that the member was the primary
+        """
+        if position is None:
+            return
+        if proven or self.is_surely_primary(identity, asked_at):
+            self.positions.add(asked_at, position)
+
+    async def drain(self) -> None:
+        """Close all pools: the group is declared no longer."""
+        for pool in self.pools.values():
+            await pool.drain()
--- /dev/null
+++ b/limedyke/proxy/statements/groups.py
@@ -0,0 +1,192 @@
+"""All groups of this proxy: follows the controllers' view and leases, watches members."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import curio
+
+from limedyke.core.statements.member_belief import MemberBelief
+from limedyke.event_log import EventLog
+from limedyke.messages.control import (
+    ConnectionLease,
+    MemberHealth,
+    MemberReport,
+    PromoteOrder,
+    PromoteResult,
+)
+from limedyke.messages.databases import AnnouncedMember
+from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.statements.group import StatementGroup
+from limedyke.proxy.statements.member_codec import MemberCodec
+from limedyke.proxy.statements.member_pool import MemberPool
+from limedyke.proxy.statements.runner import StatementRunner
+from limedyke.proxy.statements.settings import StatementProxySettings
+
+WATCH_INTERVAL_S = 0.25
+HOUSEKEEPING_S = 5.0
+EVENTS = EventLog("groups")
+
+
+class Reporter(Protocol):
+    """What is told to the controllers."""
+
+    async def report_member(self, report: MemberReport) -> None:
+        """Report what is seen of a member."""
+
+    async def return_leases(self, leases: tuple[ConnectionLease, ...]) -> None:
+        """Tell that no more than these connections are held."""
+
+
+class StatementGroups:
+    """The groups by name; handler of the control client.
+
+    :param make_codec: makes the codec of a member connection
+    :param primary_lease_ends_at: see ``StatementGroup``
+    """
+
+    def __init__(
+        self,
+        settings: StatementProxySettings,
+        runner: StatementRunner,
+        make_codec: Callable[[], MemberCodec],
+        primary_lease_ends_at: Callable[[], float],
+    ) -> None:
+        self.groups: dict[str, StatementGroup] = {}
+        self.view: ControlView | None = None
+        self.reporter: Reporter | None = None
+        self.on_view: Callable[[ControlView], Awaitable[None]] | None = None
+        self._settings = settings
+        self._runner = runner
+        self._make_codec = make_codec
+        self._primary_lease_ends_at = primary_lease_ends_at
+        self._leases: dict[str, tuple[ConnectionLease, ...]] = {}
+        self._reported: dict[tuple[str, str], tuple[MemberHealth, bool]] = {}
+
+    async def control_changed(self, view: ControlView) -> None:
+        """Take a newer view into force."""
+        self.view = view
+        members: dict[str, dict[str, AnnouncedMember]] = {name: {} for name in view.groups}
+        for member in view.announced.values():
+            if member.group in members:
+                members[member.group][member.identity] = member
+        for name in [name for name in self.groups if name not in view.groups]:
+            await self.groups.pop(name).drain()
+        for name in view.groups:
+            group = self.groups.get(name)
+            if group is None:
+                group = self.groups[name] = self._new_group(name)
+                await group.set_limit(self._limit_of(name))
+            await group.take_members(members[name])
+            await group.take_primary(view.primaries.get(name))
+        self._forget_reports(view)
+        if self.on_view is not None:
+            await self.on_view(view)
+
+    async def leases_changed(self, leases: tuple[ConnectionLease, ...], expires_at: float) -> None:
+        """Take the leases of connections; what is above them is closed and given back."""
+        by_group: dict[str, list[ConnectionLease]] = {}
+        for lease in leases:
+            by_group.setdefault(lease.group, []).append(lease)
+        before = self._leases
+        self._leases = {name: tuple(found) for name, found in by_group.items()}
+        for name, group in self.groups.items():
+            await group.set_limit(self._limit_of(name))
+        await self._return_leases(before)
+
+    async def promote(self, order: PromoteOrder) -> PromoteResult:
+        """Refuse: members of these groups are promoted by an authority outside."""
+        return PromoteResult(order.group, order.term, "", "an authority outside promotes")
+
+    def has_leases(self) -> bool:
+        """Tell whether connections may be opened at all."""
+        return bool(self._leases) or not self.groups
+
+    async def watch(self) -> None:
+        """Watch the members until cancelled: probe silent primaries, report changes."""
+        next_housekeeping = time.monotonic() + HOUSEKEEPING_S
+        while True:
+            await curio.sleep(WATCH_INTERVAL_S)
+            now = time.monotonic()
+            for group in list(self.groups.values()):
+                await self._watch_group(group, now)
+            if now >= next_housekeeping:
+                next_housekeeping = now + HOUSEKEEPING_S
+                await self._keep_house(now)
+
+    async def _watch_group(self, group: StatementGroup, now: float) -> None:
+        for identity, pool in list(group.pools.items()):
+            belief = pool.belief
+            is_primary = identity == group.primary
+            if is_primary and self._wants_probe(belief, now):
+                await curio.spawn(self._probe, pool, daemon=True)
+            await self._report(group.name, belief, is_primary)
+
+    def _wants_probe(self, belief: MemberBelief, now: float) -> bool:
+        if belief.health is MemberHealth.UNREACHABLE:
+            return True
+        interval_s = self._settings.probe_interval_ms / 1_000
+        if belief.outstanding:
+            interval_s /= 2
+        return now - belief.contact_at > interval_s
+
+    async def _probe(self, pool: MemberPool) -> None:
+        """Ask a member how it is; its belief learns from the answer, or from none."""
+        limit_s = self._settings.probe_timeout_ms / 1_000
+        await self._runner.ask_status(pool, limit_s)
+
+    async def _report(self, group: str, belief: MemberBelief, is_primary: bool) -> None:
+        """Report a member's health when it changed."""
+        key = (group, belief.record.identity)
+        seen = (belief.health, is_primary)
+        known = self._reported.get(key)
+        is_news = known != seen and (known is not None or belief.contact_at > 0.0 or is_primary)
+        if not is_news or self.reporter is None:
+            return
+        self._reported[key] = seen
+        EVENTS.info("member-judged", group=group, member=key[1], health=belief.health)
+        position = belief.position
+        await self.reporter.report_member(
+            MemberReport(group, key[1], belief.health, position.term, position.position, is_primary)
+        )
+
+    def _forget_reports(self, view: ControlView) -> None:
+        gone = [key for key in self._reported if key[1] not in view.announced]
+        for key in gone:
+            del self._reported[key]
+
+    async def _keep_house(self, now: float) -> None:
+        for group in self.groups.values():
+            for pool in group.pools.values():
+                await pool.close_idle(now)
+        await self._return_leases({})
+
+    async def _return_leases(self, before: dict[str, tuple[ConnectionLease, ...]]) -> None:
+        """Give back what was taken away, once no member has more connections than are left."""
+        if self.reporter is None:
+            return
+        names = set(before) | set(self._leases)
+        returned: list[ConnectionLease] = []
+        for name in names:
+            group = self.groups.get(name)
+            if group is not None and group.most_open() > self._limit_of(name):
+                continue
+            kept = {lease.tenant: lease for lease in self._leases.get(name, ())}
+            for lease in before.get(name, ()):
+                kept.setdefault(lease.tenant, ConnectionLease(name, lease.tenant, 0))
+            returned.extend(kept.values())
+        if returned:
+            await self.reporter.return_leases(tuple(returned))
+
+    def _limit_of(self, group: str) -> int:
+        return sum(lease.connections for lease in self._leases.get(group, ()))
+
+    def _new_group(self, name: str) -> StatementGroup:
+        def make_pool(belief: MemberBelief) -> MemberPool:
+            settings = self._settings
+            timeout_s = settings.connect_timeout_ms / 1_000
+            return MemberPool(belief, self._make_codec, settings.source_ip, timeout_s)
+
+        return StatementGroup(name, make_pool, self._primary_lease_ends_at)
--- /dev/null
+++ b/limedyke/proxy/statements/member_connection.py
@@ -0,0 +1,206 @@
+"""One open connection to a member."""
+
+from __future__ import annotations
+
+import select
+import time
+from collections import deque
+
+import curio
+from curio import socket
+
+from limedyke.core.statements.session import PreparedShape
+from limedyke.messages.statements import AnswerKind, MemberAnswer, MemberStatus, Statement
+from limedyke.messages.work import LogPosition, TransactionStatus
+from limedyke.proxy.statements.member_codec import MemberCodec
+from limedyke.settings import split_address
+
+RECEIVE_BYTES = 64 * 1024
+USER_TIMEOUT_MS = 3_000
+PREPARED_MAXIMUM = 256
+LOST = MemberAnswer(AnswerKind.LOST)
+
+
+class ConnectionLostError(Exception):
+    """The connection broke, or could not be opened."""
+
+
+class ConnectionRefusedByMemberError(Exception):
+    """The member answered that it takes no connection; ``answer`` says why."""
+
+    def __init__(self, answer: MemberAnswer) -> None:
+        super().__init__(answer.kind)
+        self.answer = answer
+
+
+class MemberConnection:
+    """Runs statements one after the other; after any doubt it is closed, never reused.
+
+    :ivar values: session values set on the connection
+    :ivar status: of the connection's transaction
+    """
+
+    def __init__(self, sock: socket.socket, codec: MemberCodec) -> None:
+        self._socket = sock
+        self._codec = codec
+        self._answers: deque[MemberAnswer] = deque()
+        self._prepared: dict[PreparedShape, str] = {}
+        self.values: dict[str, str] = {}
+        self.status = TransactionStatus.IDLE
+        self.is_closed = False
+        self.idle_since = time.monotonic()
+
+    @classmethod
+    async def open(
+        cls, address: str, group: str, identity: str, codec: MemberCodec, source_ip: str
+    ) -> MemberConnection:
+        """Open a connection to exactly this member.
+
+        :raises ConnectionLostError: when nobody answers at the address
+        :raises ConnectionRefusedByMemberError: when the member takes no connection
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connection = cls(sock, codec)
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+            if source_ip:
+                sock.bind((source_ip, 0))
+            await sock.connect(split_address(address))
+            await sock.sendall(codec.open(group, identity))
+            answer = await connection._receive()
+        except (OSError, ValueError) as error:
+            await connection.close()
+            raise ConnectionLostError(str(error)) from None
+        except curio.CancelledError:
+            await connection.close()
+            raise
+        if answer.kind is not AnswerKind.DONE:
+            await connection.close()
+            raise ConnectionRefusedByMemberError(answer)
+        return connection
+
+    def is_alive(self) -> bool:
+        """Tell whether an idle connection is still open and silent."""
+        if self.is_closed:
+            return False
+        readable, _, _ = select.select([self._socket.fileno()], [], [], 0)
+        return not readable
+
+    async def close(self) -> None:
+        """Close the connection; an open transaction is rolled back by the member."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        try:
+            await self._socket.close()
+        except OSError:
+            return
+
+    async def run(
+        self,
+        statement: Statement,
+        values: dict[str, str],
+        begin: Statement | None = None,
+        prepared: PreparedShape | None = None,
+        after: LogPosition | None = None,
+    ) -> MemberAnswer:
+        """Run a statement under the session's values.
+
+        :param begin: begins a transaction before it
+        :param after: position that the member's log must hold for the first of them
+        :returns: the statement's answer, or that of the ``begin`` that failed before it;
+            ``LOST`` when the connection broke and the statement may have run
+        """
+        name = ""
+        preparations = self._bring_to(values)
+        if prepared is not None:
+            name = self._name_of(prepared, preparations)
+        if preparations and not await self._prepare(preparations):
+            return MemberAnswer(AnswerKind.NOT_SENT, detail="the session's values were not set")
+        if begin is not None:
+            begun = await self._exchange([self._codec.statement(begin, after)])
+            if begun.kind is AnswerKind.LOST:
+                return MemberAnswer(AnswerKind.NOT_SENT, detail="lost while beginning")
+            if begun.kind is not AnswerKind.DONE:
+                return begun
+            after = None
+        if prepared is not None:
+            return await self._exchange([self._codec.execute(statement, name, after)])
+        return await self._exchange([self._codec.statement(statement, after)])
+
+    async def _prepare(self, preparations: list[bytes]) -> bool:
+        """Bring the connection to the session's state; close it when that fails."""
+        answer = await self._exchange(preparations)
+        if answer.kind is not AnswerKind.DONE:
+            await self.close()
+        return answer.kind is AnswerKind.DONE
+
+    async def roll_back(self) -> MemberAnswer:
+        """Roll the open transaction back."""
+        return await self._exchange([self._codec.rollback()])
+
+    async def ask_status(self) -> MemberStatus | None:
+        """Return what the member says of itself; None when it has no room for the question.
+
+        :raises ConnectionLostError: when the connection broke
+        """
+        answer = await self._exchange([self._codec.ask_status()])
+        if answer.kind is AnswerKind.LOST:
+            raise ConnectionLostError("no answer to a status question")
+        return self._codec.read_status(answer) if answer.kind is AnswerKind.DONE else None
+
+    def _bring_to(self, values: dict[str, str]) -> list[bytes]:
+        """Return the requests that give the connection exactly these values."""
+        if values == self.values:
+            return []
+        requests = []
+        present = self.values
+        if not present.keys() <= values.keys() or len(self._prepared) > PREPARED_MAXIMUM:
+            requests.append(self._codec.discard())
+            self._prepared.clear()
+            present = {}
+        for name, value in values.items():
+            if present.get(name) != value:
+                requests.append(self._codec.set_value(name, value))
+        self.values = dict(values)
+        return requests
+
+    def _name_of(self, prepared: PreparedShape, requests: list[bytes]) -> str:
+        """Return the connection's name of a prepared statement, preparing it first if need be."""
+        name = self._prepared.get(prepared)
+        if name is None:
+            name = f"p{len(self._prepared) + 1}"
+            self._prepared[prepared] = name
+            requests.append(self._codec.prepare(name, prepared.writes, prepared.shape))
+        return name
+
+    async def _exchange(self, requests: list[bytes]) -> MemberAnswer:
+        """Send requests at once; return the last answer, or the first that is no success.
+
+        ``LOST`` when the connection broke; it is closed then.
+        """
+        first_failure: MemberAnswer | None = None
+        answer = LOST
+        try:
+            await self._socket.sendall(b"".join(requests))
+            for _ in requests:
+                answer = await self._receive()
+                self.status = answer.status
+                if answer.kind is not AnswerKind.DONE and first_failure is None:
+                    first_failure = answer
+        except (OSError, ValueError):
+            await self.close()
+            return LOST
+        except curio.CancelledError:
+            await self.close()
+            raise
+        return first_failure or answer
+
+    async def _receive(self) -> MemberAnswer:
+        while not self._answers:
+            data = await self._socket.recv(RECEIVE_BYTES)
+            if not data:
+                raise OSError("closed by the member")
+            self._answers.extend(self._codec.feed(data))
+        return self._answers.popleft()
--- /dev/null
+++ b/limedyke/proxy/statements/member_pool.py
@@ -0,0 +1,238 @@
+"""Connections to one member, as many as this proxy's lease allows."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import time
+from collections.abc import Callable
+
+import curio
+
+from limedyke.core.statements.member_belief import MemberBelief
+from limedyke.messages.statements import AnswerKind
+from limedyke.messages.work import TransactionStatus
+from limedyke.proxy.statements.member_codec import MemberCodec
+from limedyke.proxy.statements.member_connection import (
+    ConnectionLostError,
+    ConnectionRefusedByMemberError,
+    MemberConnection,
+)
+
+IDLE_CLOSE_S = 30.0
+
+
+class PoolTimeoutError(Exception):
+    """No connection came free in time."""
+
+
+class PoolClosedError(Exception):
+    """The member has left, or this proxy holds no lease on it."""
+
+
+class _Waiter:
+    """A request that waits for a connection; ``connection`` None means: try again."""
+
+    __slots__ = ("connection", "event", "is_over")
+
+    def __init__(self) -> None:
+        self.event = curio.Event()
+        self.connection: MemberConnection | None = None
+        self.is_over = False
+
+
+class MemberPool:
+    """Lends connections to one member: by priority, then in order of arrival.
+
+    :param belief: what is known of the member; its load is kept here
+    :param make_codec: makes the codec of a connection
+    """
+
+    def __init__(
+        self,
+        belief: MemberBelief,
+        make_codec: Callable[[], MemberCodec],
+        source_ip: str,
+        connect_timeout_s: float,
+    ) -> None:
+        self.belief = belief
+        self.limit = 0
+        self.opened = 0
+        self.is_closed = False
+        self._make_codec = make_codec
+        self._source_ip = source_ip
+        self._connect_timeout_s = connect_timeout_s
+        self._idle: list[MemberConnection] = []
+        self._waiters: list[tuple[int, int, _Waiter]] = []
+        self._numbers = itertools.count()
+
+    @property
+    def open_connections(self) -> int:
+        """Connections open or being opened."""
+        return self.opened
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for a connection."""
+        return sum(not waiter.is_over for _, _, waiter in self._waiters)
+
+    async def getconn(
+        self, values: dict[str, str], priority: int, timeout_s: float
+    ) -> MemberConnection:
+        """Return a connection, if possible one with these session values.
+
+        :raises PoolTimeoutError: when none came free in time
+        :raises PoolClosedError: when the member has left or there is no lease
+        :raises ConnectionLostError: when a new one could not be opened
+        :raises ConnectionRefusedByMemberError: when the member takes no further one
+        """
+        give_up_at = time.monotonic() + timeout_s
+        while True:
+            if self.is_closed or self.limit == 0:
+                raise PoolClosedError(self.belief.record.identity)
+            connection = await self._take_idle(values)
+            if connection is None and self.opened < self.limit:
+                connection = await self._open(give_up_at - time.monotonic())
+            if connection is None:
+                connection = await self._wait(priority, give_up_at - time.monotonic())
+            if connection is not None:
+                self.belief.outstanding += 1
+                return connection
+
+    async def putconn(self, connection: MemberConnection) -> None:
+        """Take a connection back; one that is closed or in a transaction is given up."""
+        self.belief.outstanding -= 1
+        is_usable = not connection.is_closed and connection.status is TransactionStatus.IDLE
+        if not is_usable or self.is_closed or self.opened > self.limit:
+            await self._give_up(connection)
+            return
+        waiter = self._next_waiter()
+        if waiter is None:
+            connection.idle_since = time.monotonic()
+            self._idle.append(connection)
+            return
+        waiter.connection = connection
+        await waiter.event.set()
+
+    async def set_limit(self, limit: int) -> None:
+        """Take the lease; idle connections above it are closed."""
+        grows = limit > self.limit
+        self.limit = limit
+        while self._idle and self.opened > limit:
+            await self._give_up(self._idle.pop(0))
+        if grows:
+            await self._wake_one()
+
+    async def drain(self) -> None:
+        """Close the pool: idle connections now, the others when they come back."""
+        self.is_closed = True
+        while self._idle:
+            await self._give_up(self._idle.pop())
+        while (waiter := self._next_waiter()) is not None:
+            await waiter.event.set()
+
+    async def close_idle(self, now: float) -> None:
+        """Close connections that have been idle for long."""
+        old = [found for found in self._idle if now - found.idle_since > IDLE_CLOSE_S]
+        for connection in old:
+            self._idle.remove(connection)
+            await self._give_up(connection)
+
+    async def _take_idle(self, values: dict[str, str]) -> MemberConnection | None:
+        """Return the idle connection whose values fit best, dropping those that died."""
+        while self._idle:
+            index = self._best_idle(values)
+            connection = self._idle.pop(index)
+            if connection.is_alive():
+                return connection
+            await self._give_up(connection)
+        return None
+
+    def _best_idle(self, values: dict[str, str]) -> int:
+        for index in range(len(self._idle) - 1, -1, -1):
+            if self._idle[index].values == values:
+                return index
+        for index, connection in enumerate(self._idle):
+            if not connection.values:
+                return index
+        return 0
+
+    async def _open(self, time_left_s: float) -> MemberConnection | None:
+        self.opened += 1
+        record = self.belief.record
+        try:
+            async with curio.timeout_after(max(0.0, min(self._connect_timeout_s, time_left_s))):
+                connection = await MemberConnection.open(
+                    record.address,
+                    record.group,
+                    record.identity,
+                    self._make_codec(),
+                    self._source_ip,
+                )
+        except curio.TaskTimeout:
+            await self._not_opened()
+            if time_left_s < self._connect_timeout_s:
+                raise PoolTimeoutError(record.identity) from None
+            self.belief.was_silent(time.monotonic())
+            raise ConnectionLostError("no answer to a connection attempt") from None
+        except ConnectionRefusedByMemberError as error:
+            await self._not_opened()
+            if error.answer.kind is not AnswerKind.WRONG_MEMBER:
+                self.belief.answered(time.monotonic(), None)
+            raise
+        except ConnectionLostError:
+            self.belief.broke(time.monotonic())
+            await self._not_opened()
+            raise
+        except curio.CancelledError:
+            self.opened -= 1
+            raise
+        self.belief.answered(time.monotonic(), None)
+        return connection
+
+    async def _not_opened(self) -> None:
+        self.opened -= 1
+        await self._wake_one()
+
+    async def _give_up(self, connection: MemberConnection) -> None:
+        await connection.close()
+        self.opened -= 1
+        await self._wake_one()
+
+    async def _wake_one(self) -> None:
+        """Let the next request try again: a connection may be opened."""
+        waiter = self._next_waiter()
+        if waiter is not None:
+            await waiter.event.set()
+
+    def _next_waiter(self) -> _Waiter | None:
+        while self._waiters:
+            _, _, waiter = heapq.heappop(self._waiters)
+            if not waiter.is_over:
+                waiter.is_over = True
+                return waiter
+        return None
+
+    async def _wait(self, priority: int, time_left_s: float) -> MemberConnection | None:
+        waiter = _Waiter()
+        heapq.heappush(self._waiters, (priority, next(self._numbers), waiter))
+        try:
+            async with curio.timeout_after(max(0.0, time_left_s)):
+                await waiter.event.wait()
+        except curio.TaskTimeout:
+            await self._abandon(waiter)
+            raise PoolTimeoutError(self.belief.record.identity) from None
+        except curio.CancelledError:
+            await self._abandon(waiter)
+            raise
+        return waiter.connection
+
+    async def _abandon(self, waiter: _Waiter) -> None:
+        """Pass on what a waiter was given at the moment it gave up."""
+        was_given = waiter.is_over
+        waiter.is_over = True
+        if was_given and waiter.connection is not None:
+            self.belief.outstanding += 1
+            await self.putconn(waiter.connection)
+        elif was_given:
+            await self._wake_one()
--- /dev/null
+++ b/limedyke/proxy/statements/memory_store.py
@@ -0,0 +1,31 @@
+"""Stands for the disk of a proxy that has none: each life begins with nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from result import Ok, Result
+
+from limedyke.messages.control import ControlSnapshot, ControlUpdate
+from limedyke.proxy.control_store import StoredControl
+from limedyke.proxy.control_view import ControlViewBuilder
+from limedyke.result_codes import Failure
+
+ONLY_INCARNATION = 1
+"""The proxy's name differs in each life, so its lives need no numbers."""
+
+
+class MemoryControlStore:
+    """Keeps nothing beyond the process; its state is asked for anew at the start."""
+
+    wants_snapshot = False
+
+    def open(self) -> Result[StoredControl, Failure]:
+        """Return an empty state."""
+        return Ok(StoredControl(ControlViewBuilder(), True, ONLY_INCARNATION, ""))
+
+    async def save_snapshot(self, snapshot: ControlSnapshot) -> None:
+        """Keep nothing."""
+
+    async def append_updates(self, updates: Sequence[ControlUpdate]) -> None:
+        """Keep nothing."""
--- /dev/null
+++ b/limedyke/proxy/statements/server.py
@@ -0,0 +1,172 @@
+"""The process: a proxy without a disk for sessions of statements."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import curio
+from curio import socket
+from result import Err
+
+from limedyke.event_log import EventLog
+from limedyke.messages.handshake import PeerRole
+from limedyke.metrics import new_registry
+from limedyke.proxy.control_client import ControlClient
+from limedyke.proxy.statements.client import ClientServices, StatementClient
+from limedyke.proxy.statements.client_codec import ClientCodec
+from limedyke.proxy.statements.groups import StatementGroups
+from limedyke.proxy.statements.member_codec import MemberCodec
+from limedyke.proxy.statements.memory_store import MemoryControlStore
+from limedyke.proxy.statements.runner import StatementRunner
+from limedyke.proxy.statements.settings import StatementProxySettings
+from limedyke.proxy.statements.statement_log import StatementLog
+from limedyke.settings import EXIT_SETTINGS_INVALID, Secrets
+from limedyke.stop_signal import StopSignal
+from limedyke.transport.http_server import HttpAnswer, HttpLimits, HttpRequest, HttpServer
+from limedyke.transport.http_status import ReadyState, serve_status
+from limedyke.transport.link import LinkIdentity, listen, serve_links
+
+EXIT_FAILED = 1
+ACCEPT_PAUSE_S = 0.05
+READY_BODY_BYTES = 1_024
+STATUS_OK = 200
+STATUS_UNAVAILABLE = 503
+IDLE_CLOSE_FROM = 0.4
+"""While it stops: idle sessions are closed after so much of the deadline; the platform has taken
+the proxy out by then."""
+TRANSACTIONS_UNTIL = 0.45
+STOP_UNTIL = 0.85
+EVENTS = EventLog("proxy")
+
+
+class StatementProxy:
+    """One proxy process.
+
+    :param make_client_codec: makes the codec of a client connection
+    :param make_member_codec: makes the codec of a member connection
+    """
+
+    def __init__(
+        self,
+        settings: StatementProxySettings,
+        secrets: Secrets,
+        make_client_codec: Callable[[], ClientCodec],
+        make_member_codec: Callable[[], MemberCodec],
+    ) -> None:
+        self._settings = settings
+        self._key = (secrets.get(settings.cluster_key) or "").encode()
+        self._make_client_codec = make_client_codec
+        runner = StatementRunner(settings.zone)
+        self._groups = StatementGroups(
+            settings, runner, make_member_codec, lambda: self._control.primary_lease_ends_at
+        )
+        self._control = ControlClient(settings, secrets, MemoryControlStore(), self._groups)
+        self._groups.reporter = self._control
+        self._services = ClientServices(self._groups, runner, StatementLog())
+        self._clients: set[StatementClient] = set()
+        self._registry = new_registry()
+
+    async def run(self) -> int:
+        """Run until a planned stop or a failure; return the exit status."""
+        settings = self._settings
+        listeners = [listen(a) for a in (settings.client_listen, settings.ready_listen)]
+        links = listen(settings.link_listen)
+        for listener in (*listeners, links):
+            if isinstance(listener, Err):
+                EVENTS.error("listen-failed", reason=listener.err_value)
+                return EXIT_SETTINGS_INVALID
+        stop = StopSignal()
+        identity = LinkIdentity(PeerRole.PROXY, settings.name, self._key)
+        ready_server = HttpServer(self._answer_ready, HttpLimits(READY_BODY_BYTES))
+        EVENTS.info("started", name=settings.name, listen=settings.client_listen)
+        async with curio.TaskGroup(wait=any) as tasks:
+            await tasks.spawn(self._control.run)
+            await tasks.spawn(self._groups.watch)
+            await tasks.spawn(ready_server.run, listeners[1].ok_value)
+            await tasks.spawn(
+                serve_status,
+                settings.status_listen,
+                self._registry,
+                lambda: True,
+                self._ready_state,
+            )
+            await tasks.spawn(
+                serve_links, links.ok_value, identity, self._link_key, self._serve_link
+            )
+            await tasks.spawn(self._accept, listeners[0].ok_value)
+            stopping = await tasks.spawn(self._stop_when_asked, stop)
+        finished = tasks.completed
+        if finished is stopping and finished.exception is None:
+            return 0
+        EVENTS.error("failed", task=finished.name, reason=repr(finished.exception))
+        return EXIT_FAILED
+
+    def _link_key(self, role: PeerRole, name: str) -> bytes | None:
+        return self._key
+
+    async def _serve_link(self, link: object) -> None:
+        """Take no links yet: every proxy is a home proxy of every group."""
+
+    async def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                sock, _ = await listener.accept()
+            except OSError as error:
+                EVENTS.warning("accept-failed", reason=error)
+                await curio.sleep(ACCEPT_PAUSE_S)
+                continue
+            if len(self._clients) >= self._settings.maximum_clients:
+                await sock.close()
+                continue
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client = StatementClient(sock, self._make_client_codec(), self._services)
+            self._clients.add(client)
+            client.task = await curio.spawn(self._serve_client, client, daemon=True)
+
+    async def _serve_client(self, client: StatementClient) -> None:
+        try:
+            await client.run()
+        finally:
+            self._clients.discard(client)
+
+    def _ready_state(self) -> ReadyState:
+        if self._services.is_leaving:
+            return ReadyState(False, "stopping")
+        if not self._control.view_confirmed:
+            return ReadyState(False, "no leader has confirmed the state yet")
+        if not self._groups.has_leases():
+            return ReadyState(False, "no connection leases yet")
+        return ReadyState(True, "serving")
+
+    async def _answer_ready(self, request: HttpRequest) -> HttpAnswer:
+        state = self._ready_state()
+        status = STATUS_OK if state.ready else STATUS_UNAVAILABLE
+        return HttpAnswer(status, f"{state.reason}\n".encode(), "text/plain")
+
+    async def _stop_when_asked(self, stop: StopSignal) -> None:
+        """Leave service: no longer ready, then idle sessions, then transactions."""
+        await stop.wait()
+        began_at = time.monotonic()
+        whole_s = self._settings.drain_deadline_ms / 1_000
+        EVENTS.info("stopping", clients=len(self._clients))
+        self._services.is_leaving = True
+        self._services.transactions_end_at = began_at + TRANSACTIONS_UNTIL * whole_s
+        await curio.sleep(IDLE_CLOSE_FROM * whole_s)
+        while self._clients and time.monotonic() < began_at + STOP_UNTIL * whole_s:
+            for client in [found for found in self._clients if found.is_idle]:
+                await client.task.cancel(blocking=False)
+            await curio.sleep(ACCEPT_PAUSE_S)
+        await self._control.leave(done=True)
+        EVENTS.info("stopped", clients=len(self._clients))
+
+
+def run_statement_proxy(
+    settings: StatementProxySettings,
+    secrets: Secrets,
+    make_client_codec: Callable[[], ClientCodec],
+    make_member_codec: Callable[[], MemberCodec],
+) -> int:
+    """Run a proxy; return its exit status."""
+    proxy = StatementProxy(settings, secrets, make_client_codec, make_member_codec)
+    return curio.run(proxy.run)
--- /dev/null
+++ b/limedyke/proxy/statements/settings.py
@@ -0,0 +1,36 @@
+"""Settings of a proxy for sessions of statements."""
+
+from __future__ import annotations
+
+from pydantic import Field
+
+from limedyke.settings import Address, Model
+
+
+class StatementProxySettings(Model):
+    """Settings of a proxy without a disk. Times are in milliseconds, sizes in bytes.
+
+    ``name`` differs in each life of the process; ``controllers`` are those known at the start,
+    others are learned.
+    """
+
+    name: str = Field(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")
+    zone: str
+    region: str = ""
+    source_ip: str = ""
+    cluster_key: str = "cluster"
+    log_level: str = "INFO"
+    client_listen: Address
+    ready_listen: Address
+    status_listen: Address
+    link_listen: Address
+    link_advertise: Address
+    controllers: tuple[Address, ...] = Field(min_length=1)
+    heartbeat_interval_ms: int = Field(default=400, ge=50)
+    control_silence_limit_ms: int = Field(default=2_000, ge=200)
+    connect_timeout_ms: int = Field(default=600, ge=50)
+    probe_interval_ms: int = Field(default=1_000, ge=50)
+    probe_timeout_ms: int = Field(default=600, ge=50)
+    maximum_statement_bytes: int = Field(default=1024 * 1024, ge=1_024)
+    maximum_clients: int = Field(default=3_000, ge=1)
+    drain_deadline_ms: int = Field(default=6_000, ge=100)
--- a/limedyke/result_codes.py
+++ b/limedyke/result_codes.py
@@ -61,6 +61,9 @@
     FEATURE_NOT_SUPPORTED = CodeEntry(
         1008, "0A000", Outcome.DID_NOT_RUN, "The request uses a feature the proxy does not carry."
     )
+    UNKNOWN_DATABASE = CodeEntry(
+        1009, "3D000", Outcome.DID_NOT_RUN, "No database of this name is declared."
+    )
     # 2xxx: sessions
     SESSION_TOKEN_INVALID = CodeEntry(
         2001, "28000", Outcome.DID_NOT_RUN, "The session token is forged or damaged."
@@ -80,6 +83,9 @@
     IDLE_IN_TRANSACTION = CodeEntry(
         2005, "25P03", Outcome.DID_NOT_RUN, "The transaction was idle too long and rolled back."
     )
+    UNKNOWN_STATEMENT_NAME = CodeEntry(
+        2006, "26000", Outcome.DID_NOT_RUN, "The session has prepared no statement of this name."
+    )
     # 3xxx: routing, limits and outcomes
     OUTCOME_UNKNOWN = CodeEntry(
         3001, "40003", Outcome.UNKNOWN, "The answer was lost; the request may have run."
@@ -117,6 +123,18 @@
         Outcome.RAN_AND_FAILED,
         "A read was sent, and no member answered it whole; it may be sent again.",
     )
+    STATEMENT_TIMEOUT = CodeEntry(
+        3012, "57014", Outcome.UNKNOWN, "The statement was sent and not answered in its time."
+    )
+    STATEMENT_FAILED = CodeEntry(
+        3013, "XX000", Outcome.RAN_AND_FAILED, "The member ran the statement, and it failed."
+    )
+    FRESHNESS_UNPROVEN = CodeEntry(
+        3014,
+        "57P03",
+        Outcome.DID_NOT_RUN,
+        "No member can be proved to hold what the read must see; try again later.",
+    )
     # 4xxx: control
     NOT_LEADER = CodeEntry(
         4001, "57P03", Outcome.DID_NOT_RUN, "This controller does not hold the leader lease."
--- a/limedyke/storage/file_system.py
+++ b/limedyke/storage/file_system.py
@@ -94,9 +94,14 @@
 
 
 class LocalFileSystem:
-    """The operating system's files."""
+    """The operating system's files.
 
-    def __init__(self) -> None:
+    :param keeps_unsynced_writes: the boot id tells losses of power apart, so that while it stays
+        the same nothing written was lost
+    """
+
+    def __init__(self, keeps_unsynced_writes: bool = True) -> None:
+        self._keeps_unsynced_writes = keeps_unsynced_writes
         self._locks: dict[Path, int] = {}
         self._overwritten: dict[Path, int] = {}
 
@@ -135,6 +140,8 @@
 
     def life(self) -> str:
         """Name the run of the kernel and the time namespace of its clocks."""
+        if not self._keeps_unsynced_writes:
+            return ""
         try:
             return f"{BOOT_ID.read_text().strip()}/{os.readlink(TIME_NAMESPACE)}"
         except OSError:
--- a/limedyke/storage/leader_contact.py
+++ b/limedyke/storage/leader_contact.py
@@ -49,5 +49,7 @@
         :param heard_at: seconds of the clock that counts since the system started
         :raises OSError: when the file cannot be written; the older note still stands then
         """
+        if not self._is_kept:
+            return
         data = encode_frame(self._salt, 0, _TIME.pack(heard_at))
         self._file_system.overwrite(self._path, data)
