--- a/limedyke/controller/server.py
+++ b/limedyke/controller/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets as random_secrets
+from collections.abc import Callable
 from dataclasses import replace
 from typing import Protocol
 
@@ -29,7 +30,7 @@
 from limedyke.messages.agreement import ControllerIdentity
 from limedyke.messages.control import ControlUpdate, NotLeader, ProxyHello
 from limedyke.messages.handshake import PeerRole
-from limedyke.settings import EXIT_SETTINGS_INVALID, ControllerSettings, Secrets
+from limedyke.settings import EXIT_SETTINGS_INVALID, ControllerPeer, ControllerSettings, Secrets
 from limedyke.stop_signal import StopSignal
 from limedyke.storage.agreement_storage import AgreementStorage
 from limedyke.storage.durable_log import DurableLog
@@ -45,13 +46,19 @@
 EVENTS = EventLog("controller")
 
 
+LearnPeers = Callable[[tuple[ControllerPeer, ...]], None]
+
+
 class ControllerEdge(Protocol):
     """How a controller meets the world beside links: calls from outside, and an authority."""
 
     authority: PromotionAuthority | None
 
-    async def run(self, desk: CallDesk) -> None:
-        """Serve calls until cancelled."""
+    async def run(self, desk: CallDesk, learn_peers: LearnPeers) -> None:
+        """Serve calls until cancelled.
+
+        :param learn_peers: takes the controllers that changed settings name
+        """
 
 
 class Controller:
@@ -99,6 +106,11 @@
             settings.source_ip,
         )
 
+    def learn_peers(self, peers: tuple[ControllerPeer, ...]) -> None:
+        """Learn of controllers that changed settings name."""
+        for peer in peers:
+            self._network.set_address(peer.name, peer.address)
+
     async def run(self) -> int:
         """Run until a signal or a storage failure; return the exit status."""
         listened = listen(self._settings.listen)
@@ -113,7 +125,7 @@
             )
             await tasks.spawn(self._pages.run, self._settings.status_listen)
             if self._edge is not None:
-                await tasks.spawn(self._edge.run, self._desk)
+                await tasks.spawn(self._edge.run, self._desk, self.learn_peers)
             work = await tasks.spawn(self._work)
             waiter = await tasks.spawn(self._wait_for_stop, stop)
         finished = tasks.completed
--- a/limedyke/core/agreement/founding.py
+++ b/limedyke/core/agreement/founding.py
@@ -135,7 +135,12 @@
             return []
         self._finished = True
         voters = tuple(known[name] for name in self._voter_names)
-        return [InstallGenesis(genesis_snapshot(self._new_cluster, voters))]
+        genesis = genesis_snapshot(self._new_cluster, voters)
+        founded = ClusterFounded(genesis.configuration)
+        told: list[FoundingCommand] = [
+            SendFoundingMessage(voter, founded) for voter in voters if voter != self._identity
+        ]
+        return [*told, InstallGenesis(genesis)]
 
     def _on_founded(self, message: ClusterFounded) -> list[FoundingCommand]:
         configuration = message.configuration
--- a/limedyke/core/agreement/state.py
+++ b/limedyke/core/agreement/state.py
@@ -82,6 +82,9 @@
         self.leader_heard_at = now
         if stored.leader_heard_at is not None:
             self.leader_heard_at = min(now, stored.leader_heard_at)
+        elif stored.hard_state.term == 0:
+            # Before a leader is answered its term is on the disk: none was answered yet.
+            self.leader_heard_at = float("-inf")
         self.election_deadline = now
         self.commands: list[Command] = []
         self._write_number = 0
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -171,11 +171,22 @@
             self._commands.append(DisconnectProxy(hello.name, EARLIER_PROCESS))
             return
         self._refused.discard(hello.name)
+        self._end_earlier_lives(hello)
         known = self._state.proxies.get(hello.name)
         if known is not None and has_ended(known, hello):
             self.leases.ended(hello.name)
         self.membership.connected(hello, now)
 
+    def _end_earlier_lives(self, hello: ProxyHello) -> None:
+        """Free what other names held at this proxy's address: one process at a time listens there.
+
+        A proxy without a disk has a name of its own in each life.
+        """
+        for name, record in self._state.proxies.items():
+            if record.address == hello.address and name != hello.name:
+                self.leases.ended(name)
+                self.membership.ended(name)
+
     def _on_heartbeat(self, event: HeartbeatReceived, now: float) -> None:
         self.membership.heartbeat(event.proxy, event.heartbeat, now)
         if event.first:
--- a/limedyke/core/control/membership.py
+++ b/limedyke/core/control/membership.py
@@ -133,6 +133,14 @@
         elif session is not None and session.record is not None:
             self._want(replace(session.record, state=ProxyState.DRAINING))
 
+    def ended(self, proxy: str) -> None:
+        """Note that a proxy's process is known to have ended."""
+        session = self._sessions.get(proxy)
+        if session is not None:
+            session.connected = False
+            session.heard_at = float("-inf")
+        self._end(proxy)
+
     def hint(self, leaving: frozenset[str]) -> None:
         """Take the platform's list: it may be old, so it alone changes nothing."""
         self._hinted = leaving
--- a/limedyke/proxy/control_client.py
+++ b/limedyke/proxy/control_client.py
@@ -115,6 +115,10 @@
         """Until when the recorded primaries of announced members are surely the only ones."""
         return self._primary_lease_ends_at
 
+    def settings_changed(self, controllers: tuple[str, ...]) -> None:
+        """Take the controllers that changed settings name."""
+        self._choice.replace_first(controllers)
+
     async def run(self) -> None:
         """Stay in touch with the controllers until cancelled.
 
--- a/limedyke/proxy/controller_choice.py
+++ b/limedyke/proxy/controller_choice.py
@@ -24,6 +24,11 @@
         self._attempts = 0
         self._first_addresses = addresses
 
+    def replace_first(self, addresses: tuple[str, ...]) -> None:
+        """Take the controllers that changed settings name."""
+        self._first_addresses = addresses
+        self.learn(self._addresses)
+
     def learn(self, addresses: tuple[str, ...]) -> None:
         """Take the present controllers; those of the settings are kept as a last resort."""
         known = tuple(dict.fromkeys((*addresses, *self._first_addresses)))
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -4,6 +4,7 @@
 
 import time
 from collections.abc import Callable
+from pathlib import Path
 
 import curio
 from curio import socket
@@ -22,6 +23,7 @@
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.settings import EXIT_SETTINGS_INVALID, Secrets
+from limedyke.settings_watch import SettingsWatch
 from limedyke.stop_signal import StopSignal
 from limedyke.transport.http_server import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 from limedyke.transport.http_status import ReadyState, serve_status
@@ -45,6 +47,8 @@
 
     :param make_client_codec: makes the codec of a client connection
     :param make_member_codec: makes the codec of a member connection
+    :param settings_file: watched for changes
+    :param reread: gives the settings anew; it raises ValueError when the file is not valid
     """
 
     def __init__(
@@ -53,8 +57,12 @@
         secrets: Secrets,
         make_client_codec: Callable[[], ClientCodec],
         make_member_codec: Callable[[], MemberCodec],
+        settings_file: Path,
+        reread: Callable[[], StatementProxySettings],
     ) -> None:
         self._settings = settings
+        self._reread = reread
+        self._settings_watch = SettingsWatch(settings_file, self._reload)
         self._key = (secrets.get(settings.cluster_key) or "").encode()
         self._make_client_codec = make_client_codec
         runner = StatementRunner(settings.zone)
@@ -83,6 +91,7 @@
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._control.run)
             await tasks.spawn(self._groups.watch)
+            await tasks.spawn(self._settings_watch.run)
             await tasks.spawn(ready_server.run, listeners[1].ok_value)
             await tasks.spawn(
                 serve_status,
@@ -102,6 +111,10 @@
         EVENTS.error("failed", task=finished.name, reason=repr(finished.exception))
         return EXIT_FAILED
 
+    async def _reload(self) -> None:
+        """Take what can change in a running process: the controllers."""
+        self._control.settings_changed(self._reread().controllers)
+
     def _link_key(self, role: PeerRole, name: str) -> bytes | None:
         return self._key
 
@@ -166,7 +179,11 @@
     secrets: Secrets,
     make_client_codec: Callable[[], ClientCodec],
     make_member_codec: Callable[[], MemberCodec],
+    settings_file: Path,
+    reread: Callable[[], StatementProxySettings],
 ) -> int:
-    """Run a proxy; return its exit status."""
-    proxy = StatementProxy(settings, secrets, make_client_codec, make_member_codec)
+    """Run a proxy; return its exit status. For the parameters see ``StatementProxy``."""
+    proxy = StatementProxy(
+        settings, secrets, make_client_codec, make_member_codec, settings_file, reread
+    )
     return curio.run(proxy.run)
