Wait until a promoted member leads; find the other controllers after a restart without their seeds

Cause 3: after a loss of power everywhere controllers knew only the seeds of the settings, which had been exchanged. Change: a primary is recorded once it says that it leads; words older than the record count no more; addresses are read from the log's entries at the start.

--- a/limedyke/controller/server.py
+++ b/limedyke/controller/server.py
@@ -27,8 +27,9 @@
 from limedyke.core.agreement.commands import Role
 from limedyke.core.agreement.voter_policy import VoterPolicy
 from limedyke.event_log import EventLog
-from limedyke.messages.agreement import ControllerIdentity
+from limedyke.messages.agreement import ControllerIdentity, EntryKind, LogEntry
 from limedyke.messages.control import ControlUpdate, NotLeader, ProxyHello
+from limedyke.messages.control_entries import recorded_addresses
 from limedyke.messages.handshake import PeerRole
 from limedyke.settings import EXIT_SETTINGS_INVALID, ControllerPeer, ControllerSettings, Secrets
 from limedyke.stop_signal import StopSignal
@@ -156,6 +157,16 @@
         ended = tasks.completed
         EVENTS.error("work-ended", task=ended.name, reason=repr(ended.exception))
 
+    def _learn_stored_addresses(self, entries: tuple[LogEntry, ...]) -> None:
+        """Learn where the others were last reached: the settings may name other controllers now.
+
+        Entries that are not known committed serve too: an address is only a place to ask at.
+        """
+        for entry in entries:
+            if entry.kind == EntryKind.PROPOSAL:
+                for known in recorded_addresses(entry.payload):
+                    self._network.set_address(known.name, known.address)
+
     def _voter_care(self) -> VoterCare:
         settings = self._settings
         silence_limit_s = settings.voter_silence_limit_ms / 1000
@@ -165,6 +176,7 @@
     def _start_replica(self) -> None:
         stored = self._log.take_stored_state()
         self._network.cluster = stored.snapshot.configuration.cluster
+        self._learn_stored_addresses(stored.entries)
         replica = Replica(
             identity=self._log.identity,
             stored=stored,
--- a/limedyke/core/control/authority_failover.py
+++ b/limedyke/core/control/authority_failover.py
@@ -31,6 +31,8 @@
 NEVER = float("inf")
 PROPOSAL_RETRY_S = 1.0
 EXCLUDED_FOR_S = 2.0
+TOLD_AFTER_S = 1.0
+"""What a member said sooner after a change of primary may be of the time before."""
 FIRST_PRIMARY_WAIT_S = 1.5
 """How long members of a new group may take to tell which of them is the primary."""
 
@@ -43,6 +45,7 @@
     GRANTING = "granting"
     FENCING = "fencing"
     CALLING = "calling"
+    PROMOTING = "promoting"
     RECORDING = "recording"
     BACKING_OFF = "backing-off"
 
@@ -55,6 +58,7 @@
     :param reports: what proxies last reported, by proxy and member
     :param excluded: members not to be promoted, until when
     :param replaced: the primary before the grant
+    :param recorded_at: when the present primary came out of the log
     """
 
     step: Step = Step.WATCHED
@@ -65,6 +69,7 @@
     target: str = ""
     failures: int = 0
     seen_at: float = 0.0
+    recorded_at: float = float("-inf")
 
 
 class AuthorityFailover:
@@ -137,6 +142,7 @@
             return
         if primary.primary:
             care.failures = 0
+            care.recorded_at = now
             care.reports = {k: r for k, r in care.reports.items() if k[1] != primary.primary}
             self._enter(care, Step.WATCHED, NEVER)
             return
@@ -158,7 +164,10 @@
         if not is_awaited:
             return
         if outcome is AuthorityOutcome.PROMOTED:
-            self._record(group, care, recorded.term, care.target, now)
+            # The member leads some time later, and tells it then; until that moment a read there
+            # could miss what the replaced primary acknowledged.
+            self._enter(care, Step.PROMOTING, now + self._timing.promotion_wait_s)
+            self._look_at(group, care, now)
             return
         if outcome is AuthorityOutcome.REFUSED:
             care.excluded[care.target] = now + EXCLUDED_FOR_S
@@ -195,7 +204,7 @@
             case Step.FENCING:
                 if self._is_fenced(group, now):
                     self._call(group, care, now)
-            case Step.CALLING | Step.BACKING_OFF:
+            case Step.CALLING | Step.PROMOTING | Step.BACKING_OFF:
                 self._follow_promoted(group, care, now)
 
     def _judge(self, group: str, care: _Care, now: float) -> None:
@@ -227,8 +236,9 @@
 
     def _follow_other(self, group: str, care: _Care, recorded: GroupPrimary, now: float) -> bool:
         """Follow a promotion carried out late: the primary says it is none, another that it is."""
-        members = self._members_of(group)
-        own = self._members.get(recorded.primary)
+        since = care.recorded_at + TOLD_AFTER_S
+        members = [m for m in self._members_of(group) if self._book.heard_at(m.identity) > since]
+        own = next((m for m in members if m.identity == recorded.primary), None)
         others = [m for m in members if m.is_primary and m.identity != recorded.primary]
         if own is None or own.is_primary or len(others) != 1:
             return False
@@ -346,7 +356,7 @@
                 self._enter(care, Step.WATCHED, NEVER)
             case Step.GRANTING | Step.RECORDING | Step.BACKING_OFF:
                 self._grant(group, care, now)
-            case Step.CALLING:
+            case Step.CALLING | Step.PROMOTING:
                 self._back_off(care, now)
 
     def _note(self, group: str, text: str) -> None:
--- a/limedyke/core/control/timing.py
+++ b/limedyke/core/control/timing.py
@@ -30,6 +30,8 @@
     :param primary_lease_s: for so long after its heartbeat a proxy may take the recorded primary
         of a group of announced members for the only one; 0 gives no such lease
     :param authority_timeout_s: a call to the promotion authority is given up after this long
+    :param promotion_wait_s: a member that was promoted leads at the latest so long after the
+        authority's answer; afterwards another promotion is begun
     :param member_silence_s: an announced member silent for longer is doubted
     :param member_forgotten_s: an announced member silent for longer is forgotten
     """
@@ -51,5 +53,6 @@
     promotions_per_proxy: int = 16
     primary_lease_s: float = 1.5
     authority_timeout_s: float = 3.0
+    promotion_wait_s: float = 3.0
     member_silence_s: float = 5.0
     member_forgotten_s: float = 30.0
--- a/limedyke/messages/control_entries.py
+++ b/limedyke/messages/control_entries.py
@@ -321,6 +321,18 @@
     return _COMPRESSED + zlib.compress(data, level=1)
 
 
+def recorded_addresses(data: bytes) -> tuple[ControllerAddress, ...]:
+    """Return the addresses of controllers that an entry records, nothing for other entries.
+
+    Large entries, which are compressed, are none of these and are not unpacked.
+    """
+    if data[:1] != _PLAIN:
+        return ()
+    unpacked = unpack_entry(data)
+    entry = unpacked.ok_value if isinstance(unpacked, Ok) else None
+    return entry.controllers if isinstance(entry, RecordControllers) else ()
+
+
 def unpack_entry(data: bytes) -> Result[object, Failure]:
     """Return the entry or snapshot from its stored form."""
     body = data[1:]
