--- /dev/null
+++ b/features/announced_members.feature
@@ -0,0 +1,99 @@
+Feature: Members that announce themselves, and the change of their primary
+  The log learns what is new; a late word changes nothing; nobody reads at a member that was
+  promoted before it leads.
+
+  Scenario Outline: announced: <why>
+    Given announced: members "a:primary b:replica c:replica" of a group, heard
+    When announced: <event>
+    Then announced: the log learns "<learned>"
+
+    Examples:
+      | why                                      | event                                      | learned        |
+      | nothing new                              | b says replica, number 2, after 1 s        | -              |
+      | it drains                                | b says draining replica, number 2, after 1 s | b draining   |
+      | it leads                                 | b says primary, number 2, after 1 s        | b primary      |
+      | late: a lower number soon after          | b says primary, number 0, after 1 s        | -              |
+      | restarted: a lower number after long     | b says primary, number 0, after 4 s        | b primary      |
+      | draining is not taken back               | b drains, then says replica                | -              |
+      | its address has passed to another        | d says replica at the address of b         | d replica, without b |
+      | it ends                                  | b withdraws                                | without b      |
+      | a word after its end                     | b withdraws, then says replica             | -              |
+      | unknown ends                             | x withdraws                                | -              |
+
+  Scenario Outline: authority: <why>
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    When authority: <event>
+    And authority: <ms> ms pass
+    Then authority: promotion is <outcome>
+
+    Examples: when a primary is doubted
+      | why                             | event                        | ms   | outcome      |
+      | all is well                     | nothing happens              | 3000 | not asked    |
+      | one proxy can't reach it        | p reports a unreachable      | 1000 | not asked    |
+      | most can't reach it             | p q report a unreachable     | 1000 | asked of b   |
+      | for a moment only               | p q report a unreachable     | 50   | not asked    |
+      | it drains                       | a says draining primary      | 1000 | asked of b   |
+      | it ends                         | a withdraws                  | 1000 | asked of b   |
+      | silent and unreachable          | a is silent, p can't reach it | 7000 | asked of b  |
+      | silent, but reached             | a is silent, p reaches it    | 7000 | not asked    |
+
+    Examples: who follows
+      | why                             | event                                         | ms   | outcome    |
+      | the one far in the log          | c is ahead, p q report a unreachable          | 1000 | asked of c |
+      | not the one that drains         | b says draining replica, p q report a unreachable | 1000 | asked of c |
+      | not the one nobody reaches      | p q report a and b unreachable                | 1000 | asked of c |
+
+    Examples: fencing
+      | why                                 | event                                         | ms   | outcome    |
+      | a proxy has not confirmed           | r does not confirm, p q report a unreachable  | 1000 | not asked  |
+      | its lease has run out               | r does not confirm, p q report a unreachable  | 3000 | asked of b |
+
+  Scenario: authority: recorded only when the member leads
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    When authority: p q report a unreachable
+    And authority: 1000 ms pass
+    And authority: the authority answers promoted
+    Then authority: no primary is recorded
+    When authority: b says primary
+    Then authority: the recorded primary is b
+
+  Scenario: authority: a call without an answer is outranked by the next
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    When authority: p q report a unreachable
+    And authority: 1000 ms pass
+    And authority: the authority answers unknown
+    And authority: 1000 ms pass
+    Then authority: a second call has a higher fence
+
+  Scenario: authority: a refusal sends the next call to another member
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    When authority: p q report a unreachable
+    And authority: 1000 ms pass
+    And authority: the authority answers refused
+    And authority: 1000 ms pass
+    Then authority: promotion is asked of c
+
+  Scenario: authority: what a dead primary said last does not count
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    When authority: p q report a unreachable
+    And authority: 1000 ms pass
+    And authority: the authority answers promoted
+    And authority: b says primary
+    And authority: 5000 ms pass
+    Then authority: it was asked 1 times
+
+  Scenario: authority: a promotion carried out late is followed
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    When authority: 2000 ms pass
+    And authority: c says primary
+    And authority: a says replica
+    And authority: 1000 ms pass
+    Then authority: promotion is asked of c
+
+  Scenario: authority: a new leader goes on with a promotion that was begun
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    When authority: p q report a unreachable
+    And authority: 1000 ms pass
+    And authority: another leader takes over
+    And authority: 4000 ms pass
+    Then authority: a second call has a higher fence
--- /dev/null
+++ b/features/steps/announced_members_steps.py
@@ -0,0 +1,174 @@
+"""Steps on members that announce themselves, and on their promotion by an authority."""
+
+from __future__ import annotations
+
+from behave import given, step, then, when
+
+from features.support.announced_world import (
+    AnnouncedWorld,
+    a_member,
+    with_address_of,
+)
+from limedyke.core.control.announcements import AnnouncementBook
+from limedyke.core.control.events import AuthorityOutcome
+from limedyke.messages.control import MemberHealth
+from limedyke.messages.control_entries import RecordMembers
+
+NOW = 50.0
+
+
+@given('announced: members "{members}" of a group, heard')
+def step_book(context, members):
+    roles = dict(member.split(":") for member in members.split())
+    context.members = {name: a_member(name, role) for name, role in roles.items()}
+    context.book = AnnouncementBook(context.members, NOW)
+    for member in context.members.values():
+        assert context.book.announced(member, 1, NOW) is None
+    context.learned = None
+
+
+def take(context, entry: RecordMembers | None) -> None:
+    """Apply an entry to the recorded members, as the log does."""
+    context.learned = entry
+    if entry is None:
+        return
+    for name in entry.removed:
+        context.members.pop(name, None)
+    context.members.update((member.identity, member) for member in entry.members)
+
+
+@when("announced: {name:w} says {role}, number {number:d}, after {seconds:g} s")
+def step_says(context, name, role, number, seconds):
+    take(context, context.book.announced(a_member(name, role), number, NOW + seconds))
+
+
+@when("announced: {name:w} drains, then says {role}")
+def step_drains_then(context, name, role):
+    take(context, context.book.announced(a_member(name, "draining replica"), 2, NOW + 1))
+    take(context, context.book.announced(a_member(name, role), 3, NOW + 2))
+
+
+@when("announced: {name:w} says {role} at the address of {other:w}")
+def step_address(context, name, role, other):
+    member = with_address_of(a_member(name, role), context.members[other])
+    take(context, context.book.announced(member, 1, NOW + 1))
+
+
+@when("announced: {name:w} withdraws")
+def step_withdraws(context, name):
+    take(context, context.book.withdrawn(name, NOW + 1))
+
+
+@when("announced: {name:w} withdraws, then says {role}")
+def step_withdraws_then(context, name, role):
+    take(context, context.book.withdrawn(name, NOW + 1))
+    take(context, context.book.announced(a_member(name, role), 9, NOW + 2))
+
+
+@then('announced: the log learns "{learned}"')
+def step_learned(context, learned):
+    entry = context.learned
+    parts = []
+    if entry is not None:
+        for member in entry.members:
+            word = "primary" if member.is_primary else "replica"
+            parts.append(f"{member.identity} {word if member.state == 'ready' else 'draining'}")
+        parts += [f"without {name}" for name in entry.removed]
+    assert (", ".join(parts) or "-") == learned, parts
+
+
+@given("authority: primary a, replicas b and c, proxies p q r that follow")
+def step_world(context):
+    context.world = AnnouncedWorld({"a": "primary", "b": "replica", "c": "replica"})
+    context.world.run(1.0)
+    assert context.world.primary == "a", context.world.primary
+
+
+@step("authority: nothing happens")
+def step_nothing(context):
+    pass
+
+
+@step("authority: {proxies} report {members} unreachable")
+@step("authority: {proxies} reports {members} unreachable")
+def step_unreachable(context, proxies, members):
+    for part in proxies.split(", "):
+        if part.endswith("does not confirm"):
+            context.world.unconfirming.add(part[0])
+        elif part.endswith("is ahead"):
+            context.world.report("p q r", part[0], MemberHealth.REACHABLE, position=900)
+        elif " says " in part:
+            context.world.announce(part[0], part.partition(" says ")[2])
+        else:
+            names = members.replace(" and ", " ")
+            context.world.report(part, names, MemberHealth.UNREACHABLE)
+
+
+@step("authority: {name:w} says {role}")
+def step_world_says(context, name, role):
+    context.world.announce(name, role)
+
+
+@step("authority: {name:w} withdraws")
+def step_world_withdraws(context, name):
+    context.world.withdraw(name)
+
+
+@step("authority: {name:w} is silent, {proxy:w} can't reach it")
+def step_silent_unreached(context, name, proxy):
+    context.world.silent.add(name)
+    context.world.report(proxy, name, MemberHealth.UNREACHABLE)
+
+
+@step("authority: {name:w} is silent, {proxy:w} reaches it")
+def step_silent_reached(context, name, proxy):
+    context.world.silent.add(name)
+    context.world.report(proxy, name, MemberHealth.REACHABLE)
+
+
+@step("authority: {milliseconds:d} ms pass")
+def step_pass(context, milliseconds):
+    context.world.run(milliseconds / 1_000)
+
+
+@step("authority: the authority answers {outcome}")
+def step_answers(context, outcome):
+    context.world.answer(AuthorityOutcome(outcome))
+
+
+@step("authority: another leader takes over")
+def step_new_leader(context):
+    context.world.lead()
+
+
+@then("authority: promotion is not asked")
+def step_not_asked(context):
+    assert not context.world.calls, context.world.calls
+
+
+@then("authority: promotion is asked of {name:w}")
+def step_asked_of(context, name):
+    assert context.world.calls, "nothing was asked"
+    assert context.world.calls[-1].member == name, context.world.calls
+
+
+@then("authority: it was asked {count:d} times")
+def step_asked_times(context, count):
+    assert len(context.world.calls) == count, context.world.calls
+
+
+@then("authority: no primary is recorded")
+def step_no_primary(context):
+    assert context.world.primary == "", context.world.primary
+
+
+@then("authority: the recorded primary is {name:w}")
+def step_primary(context, name):
+    assert context.world.primary == name, context.world.primary
+
+
+@then("authority: a second call has a higher fence")
+def step_higher_fence(context):
+    calls = context.world.calls
+    assert len(calls) >= 2, calls
+    assert calls[1].fence > calls[0].fence, calls
--- /dev/null
+++ b/features/steps/voter_policy_steps.py
@@ -0,0 +1,58 @@
+"""Steps on the policy by which the leader keeps its voters."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from limedyke.core.agreement.events import AddLearner, PromoteLearner, RemoveMember
+from limedyke.core.agreement.voter_policy import VoterPolicy, WaitingController
+from limedyke.messages.agreement import ControllerIdentity, MemberConfiguration
+
+NOW = 100.0
+
+
+def lives(text: str) -> tuple[ControllerIdentity, ...]:
+    """Return identities written as a name and the number of its disk; a dash stands for none."""
+    return () if text == "-" else tuple(ControllerIdentity(t[0], t) for t in text.split())
+
+
+@given("voter policy: {wanted:d} voters are wanted, a voter silent for {limit:g} s is replaced")
+def step_policy(context, wanted, limit):
+    context.policy = VoterPolicy(wanted, limit)
+
+
+@given('voter policy: voters "{voters}", learners "{learners}", of which "{caught_up}" hold all')
+def step_members(context, voters, learners, caught_up):
+    context.configuration = MemberConfiguration("cluster", lives(voters), lives(learners))
+    context.caught_up = lives(caught_up)
+
+
+@given('voter policy: "{silent}" silent for {seconds:g} s')
+def step_silent(context, silent, seconds):
+    members = context.configuration.voters + context.configuration.learners
+    context.heard_at = dict.fromkeys(members[1:], NOW)
+    context.heard_at.update(dict.fromkeys(lives(silent), NOW - seconds))
+
+
+@when('voter policy: "{waiting}" have announced themselves')
+def step_waiting(context, waiting):
+    found = [WaitingController(life, "127.0.0.1:1", NOW) for life in lives(waiting)]
+    context.change = context.policy.next_change(
+        context.configuration, context.caught_up, context.heard_at, found, NOW
+    )
+
+
+@then("voter policy: the next change is to {expected}")
+def step_change(context, expected):
+    match context.change:
+        case None:
+            text = "do nothing"
+        case AddLearner(identity):
+            text = f"add {identity.incarnation}"
+        case PromoteLearner(identity, None):
+            text = f"promote {identity.incarnation}"
+        case PromoteLearner(identity, replaced):
+            text = f"replace {replaced.incarnation} by {identity.incarnation}"
+        case RemoveMember(identity):
+            text = f"remove {identity.incarnation}"
+    assert text == expected, text
--- a/limedyke/core/control/authority_failover.py
+++ b/limedyke/core/control/authority_failover.py
@@ -287,13 +287,17 @@
         ]
         return sorted(able, key=lambda member: self._rank(care, member, now))
 
-    def _rank(self, care: _Care, member: AnnouncedMember, now: float) -> tuple[bool, int, int, str]:
-        """Order members: heard lately, reached by proxies, far in the log."""
+    def _rank(
+        self, care: _Care, member: AnnouncedMember, now: float
+    ) -> tuple[bool, int, bool, int, str]:
+        """Order members: heard lately, reached by proxies, leading already, far in the log."""
         reports = [r for (_, name), r in care.reports.items() if name == member.identity]
         unreachable = sum(report.health is MemberHealth.UNREACHABLE for report in reports)
         position = max((report.position for report in reports), default=0)
-        is_silent = now - self._book.heard_at(member.identity) > self._timing.member_silence_s
-        return is_silent, unreachable, -position, member.identity
+        heard_at = self._book.heard_at(member.identity)
+        is_silent = now - heard_at > self._timing.member_silence_s
+        leads = member.is_primary and heard_at > care.recorded_at
+        return is_silent, unreachable, not leads, -position, member.identity
 
     def _grant(self, group: str, care: _Care, now: float) -> None:
         """Propose the next term; the group has no primary from then on."""
