Stop the reader of a link to the leader before the link is closed

Change: the reader is cancelled first. The address of a proxy without a disk stands as its folder, so that proxies of the tests that share an address are not taken for one; the test that let 200 proxies share one folder gives each its own.

--- a/features/steps/control_membership_steps.py
+++ b/features/steps/control_membership_steps.py
@@ -147,7 +147,7 @@
 def _(context, count, silent):
     context.membership = membership = MembershipUnderTest(30.0)
     for number in range(silent):
-        membership.connect(f"s{number}")
+        membership.connect(f"s{number}", folder_id=f"disk of s{number}")
         membership.wait(0.5, goes_on=False)
     membership.now += 10.0
     hellos = [ProxyHello(f"p{i}", 1, "", "z1", 0, 0, "disk") for i in range(count)]
--- a/limedyke/controller/call_desk.py
+++ b/limedyke/controller/call_desk.py
@@ -26,6 +26,7 @@
         self.link = link
         self.address = address
         self.is_open = True
+        self._receiver: curio.Task | None = None
         self._numbers = count(1)
         self._waiting: dict[int, curio.Queue] = {}
 
@@ -40,7 +41,17 @@
         finally:
             self._waiting.pop(number, None)
 
-    async def receive_all(self) -> None:
+    async def start(self) -> None:
+        """Begin to take answers."""
+        self._receiver = await curio.spawn(self._receive_all, daemon=True)
+
+    async def stop(self) -> None:
+        """End the link; the task that reads it must not find it closed under its hands."""
+        if self._receiver is not None:
+            await self._receiver.cancel()
+        await self.link.close()
+
+    async def _receive_all(self) -> None:
         """Hand out answers until the link ends; then tell those that wait."""
         reason = await until_closed(self._receive)
         self.is_open = False
@@ -126,7 +137,7 @@
             if known is not None and known.is_open and known.address == address:
                 return known
             if known is not None:
-                await known.link.close()
+                await known.stop()
             self._link = None
             dialled = await dial(
                 address, self._identity, self._keys, self._source_ip, DIAL_TIMEOUT_S
@@ -135,5 +146,5 @@
                 EVENTS.info("leader-not-reached", address=address, reason=dialled.err_value)
                 return None
             self._link = _LeaderLink(dialled.ok_value, address)
-            await curio.spawn(self._link.receive_all, daemon=True)
+            await self._link.start()
             return self._link
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -178,12 +178,13 @@
         self.membership.connected(hello, now)
 
     def _end_earlier_lives(self, hello: ProxyHello) -> None:
-        """Free what other names held at this proxy's address: one process at a time listens there.
+        """Free what other names held on what this proxy has for itself.
 
-        A proxy without a disk has a name of its own in each life.
+        A proxy without a disk has a name of its own in each life, and in place of a folder the
+        address at which one process at a time can listen.
         """
         for name, record in self._state.proxies.items():
-            if record.address == hello.address and name != hello.name:
+            if record.folder_id and record.folder_id == hello.folder_id and name != hello.name:
                 self.leases.ended(name)
                 self.membership.ended(name)
 
--- a/limedyke/messages/control.py
+++ b/limedyke/messages/control.py
@@ -78,7 +78,8 @@
     :param incarnation: grows at each start of the proxy
     :param control_index: index of the last control update it has synced; 0 for none
     :param folder_id: of the data folder, which one process at a time can lock: an earlier
-        incarnation on the same folder has ended and holds nothing any more
+        incarnation on the same folder has ended and holds nothing any more.  Without a folder
+        it is made from the address at which the process listens, to the same effect
     """
 
     name: str
--- a/limedyke/proxy/statements/memory_store.py
+++ b/limedyke/proxy/statements/memory_store.py
@@ -16,13 +16,19 @@
 
 
 class MemoryControlStore:
-    """Keeps nothing beyond the process; its state is asked for anew at the start."""
+    """Keeps nothing beyond the process; its state is asked for anew at the start.
+
+    :param address: where the process listens, as no other can meanwhile (``ip:port``)
+    """
 
     wants_snapshot = False
 
+    def __init__(self, address: str) -> None:
+        self._folder_id = f"address:{address}"
+
     def open(self) -> Result[StoredControl, Failure]:
         """Return an empty state."""
-        return Ok(StoredControl(ControlViewBuilder(), True, ONLY_INCARNATION, ""))
+        return Ok(StoredControl(ControlViewBuilder(), True, ONLY_INCARNATION, self._folder_id))
 
     async def save_snapshot(self, snapshot: ControlSnapshot) -> None:
         """Keep nothing."""
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -69,7 +69,8 @@
         self._groups = StatementGroups(
             settings, runner, make_member_codec, lambda: self._control.primary_lease_ends_at
         )
-        self._control = ControlClient(settings, secrets, MemoryControlStore(), self._groups)
+        store = MemoryControlStore(settings.link_advertise)
+        self._control = ControlClient(settings, secrets, store, self._groups)
         self._groups.reporter = self._control
         self._services = ClientServices(self._groups, runner, StatementLog())
         self._clients: set[StatementClient] = set()
