--- a/features/steps/line_protocol_steps.py
+++ b/features/steps/line_protocol_steps.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 from behave import then, when
+from line_protocol import LineClientCodec, LineMemberCodec
 
 import features.support.platform_path  # noqa: F401
-from limedyke.messages.statements import AnswerKind, Statement, StatementAnswer, StatementKind
+from limedyke.messages.statements import StatementAnswer
 from limedyke.messages.work import TransactionStatus
 from limedyke.proxy.statements.client_codec import (
     MalformedStatement,
@@ -14,7 +15,6 @@
     StatementReceived,
 )
 from limedyke.result_codes import CODE_BY_NUMBER, Outcome
-from line_protocol import LineClientCodec, LineMemberCodec
 
 PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "MAXCONN"}
 
--- a/limedyke/proxy/control_client.py
+++ b/limedyke/proxy/control_client.py
@@ -68,7 +68,8 @@
         self._identity = LinkIdentity(PeerRole.PROXY, settings.name, key)
         self._handler = handler
         self._intake = ControlIntake(store, handler.control_changed)
-        self._choice = ControllerChoice(settings.controllers, random.Random())
+        longest_pause_s = settings.control_retry_limit_ms / 1000
+        self._choice = ControllerChoice(settings.controllers, random.Random(), longest_pause_s)
         self._announcements = ControlAnnouncements(settings)
         self._quorum = QuorumWatch()
         self._reports = ControlReports()
--- a/limedyke/proxy/controller_choice.py
+++ b/limedyke/proxy/controller_choice.py
@@ -14,9 +14,16 @@
 
     :param addresses: the controllers of the settings
     :param generator: source of the jitter
+    :param longest_pause_s: the pause grows up to this
     """
 
-    def __init__(self, addresses: tuple[str, ...], generator: Random) -> None:
+    def __init__(
+        self,
+        addresses: tuple[str, ...],
+        generator: Random,
+        longest_pause_s: float = LONGEST_PAUSE_S,
+    ) -> None:
+        self._longest_pause_s = longest_pause_s
         self._addresses = addresses
         self._generator = generator
         self._position = generator.randrange(len(addresses))
@@ -60,5 +67,7 @@
 
     def pause_s(self) -> float:
         """Return how long to wait before the next dial, with jitter."""
-        longest = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * PAUSE_GROWTH ** min(self._attempts, 20))
+        longest = min(
+            self._longest_pause_s, FIRST_PAUSE_S * PAUSE_GROWTH ** min(self._attempts, 20)
+        )
         return longest * self._generator.uniform(0.5, 1.0)
--- a/limedyke/proxy/statements/client.py
+++ b/limedyke/proxy/statements/client.py
@@ -32,6 +32,9 @@
 from limedyke.result_codes import ResultCode
 
 RECEIVE_BYTES = 64 * 1024
+FIRST_VIEW_WAIT_S = 1.5
+"""A client that comes before the proxy knows any database waits so long; to say that there is no
+such database would be untrue."""
 EVENTS = EventLog("client")
 
 
@@ -149,8 +152,13 @@
             await self._services.runner.roll_back(pinned)
 
     async def _open_session(self, event: SessionRequested) -> bool:
-        view = self._services.groups.view
-        database = view.databases.get(event.database) if view is not None else None
+        view = await self._services.groups.wait_for_view(FIRST_VIEW_WAIT_S)
+        if view is None:
+            answer = refusal(ResultCode.NO_MEMBER, "no controller has told the state yet", 500)
+            self._services.log.session_refused(event.database, answer)
+            await self._socket.sendall(self._codec.refuse_session(answer))
+            return False
+        database = view.databases.get(event.database)
         if database is None:
             answer = refusal(ResultCode.UNKNOWN_DATABASE, event.database)
             self._services.log.session_refused(event.database, answer)
--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -34,6 +34,7 @@
         self.term = 0
         self.limit = 0
         self.primary_changed = curio.Event()
+        self.leased = curio.Event()
         self._make_pool = make_pool
         self._lease_ends_at = lease_ends_at
 
@@ -82,6 +83,10 @@
     async def set_limit(self, limit: int) -> None:
         """Take the lease of connections to each member."""
         self.limit = limit
+        if limit > 0:
+            await self.leased.set()
+        else:
+            self.leased.clear()
         for pool in self.pools.values():
             await pool.set_limit(limit)
 
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -56,6 +56,7 @@
     ) -> None:
         self.groups: dict[str, StatementGroup] = {}
         self.view: ControlView | None = None
+        self._first_view = curio.Event()
         self.reporter: Reporter | None = None
         self.on_view: Callable[[ControlView], Awaitable[None]] | None = None
         self._settings = settings
@@ -82,6 +83,7 @@
             await group.take_members(members[name])
             await group.take_primary(view.primaries.get(name))
         self._forget_reports(view)
+        await self._first_view.set()
         if self.on_view is not None:
             await self.on_view(view)
 
@@ -100,9 +102,15 @@
         """Refuse: members of these groups are promoted by an authority outside."""
         return PromoteResult(order.group, order.term, "", "an authority outside promotes")
 
+    async def wait_for_view(self, limit_s: float) -> ControlView | None:
+        """Return the view in force; before the first one wait for it, for a limited time."""
+        if self.view is None:
+            await curio.ignore_after(limit_s, self._first_view.wait)
+        return self.view
+
     def has_leases(self) -> bool:
-        """Tell whether connections may be opened at all."""
-        return bool(self._leases) or not self.groups
+        """Tell whether connections may be opened to the members of all groups."""
+        return all(group.limit > 0 for group in self.groups.values())
 
     async def watch(self) -> None:
         """Watch the members until cancelled: probe silent primaries, report changes."""
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -33,6 +33,8 @@
 MS_PER_S = 1_000.0
 HELD_SHARE_OF_TARGET = 0.2
 """A statement that no member can run is held for so much of its target latency at most."""
+LEASE_WAIT_SHARE = 0.7
+"""While this proxy holds no lease yet, a statement waits so much of its time for one."""
 RETRY_PAUSE_S = 0.03
 READ_ATTEMPT_SHARE = 0.5
 """A first attempt to read gets so much of the time, so that another member can be tried."""
@@ -87,6 +89,8 @@
             deadline=now + database.statement_timeout_ms / MS_PER_S,
             hold_until=now + HELD_SHARE_OF_TARGET * database.target_latency_ms / MS_PER_S,
         )
+        if group.limit == 0:
+            await curio.ignore_after(LEASE_WAIT_SHARE * attempt.time_left(), group.leased.wait)
         if pinned is not None:
             return await self._run_pinned(session, run, group, pinned, attempt)
         if session.needs_primary(run) and not _reads_only(run):
--- a/limedyke/proxy/statements/settings.py
+++ b/limedyke/proxy/statements/settings.py
@@ -28,6 +28,7 @@
     controllers: tuple[Address, ...] = Field(min_length=1)
     heartbeat_interval_ms: int = Field(default=400, ge=50)
     control_silence_limit_ms: int = Field(default=2_000, ge=200)
+    control_retry_limit_ms: int = Field(default=250, ge=20)
     connect_timeout_ms: int = Field(default=600, ge=50)
     probe_interval_ms: int = Field(default=1_000, ge=50)
     probe_timeout_ms: int = Field(default=600, ge=50)
--- a/limedyke/settings.py
+++ b/limedyke/settings.py
@@ -90,6 +90,7 @@
     tls: TlsSettings | None = None
     heartbeat_interval_ms: int = Field(default=1_000, ge=50)
     control_silence_limit_ms: int = Field(default=3_000, ge=200)
+    control_retry_limit_ms: int = Field(default=1_000, ge=20)
     startup_timeout_ms: int = Field(default=10_000, ge=100)
     maximum_message_bytes: int = Field(default=16 * 1024 * 1024, ge=1_024)
     maximum_clients: int = Field(default=12_000, ge=1)
