Close connections idle for 6 s

Cause: members refused new connections (MAXCONN) for up to 3 s after all proxies had lost power, as they still held the old ones.

--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -26,7 +26,7 @@
 from limedyke.proxy.statements.settings import StatementProxySettings
 
 WATCH_INTERVAL_S = 0.25
-HOUSEKEEPING_S = 5.0
+HOUSEKEEPING_S = 2.0
 EVENTS = EventLog("groups")
 
 
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/member_pool.py
@@ -19,7 +19,9 @@
     MemberConnection,
 )
 
-IDLE_CLOSE_S = 30.0
+IDLE_CLOSE_S = 6.0
+"""Idle connections are few, so that members have room when proxies come back: a member holds a
+connection of a lost machine for some seconds."""
 
 
 class PoolTimeoutError(Exception):
