Keep the time limits of statements in force; prove the path against stand-in members

Cause: cancellation was disabled while a statement was served, so that a planned stop could not cut it; curio's time limits are cancellations too, and none was in force: a silent member held its client until the connection's own 3 s. Found by the scenario of the silent member, which hung. Change: cancellation stays enabled; a session asked to leave at the moment at which a statement came drops that one cancellation. Tests: a stand-in for members, written from the pages, and 37 scenarios of the whole path from a client to members.

--- /dev/null
+++ b/features/statement_path.feature
@@ -0,0 +1,165 @@
+Feature: The whole path of a statement, from a client to members and back
+  Against stand-in members of the platform's line protocol, which keep what they ran.
+
+  Scenario Outline: statement path: <consistency> reads
+    Given statement path: a <consistency> database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: 100 ms pass
+    And statement path: the client asks "READ x" and is told "1 done I"
+    Then statement path: "READ x" ran at <member>
+
+    Examples:
+      | consistency | member |
+      | primary     | a      |
+      | bounded     | b      |
+      | session     | b      |
+
+  Scenario Outline: statement path: a replica that lags, <consistency>
+    Given statement path: a <consistency> database on primary a and replicas b c, the proxy beside b
+    And statement path: replicas lag by 400 ms
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: the client asks "READ x" and is told "<row> done I"
+    Then statement path: "READ x" ran at <member>
+
+    Examples: a session sees its own work
+      | consistency | row | member |
+      | session     | 1   | a      |
+      | primary     | 1   | a      |
+
+  Scenario: statement path: bounded reads miss nothing older than the bound
+    Given statement path: a bounded database on primary a and replicas b c, the proxy beside b
+    And statement path: the bound is 300 ms, and replicas lag by 900 ms
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: 400 ms pass
+    And statement path: another client asks "READ x" and is told "1 done I"
+
+  Scenario: statement path: without the lease a read wants proof
+    Given statement path: a primary database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: the lease has run out, and b leads without the proxy knowing
+    And statement path: the client asks "READ x" and is told "LAGGING I"
+    Then statement path: "READ x" ran nowhere
+
+  Scenario: statement path: without the lease, but with proof
+    Given statement path: a primary database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: 100 ms pass
+    And statement path: the lease has run out
+    And statement path: the client asks "READ x" and is told "1 done I"
+
+  Scenario Outline: statement path: <fault> for "<asked>"
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: 100 ms pass
+    And statement path: <fault>
+    And statement path: the client asks "<asked>" and is told "<told>"
+    Then statement path: "<asked>" ran <times> times
+
+    Examples: an answer is lost
+      | fault                | asked     | told      | times |
+      | a loses 1 answer     | WRITE x 2 | INDOUBT I | 1     |
+      | b loses 1 answer     | READ x    | 1 done I  | 2     |
+
+    Examples: no room
+      | fault                | asked     | told      | times |
+      | a is busy 2 times    | WRITE x 2 | done I    | 1     |
+      | a is busy 999 times  | WRITE x 2 | BUSY I    | 0     |
+      | b is busy 1 times    | READ x    | 1 done I  | 1     |
+
+    Examples: a member is gone
+      | fault                | asked     | told      | times |
+      | b crashes            | READ x    | 1 done I  | 1     |
+      | a crashes            | WRITE x 2 | BUSY I    | 0     |
+      | b turns silent       | READ x    | 1 done I  | 1     |
+      | a turns silent       | WRITE x 2 | TIMEOUT I | 0     |
+      | the address of b passes to another member | READ x | 1 done I | 1 |
+
+    Examples: the primary is another one now
+      | fault                            | asked     | told      | times |
+      | b leads without the proxy knowing | WRITE x 2 | BUSY I    | 0     |
+      | no primary is recorded           | WRITE x 2 | BUSY I    | 0     |
+      | b leads, and the proxy knows     | WRITE x 2 | done I    | 1     |
+      | a drains                         | WRITE x 2 | BUSY I    | 0     |
+      | b drains                         | READ x    | 1 done I  | 1     |
+
+  Scenario Outline: statement path: a transaction, <fault>
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "BEGIN" and is told "done T"
+    And statement path: the client asks "WRITE x 2" and is told "done T"
+    And statement path: <fault>
+    And statement path: the client asks "<asked>" and is told "<told>"
+    And statement path: another client asks "READ x" and is told "<row> done I"
+
+    Examples:
+      | fault            | asked    | told      | row |
+      | nothing happens  | COMMIT   | done I    | 2   |
+      | nothing happens  | ROLLBACK | done I    | -   |
+      | a loses 1 answer | READ x   | ABORTED E | -   |
+      | a loses 1 answer | COMMIT   | INDOUBT I | 2   |
+
+  Scenario: statement path: a transaction stays on its connection and sees its settings
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "SET tone low" and is told "done I"
+    And statement path: the client asks "BEGIN" and is told "done T"
+    And statement path: the client asks "WRITE x 2" and is told "done T"
+    And statement path: the client asks "READ y" and is told "- done T"
+    And statement path: the client asks "COMMIT" and is told "done I"
+    Then statement path: all ran at a with "tone=low"
+
+  Scenario: statement path: sessions that share a connection keep apart
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: the lease is for 1 connection
+    When statement path: the client asks "SET tone low" and is told "done I"
+    And statement path: the client asks "PREPARE s WRITE first" and is told "done I"
+    And statement path: another client asks "PREPARE s READ second" and is told "done I"
+    And statement path: the client asks "EXECUTE s x 1" and is told "done I"
+    And statement path: another client asks "WRITE y 1" and is told "done I"
+    And statement path: the client asks "EXECUTE s x 2" and is told "done I"
+    Then statement path: the other client's work ran without settings, the client's with "tone=low"
+
+  Scenario: statement path: a client that leaves inside a transaction leaves nothing behind
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "BEGIN" and is told "done T"
+    And statement path: the client asks "WRITE x 2" and is told "done T"
+    And statement path: the client leaves
+    And statement path: 100 ms pass
+    And statement path: another client asks "READ x" and is told "- done I"
+
+  Scenario: statement path: a transaction that rests too long is ended
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: transactions may rest for 200 ms
+    When statement path: the client asks "BEGIN" and is told "done T"
+    And statement path: the client asks "WRITE x 2" and is told "done T"
+    And statement path: 500 ms pass
+    And statement path: the client asks "COMMIT" and is told "ABORTED I"
+    And statement path: another client asks "READ x" and is told "- done I"
+
+  Scenario: statement path: statements at once are answered in order
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    When statement path: the client sends "QUERY 1 WRITE x 1\r\nQUERY 2 READ x\r\nQUERY 3 NONSENSE\r\nQUERY 4 READ x\r\n"
+    Then statement path: it is told "done I", "1 done I", "MALFORMED I", "1 done I"
+
+  Scenario Outline: statement path: a session at <database>
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    Then statement path: a session at "<database>" is told "<told>"
+
+    Examples:
+      | database | told |
+      | db       | I    |
+      | nothere  | NODB |
+
+  Scenario: statement path: a database that is removed
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "READ x" and is told "- done I"
+    And statement path: the database is removed
+    And statement path: the client asks "READ x" and is told "NODB I"
+
+  Scenario: statement path: a proxy that knows nothing yet claims nothing
+    Given statement path: a proxy that no controller has told anything
+    Then statement path: a session at "db" is told "BUSY"
+
+  Scenario: statement path: what is given up is refused at once
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: no primary is recorded
+    When statement path: the client asks "WRITE x 2" and is told "BUSY I"
+    Then statement path: that took less than 350 ms
--- a/features/steps/line_protocol_steps.py
+++ b/features/steps/line_protocol_steps.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from behave import then, when
-from line_protocol import LineClientCodec, LineMemberCodec
 
 import features.support.platform_path  # noqa: F401
 from limedyke.messages.statements import StatementAnswer
@@ -15,6 +14,7 @@
     StatementReceived,
 )
 from limedyke.result_codes import CODE_BY_NUMBER, Outcome
+from line_protocol import LineClientCodec, LineMemberCodec
 
 PROMISES = {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "MAXCONN"}
 
--- /dev/null
+++ b/features/steps/statement_path_steps.py
@@ -0,0 +1,227 @@
+"""Steps on the whole path of a statement."""
+
+from __future__ import annotations
+
+import time
+
+import curio
+from behave import given, step, then, when
+
+from features.support.statement_path import GROUP, StatementPath, elapsed_ms, summary
+from limedyke.messages.control import ConnectionLease
+from limedyke.messages.databases import Consistency
+
+
+def run(context, function, *arguments):
+    """Run a coroutine in the scenario's kernel, where daemons go on between steps."""
+    return context.kernel.run(function, *arguments)
+
+
+def begin(context, path: StatementPath) -> None:
+    """Make the kernel of the scenario, ended with it."""
+    context.kernel = curio.Kernel()
+    context.path = path
+
+    def end() -> None:
+        context.kernel.run(path.stop)
+        context.kernel.run(shutdown=True)
+
+    context.add_cleanup(end)
+
+
+@given("statement path: a {consistency} database on primary a and replicas b c, the proxy beside b")
+def step_path(context, consistency):
+    begin(context, StatementPath(Consistency(consistency)))
+    run(context, context.path.start)
+    context.client, _ = run(context, context.path.connect)
+    context.other = None
+
+
+@given("statement path: a proxy that no controller has told anything")
+def step_blank(context):
+    begin(context, StatementPath(Consistency.SESSION))
+
+
+@given("statement path: replicas lag by {lag:d} ms")
+def step_lag(context, lag):
+    context.path.group.lag_s = lag / 1_000
+
+
+@given("statement path: the bound is {bound:d} ms, and replicas lag by {lag:d} ms")
+def step_bound(context, bound, lag):
+    context.path.group.lag_s = lag / 1_000
+    context.path.staleness_ms = bound
+    run(context, context.path.tell_view)
+
+
+@given("statement path: the lease is for 1 connection")
+def step_one_connection(context):
+    lease = ConnectionLease(GROUP, "shared", 1)
+    run(context, context.path.groups.leases_changed, (lease,), float("inf"))
+
+
+@given("statement path: transactions may rest for {rest:d} ms")
+def step_rest(context, rest):
+    context.path.idle_in_transaction_ms = rest
+    run(context, context.path.tell_view)
+
+
+@when('statement path: the client asks "{asked}" and is told "{told}"')
+def step_ask(context, asked, told):
+    began_at = time.monotonic()
+    context.told = run(context, context.client.ask, asked)
+    context.took_ms = elapsed_ms(began_at)
+    assert context.told == told, context.told
+
+
+@when('statement path: another client asks "{asked}" and is told "{told}"')
+def step_other_asks(context, asked, told):
+    if context.other is None:
+        context.other, _ = run(context, context.path.connect)
+    answer = run(context, context.other.ask, asked)
+    assert answer == told, answer
+
+
+@step("statement path: {milliseconds:d} ms pass")
+def step_wait(context, milliseconds):
+    run(context, curio.sleep, milliseconds / 1_000)
+
+
+@step("statement path: nothing happens")
+def step_nothing(context):
+    pass
+
+
+@step("statement path: {name:w} loses {count:d} answer")
+def step_loses(context, name, count):
+    context.path.group.members[name].faults.lose_answers = count
+
+
+@step("statement path: {name:w} is busy {count:d} times")
+def step_busy(context, name, count):
+    context.path.group.members[name].faults.busy = count
+
+
+@step("statement path: {name:w} crashes")
+def step_crashes(context, name):
+    run(context, context.path.group.crash, name)
+
+
+@step("statement path: {name:w} turns silent")
+def step_silent(context, name):
+    context.path.group.members[name].faults.silent = True
+
+
+@step("statement path: {name:w} drains")
+def step_drains(context, name):
+    context.path.draining.add(name)
+    run(context, context.path.tell_view)
+
+
+@step("statement path: the address of b passes to another member")
+def step_passes(context):
+    context.path.group.members["b"].identity = "d"
+    for session in list(context.path.group.members["b"].sessions):
+        run(context, session.abort)
+
+
+@step("statement path: b leads without the proxy knowing")
+def step_leads_unknown(context):
+    context.path.group.promote("b")
+
+
+@step("statement path: b leads, and the proxy knows")
+def step_leads_known(context):
+    context.path.group.promote("b")
+    context.path.primary = "b"
+    context.path.term = 2
+    run(context, context.path.tell_view)
+
+
+@step("statement path: no primary is recorded")
+def step_no_primary(context):
+    context.path.primary = ""
+    context.path.term = 2
+    run(context, context.path.tell_view)
+
+
+@step("statement path: the lease has run out")
+def step_lease_over(context):
+    context.path.lease_ends_at = 0.0
+
+
+@step("statement path: the lease has run out, and b leads without the proxy knowing")
+def step_lease_over_and_replaced(context):
+    context.path.lease_ends_at = 0.0
+    context.path.group.promote("b")
+
+
+@when("statement path: the client leaves")
+def step_leaves(context):
+    run(context, context.client.close)
+
+
+@when("statement path: the database is removed")
+def step_removed(context):
+    context.path.with_database = False
+    run(context, context.path.tell_view)
+
+
+@when('statement path: the client sends "{lines}"')
+def step_sends(context, lines):
+    run(context, context.client.send, lines.replace("\\r", "\r").replace("\\n", "\n"))
+
+
+@then('statement path: it is told "{first}", "{second}", "{third}", "{fourth}"')
+def step_told(context, first, second, third, fourth):
+    async def answers() -> list[str]:
+        return [summary(await context.client.answer()) for _ in range(4)]
+
+    told = run(context, answers)
+    assert told == [first, second, third, fourth], told
+
+
+@then('statement path: a session at "{database}" is told "{told}"')
+def step_session(context, database, told):
+    _, answer = run(context, context.path.connect, database)
+    assert answer == told, answer
+
+
+@then('statement path: "{text}" ran at {member:w}')
+def step_ran_at(context, text, member):
+    runs = context.path.runs_of(text)
+    assert runs[-1:] == [member], runs
+
+
+@then('statement path: "{text}" ran nowhere')
+def step_ran_nowhere(context, text):
+    assert not context.path.runs_of(text), context.path.runs_of(text)
+
+
+@then('statement path: "{text}" ran {count:d} times')
+def step_ran_times(context, text, count):
+    runs = context.path.runs_of(text)
+    assert len(runs) == count, runs
+
+
+@then('statement path: all ran at a with "{setting}"')
+def step_all_ran(context, setting):
+    name, _, value = setting.partition("=")
+    runs = context.path.group.runs
+    assert runs and {run.member for run in runs} == {"a"}, runs
+    assert all(run.values == {name: value} for run in runs), runs
+
+
+@then(
+    "statement path: the other client's work ran without settings, the client's with \"{setting}\""
+)
+def step_apart(context, setting):
+    name, _, value = setting.partition("=")
+    seen = {run.text.split(" ", 2)[2]: run.values for run in context.path.group.runs}
+    assert seen["x 1"] == seen["x 2"] == {name: value}, seen
+    assert [r.values for r in context.path.group.runs if r.text == "WRITE y 1"] == [{}], seen
+
+
+@then("statement path: that took less than {limit:d} ms")
+def step_took(context, limit):
+    assert context.took_ms < limit, context.took_ms
--- /dev/null
+++ b/features/support/line_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform: members that speak its line protocol, and its authority."""
--- /dev/null
+++ b/features/support/line_platform/member_session.py
@@ -0,0 +1,238 @@
+"""One connection to a stand-in member, by the words of the platform's pages."""
+
+from __future__ import annotations
+
+import struct
+import time
+from typing import TYPE_CHECKING
+
+import curio
+from curio import socket
+
+from features.support.line_platform.member_log import Run
+
+if TYPE_CHECKING:
+    from features.support.line_platform.group import StandInMember
+
+RESET = struct.pack("ii", 1, 0)
+OWN_ID = "-"
+
+
+class MemberSession:
+    """Serves one connection of a proxy."""
+
+    def __init__(self, member: StandInMember, sock: socket.socket) -> None:
+        self._member = member
+        self._socket = sock
+        self._state = "I"
+        self._values: dict[str, str] = {}
+        self._prepared: dict[str, tuple[str, str]] = {}
+        self._writes: list[tuple[str, str]] = []
+        self._reads_only = False
+        self._began_as_primary = False
+
+    async def run(self) -> None:
+        """Serve until the connection ends."""
+        member = self._member
+        member.sessions.add(self)
+        try:
+            if await self._open():
+                await self._serve()
+        except OSError:
+            return
+        finally:
+            member.sessions.discard(self)
+            await self._socket.close()
+
+    async def abort(self) -> None:
+        """Reset the connection."""
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        await self._socket.shutdown(socket.SHUT_RDWR)
+
+    async def _open(self) -> bool:
+        member = self._member
+        self._stream = self._socket.as_stream()
+        word, group, _, identity = (await self._line()).split(" ")
+        if (word, group, identity) != ("START", member.group.name, member.identity):
+            await self._send(f"ERROR WRONGNODE {member.identity}")
+            return False
+        if member.connections >= member.connection_limit:
+            await self._send(f"ERROR MAXCONN {member.identity}")
+            return False
+        member.connections += 1
+        member.opened += 1
+        await self._ready()
+        return True
+
+    async def _serve(self) -> None:
+        try:
+            while line := await self._line():
+                word, _, rest = line.partition(" ")
+                if word == "TERMINATE":
+                    return
+                request_id, _, text = rest.partition(" ")
+                await self._query(request_id, text)
+        finally:
+            self._member.connections -= 1
+
+    async def _line(self) -> str:
+        line = await self._stream.readline()
+        return line.decode("latin-1").rstrip("\r\n")
+
+    async def _send(self, *lines: str) -> None:
+        data = "".join(f"{line}\r\n" for line in lines).encode("latin-1")
+        await self._socket.sendall(data)
+
+    async def _ready(self, *lines: str) -> None:
+        position = self._member.log.position(self._member.group.term)
+        await self._send(*lines, f"READY {self._state} {position}")
+
+    async def _error(self, word: str) -> None:
+        if self._state == "T":
+            self._state = "E"
+        await self._ready(f"ERROR {word} {self._member.identity}")
+
+    async def _query(self, request_id: str, text: str) -> None:
+        faults = self._member.faults
+        if faults.silent:
+            await curio.sleep(3600)
+        word, _, rest = text.partition(" ")
+        if word == "WAITLSN":
+            position, _, text = rest.partition(" ")
+            if not self._member.log.holds(position):
+                await self._error("LAGGING")
+                return
+            word, _, rest = text.partition(" ")
+        if faults.busy and word in ("READ", "WRITE", "EXECUTE", "COMMIT", "STATUS"):
+            faults.busy -= 1
+            await self._error("BUSY")
+            return
+        await self._run(request_id, text, word, rest)
+
+    async def _run(self, request_id: str, text: str, word: str, rest: str) -> None:
+        if self._state == "E" and word != "ROLLBACK":
+            await self._error("MALFORMED")
+            return
+        match word:
+            case "BEGIN":
+                await self._begin(rest == "READ")
+            case "ROLLBACK":
+                self._end()
+                await self._ready("COMPLETE -")
+            case "SET":
+                name, _, value = rest.partition(" ")
+                self._values[name] = value
+                await self._ready("COMPLETE -")
+            case "PREPARE":
+                name, access, shape = rest.split(" ", 2)
+                self._prepared[name] = (access, shape)
+                await self._ready("COMPLETE -")
+            case "DISCARD":
+                self._values.clear()
+                self._prepared.clear()
+                await self._ready("COMPLETE -")
+            case "STATUS":
+                await self._status()
+            case "READ":
+                await self._read(request_id, text, rest)
+            case "WRITE":
+                await self._write(request_id, text, rest)
+            case "COMMIT":
+                await self._commit(request_id)
+            case "EXECUTE":
+                await self._execute(request_id, text, rest)
+            case _:
+                await self._error("MALFORMED")
+
+    async def _begin(self, reads_only: bool) -> None:
+        if not reads_only and not self._member.is_primary:
+            await self._error("READONLY")
+            return
+        self._state = "T"
+        self._reads_only = reads_only
+        self._began_as_primary = not reads_only
+        await self._ready("COMPLETE -")
+
+    def _end(self) -> None:
+        self._state = "I"
+        self._writes = []
+        self._began_as_primary = False
+
+    async def _status(self) -> None:
+        member = self._member
+        role = "primary" if member.is_primary else "replica"
+        position = member.log.position(member.group.term)
+        row = f"{role} {member.group.term} {position} 0 0 0 {member.connections}"
+        await self._ready(f"DATAROW {row}", "COMPLETE -")
+
+    async def _execute(self, request_id: str, text: str, rest: str) -> None:
+        name, _, arguments = rest.partition(" ")
+        prepared = self._prepared.get(name)
+        if prepared is None:
+            await self._error("NOSTMT")
+        elif prepared[0] == "WRITE":
+            await self._write(request_id, text, arguments)
+        else:
+            await self._read(request_id, text, arguments)
+
+    async def _read(self, request_id: str, text: str, thing: str) -> None:
+        if self._began_as_primary and not self._member.is_primary:
+            await self._error("READONLY")
+            return
+        self._note(request_id, text)
+        await self._answer(f"DATAROW {self._member.log.value_of(thing)}")
+
+    async def _write(self, request_id: str, text: str, rest: str) -> None:
+        if not self._member.is_primary:
+            await self._error("READONLY")
+            return
+        self._note(request_id, text)
+        thing, _, data = rest.partition(" ")
+        if self._state == "T":
+            self._writes.append((thing, data))
+            await self._answer()
+            return
+        await self._acknowledge(request_id, ((thing, data),))
+
+    async def _commit(self, request_id: str) -> None:
+        if self._writes and not self._member.is_primary:
+            await self._error("READONLY")
+            return
+        writes = tuple(self._writes)
+        self._end()
+        self._note(request_id, "COMMIT")
+        if writes:
+            await self._acknowledge(request_id, writes)
+        else:
+            await self._answer()
+
+    async def _acknowledge(self, request_id: str, writes: tuple[tuple[str, str], ...]) -> None:
+        group = self._member.group
+        commit = await group.commit(self._member, request_id, writes)
+        if await self._answer():
+            group.note_acknowledged(commit)
+
+    async def _answer(self, *rows: str) -> bool:
+        """Answer a statement that ran, or lose the answer; tell whether it was sent."""
+        if self._member.faults.lose_answers:
+            self._member.faults.lose_answers -= 1
+            await self.abort()
+            return False
+        await self._ready(*rows, f"COMPLETE {self._member.group.signature()}")
+        return True
+
+    def _note(self, request_id: str, text: str) -> None:
+        if request_id == OWN_ID:
+            return
+        member = self._member
+        in_transaction = self._state == "T"
+        member.group.note_run(
+            Run(
+                member.identity,
+                request_id,
+                text,
+                dict(self._values),
+                in_transaction,
+                time.monotonic(),
+            )
+        )
--- /dev/null
+++ b/features/support/statement_path.py
@@ -0,0 +1,174 @@
+"""The whole path of a statement in one process: a client, a proxy's parts, stand-in members."""
+
+from __future__ import annotations
+
+import time
+
+import curio
+from curio import socket
+
+import features.support.platform_path  # noqa: F401
+from features.support.line_platform.group import StandInGroup
+from limedyke.messages.control import ConnectionLease, GroupPrimary
+from limedyke.messages.databases import (
+    AnnouncedMember,
+    Consistency,
+    Database,
+    MemberState,
+    SessionLimits,
+)
+from limedyke.messages.declaration import Group, PromotionMode, TenantAccess
+from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.statements.client import ClientServices, StatementClient
+from limedyke.proxy.statements.groups import StatementGroups
+from limedyke.proxy.statements.runner import StatementRunner
+from limedyke.proxy.statements.settings import StatementProxySettings
+from limedyke.proxy.statements.statement_log import StatementLog
+from line_protocol import LineClientCodec, LineMemberCodec
+
+GROUP = "g"
+ANSWER_TIMEOUT_S = 6.0
+ZONES = {"a": "z1", "b": "z2", "c": "z3"}
+NEVER = float("inf")
+
+
+class LineClient:
+    """A client of the line protocol, on one end of a pair of sockets."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._socket = sock
+        self._stream = sock.as_stream()
+        self._next = 0
+
+    async def send(self, text: str) -> None:
+        """Send lines as they are."""
+        await self._socket.sendall(text.encode("latin-1"))
+
+    async def receive(self) -> str:
+        """Return the next line, empty at the end of the connection."""
+        async with curio.timeout_after(ANSWER_TIMEOUT_S):
+            line = await self._stream.readline()
+        return line.decode("latin-1").rstrip("\r\n")
+
+    async def answer(self) -> list[str]:
+        """Return the lines of one answer, up to READY or the end."""
+        lines = []
+        while line := await self.receive():
+            lines.append(line)
+            if line.startswith("READY"):
+                break
+        return lines
+
+    async def ask(self, text: str) -> str:
+        """Ask a statement; return rows and outcome in few words."""
+        self._next += 1
+        await self.send(f"QUERY q{self._next} {text}\r\n")
+        return summary(await self.answer())
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await self._socket.close()
+
+
+def summary(lines: list[str]) -> str:
+    """Return ``done``, rows, or the word of an error, and the state that follows."""
+    words = []
+    for line in lines:
+        word, _, rest = line.partition(" ")
+        if word == "DATAROW":
+            words.append(rest)
+        elif word == "COMPLETE":
+            words.append("done")
+        elif word == "ERROR" or word == "READY":
+            words.append(rest.split(" ")[0])
+    return " ".join(words) or "closed"
+
+
+class StatementPath:
+    """A proxy's parts between clients and a stand-in group.
+
+    :param consistency: of the database ``db``
+    :param staleness_ms: its bound
+    """
+
+    def __init__(self, consistency: Consistency, staleness_ms: int = 1_500) -> None:
+        self.consistency = consistency
+        self.staleness_ms = staleness_ms
+        self.group = StandInGroup(GROUP, ("a", "b", "c"))
+        self.primary = "a"
+        self.term = 1
+        self.lease_ends_at = NEVER
+        self.idle_in_transaction_ms = 0
+        self.draining: set[str] = set()
+        self.with_database = True
+        self.clients: list[LineClient] = []
+        self.index = 0
+        settings = StatementProxySettings(
+            name="proxy",
+            zone="z2",
+            client_listen="127.0.0.1:1",
+            ready_listen="127.0.0.1:1",
+            status_listen="127.0.0.1:1",
+            link_listen="127.0.0.1:1",
+            link_advertise="127.0.0.1:1",
+            controllers=("127.0.0.1:1",),
+        )
+        runner = StatementRunner("z2")
+        self.groups = StatementGroups(settings, runner, LineMemberCodec, lambda: self.lease_ends_at)
+        self.services = ClientServices(self.groups, runner, StatementLog())
+
+    async def start(self, connections: int = 4) -> None:
+        """Start the members, and give the proxy its view and a lease."""
+        await self.group.start()
+        await self.tell_view()
+        lease = ConnectionLease(GROUP, "shared", connections)
+        await self.groups.leases_changed((lease,), NEVER)
+
+    async def tell_view(self) -> None:
+        """Give the proxy a view of the present state."""
+        self.index += 1
+        access = TenantAccess("shared", GROUP, "", "", 30)
+        group = Group(GROUP, (), 30, 1, (access,), "", PromotionMode.AUTHORITY, announced=True)
+        database = Database("db", GROUP, self.consistency, 800, 1_000, 1, self.staleness_ms)
+        view = ControlView(
+            control_index=self.index,
+            revision=1,
+            groups={GROUP: group},
+            primaries={GROUP: GroupPrimary(GROUP, self.term, self.primary)},
+            databases={"db": database} if self.with_database else {},
+            session_limits=SessionLimits(self.idle_in_transaction_ms),
+            announced={name: self._record(name) for name in self.group.members},
+        )
+        await self.groups.control_changed(view)
+
+    def _record(self, name: str) -> AnnouncedMember:
+        member = self.group.members[name]
+        state = MemberState.DRAINING if name in self.draining else MemberState.READY
+        return AnnouncedMember(
+            name, GROUP, member.address, ZONES[name], "v1", 3, state, member.is_primary
+        )
+
+    async def connect(self, database: str = "db") -> tuple[LineClient, str]:
+        """Open a client's session; return the client and what it was told."""
+        ours, theirs = socket.socketpair()
+        served = StatementClient(theirs, LineClientCodec(), self.services)
+        await curio.spawn(served.run, daemon=True)
+        client = LineClient(ours)
+        self.clients.append(client)
+        await client.send(f"START {database} u1\r\n")
+        return client, summary([await client.receive()])
+
+    async def stop(self) -> None:
+        """Close clients and members."""
+        for client in self.clients:
+            await client.close()
+        await self.group.stop()
+
+    def runs_of(self, text: str) -> list[str]:
+        """Return the members that ran a text, in order."""
+        return [run.member for run in self.group.runs if run.text == text]
+
+
+def elapsed_ms(since: float) -> float:
+    """Return milliseconds since a moment of the monotonic clock."""
+    return (time.monotonic() - since) * 1_000
--- a/limedyke/proxy/statements/client.py
+++ b/limedyke/proxy/statements/client.py
@@ -92,14 +92,13 @@
     async def _serve_next(self) -> bool:
         """Serve the client's next event; tell whether there can be another."""
         event = await self._next_event()
-        async with curio.disable_cancellation():
-            match event:
-                case SessionRequested():
-                    return await self._open_session(event)
-                case StatementReceived():
-                    return await self._serve_statement(event.statement)
-                case MalformedStatement():
-                    return await self._refuse_malformed(event)
+        match event:
+            case SessionRequested():
+                return await self._open_session(event)
+            case StatementReceived():
+                return await self._serve_statement(event.statement)
+            case MalformedStatement():
+                return await self._refuse_malformed(event)
         return False
 
     async def _next_event(self) -> ClientEvent:
@@ -110,9 +109,25 @@
                 continue
             if not data:
                 return SessionEnded("closed by the client")
+            await self._stay_for_what_came()
             self._events.extend(self._codec.feed(data))
         return self._events.popleft()
 
+    async def leave(self) -> None:
+        """End the session, if it waits for the client outside a transaction."""
+        if self.is_idle and self.task is not None:
+            await self.task.cancel(blocking=False)
+
+    async def _stay_for_what_came(self) -> None:
+        """Serve a statement that came at the moment the session was asked to leave.
+
+        Cancellation can't just be disabled while a statement runs: its time limits are
+        cancellations too.
+        """
+        if self._services.is_leaving:
+            async with curio.disable_cancellation():
+                await curio.check_cancellation(curio.CancelledError)
+
     async def _receive(self) -> bytes | None:
         """Return received bytes; None when an open transaction has rested for too long."""
         rest_s = self._rest_limit_s()
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -168,8 +168,8 @@
         self._services.transactions_end_at = began_at + TRANSACTIONS_UNTIL * whole_s
         await curio.sleep(IDLE_CLOSE_FROM * whole_s)
         while self._clients and time.monotonic() < began_at + STOP_UNTIL * whole_s:
-            for client in [found for found in self._clients if found.is_idle]:
-                await client.task.cancel(blocking=False)
+            for client in list(self._clients):
+                await client.leave()
             await curio.sleep(ACCEPT_PAUSE_S)
         await self._control.leave(done=True)
         EVENTS.info("stopped", clients=len(self._clients))
