Give back connections that were in use when their lease ended; let members tell who leads

Cause 1: a lease taken back while its connections were in use was never given back (the group had left the table by then), so the leader granted no new one: a tenth of the statements refused for 15 s after proxies had been cut off. Cause 2: a proxy cut off from the controllers knew no way to a new primary. Change: what is owed is kept until it is returned; a proxy that is told READONLY, or knows no primary, asks the members which of them leads; the one that is being replaced is never taken. Tests: three scenarios of the path; the one of a primary replaced unknown to the proxy now asks that the write is done at the new one, where it asked for a refusal.

--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -36,10 +36,28 @@
   Scenario: statement path: without the lease a read wants proof
     Given statement path: a primary database on primary a and replicas b c, the proxy beside b
     When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: 100 ms pass
     And statement path: the lease has run out, and b leads without the proxy knowing
+    And statement path: the client asks "READ x" and is told "1 done I"
+    Then statement path: "READ x" ran at b
+
+  Scenario: statement path: without the lease and without anyone who leads
+    Given statement path: a primary database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: the lease has run out, and nobody leads
     And statement path: the client asks "READ x" and is told "LAGGING I"
     Then statement path: "READ x" ran nowhere
 
+  Scenario: statement path: connections taken back while in use are given back afterwards
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "BEGIN" and is told "done T"
+    And statement path: the client asks "READ x" and is told "- done T"
+    And statement path: all leases are taken back
+    Then statement path: nothing is given back yet
+    When statement path: the client asks "COMMIT" and is told "done I"
+    And statement path: the members are watched for 600 ms
+    Then statement path: 0 connections of each are given back
+
   Scenario: statement path: without the lease, but with proof
     Given statement path: a primary database on primary a and replicas b c, the proxy beside b
     When statement path: the client asks "WRITE x 1" and is told "done I"
@@ -76,7 +94,7 @@
 
     Examples: the primary is another one now
       | fault                            | asked     | told      | times |
-      | b leads without the proxy knowing | WRITE x 2 | BUSY I    | 0     |
+      | b leads without the proxy knowing | WRITE x 2 | done I    | 1     |
       | no primary is recorded           | WRITE x 2 | BUSY I    | 0     |
       | b leads, and the proxy knows     | WRITE x 2 | done I    | 1     |
       | a drains                         | WRITE x 2 | BUSY I    | 0     |
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -156,6 +156,52 @@
     context.path.group.promote("b")
 
 
+@step("statement path: the lease has run out, and nobody leads")
+def step_nobody_leads(context):
+    context.path.lease_ends_at = 0.0
+    context.path.group.members["a"].is_primary = False
+
+
+class Reporter:
+    """Keeps what a proxy gives back."""
+
+    def __init__(self) -> None:
+        self.returned: list[ConnectionLease] = []
+
+    async def report_member(self, report: object) -> None:
+        """Take a report."""
+
+    async def return_leases(self, leases: tuple[ConnectionLease, ...]) -> None:
+        """Take what is given back."""
+        self.returned.extend(leases)
+
+
+@when("statement path: all leases are taken back")
+def step_taken_back(context):
+    context.reporter = context.path.groups.reporter = Reporter()
+    run(context, context.path.groups.leases_changed, (), float("inf"))
+
+
+@then("statement path: nothing is given back yet")
+def step_nothing_back(context):
+    assert not context.reporter.returned, context.reporter.returned
+
+
+@when("statement path: the members are watched for {milliseconds:d} ms")
+def step_watched(context, milliseconds):
+    async def watch() -> None:
+        await curio.ignore_after(milliseconds / 1_000, context.path.groups.watch)
+
+    run(context, watch)
+
+
+@then("statement path: {count:d} connections of each are given back")
+def step_given_back(context, count):
+    assert context.reporter.returned == [ConnectionLease(GROUP, "shared", count)], (
+        context.reporter.returned
+    )
+
+
 @when("statement path: the client leaves")
 def step_leaves(context):
     run(context, context.client.close)
--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -33,6 +33,10 @@
         self.fence = 0
         self.term = 0
         self.limit = 0
+        self.exposed = ""
+        self.replaced = ""
+        self.denied: set[str] = set()
+        self.next_search_at = 0.0
         self.primary_changed = curio.Event()
         self.leased = curio.Event()
         self._make_pool = make_pool
@@ -44,8 +48,31 @@
         return [pool.belief for pool in self.pools.values()]
 
     def primary_pool(self) -> MemberPool | None:
-        """Return the pool of the recorded primary; None while there is none."""
-        return self.pools.get(self.primary)
+        """Return the pool of the member that should lead; None while none is known.
+
+        It is the recorded primary, unless that one has said since that it does not lead, or none
+        is recorded, and another member says that it does: its own word is good for what it
+        checks itself, such as writes.  The one that is being replaced is not taken: what it
+        acknowledges now may be lost.
+        """
+        recorded = self.pools.get(self.primary)
+        if recorded is not None and self.primary not in self.denied:
+            return recorded
+        if self.exposed == self.replaced:
+            return recorded
+        return self.pools.get(self.exposed) or recorded
+
+    async def says_role(self, identity: str, is_primary: bool) -> None:
+        """Take a member's word on whether it leads."""
+        if not is_primary:
+            self.denied.add(identity)
+            if self.exposed == identity:
+                self.exposed = ""
+            return
+        self.denied.discard(identity)
+        if identity not in (self.primary, self.exposed):
+            self.exposed = identity
+            await self._wake_waiting()
 
     def is_surely_primary(self, identity: str, since: float) -> bool:
         """Tell whether a member is the recorded primary, and nobody else can have been since.
@@ -74,9 +101,16 @@
         term = primary.term if primary is not None else 0
         if (identity, term) == (self.primary, self.term):
             return
+        self.replaced = "" if identity else self.primary
         self.primary = identity
         self.term = term
         self.positions.clear()
+        self.exposed = ""
+        self.denied.clear()
+        await self._wake_waiting()
+
+    async def _wake_waiting(self) -> None:
+        """Have those that wait for a primary look again."""
         event, self.primary_changed = self.primary_changed, curio.Event()
         await event.set()
 
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -63,7 +63,8 @@
         self._runner = runner
         self._make_codec = make_codec
         self._primary_lease_ends_at = primary_lease_ends_at
-        self._leases: dict[str, tuple[ConnectionLease, ...]] = {}
+        self._leases: dict[tuple[str, str], int] = {}
+        self._owed: set[tuple[str, str]] = set()
         self._reported: dict[tuple[str, str], tuple[MemberHealth, bool]] = {}
 
     async def control_changed(self, view: ControlView) -> None:
@@ -89,14 +90,11 @@
 
     async def leases_changed(self, leases: tuple[ConnectionLease, ...], expires_at: float) -> None:
         """Take the leases of connections; what is above them is closed and given back."""
-        by_group: dict[str, list[ConnectionLease]] = {}
-        for lease in leases:
-            by_group.setdefault(lease.group, []).append(lease)
-        before = self._leases
-        self._leases = {name: tuple(found) for name, found in by_group.items()}
+        self._owed |= self._leases.keys()
+        self._leases = {(lease.group, lease.tenant): lease.connections for lease in leases}
         for name, group in self.groups.items():
             await group.set_limit(self._limit_of(name))
-        await self._return_leases(before)
+        await self._return_leases()
 
     async def promote(self, order: PromoteOrder) -> PromoteResult:
         """Refuse: members of these groups are promoted by an authority outside."""
@@ -120,6 +118,7 @@
             now = time.monotonic()
             for group in list(self.groups.values()):
                 await self._watch_group(group, now)
+            await self._return_leases()
             if now >= next_housekeeping:
                 next_housekeeping = now + HOUSEKEEPING_S
                 await self._keep_house(now)
@@ -169,27 +168,26 @@
         for group in self.groups.values():
             for pool in group.pools.values():
                 await pool.close_idle(now)
-        await self._return_leases({})
 
-    async def _return_leases(self, before: dict[str, tuple[ConnectionLease, ...]]) -> None:
+    async def _return_leases(self) -> None:
         """Give back what was taken away, once no member has more connections than are left."""
-        if self.reporter is None:
+        if self.reporter is None or not self._owed:
             return
-        names = set(before) | set(self._leases)
-        returned: list[ConnectionLease] = []
-        for name in names:
-            group = self.groups.get(name)
-            if group is not None and group.most_open() > self._limit_of(name):
-                continue
-            kept = {lease.tenant: lease for lease in self._leases.get(name, ())}
-            for lease in before.get(name, ()):
-                kept.setdefault(lease.tenant, ConnectionLease(name, lease.tenant, 0))
-            returned.extend(kept.values())
+        due = {key for key in self._owed if self._holds_no_more_than_leased(key[0])}
+        self._owed -= due
+        returned = [
+            ConnectionLease(group, tenant, self._leases.get((group, tenant), 0))
+            for group, tenant in sorted(due)
+        ]
         if returned:
             await self.reporter.return_leases(tuple(returned))
 
+    def _holds_no_more_than_leased(self, name: str) -> bool:
+        group = self.groups.get(name)
+        return group is None or group.most_open() <= self._limit_of(name)
+
     def _limit_of(self, group: str) -> int:
-        return sum(lease.connections for lease in self._leases.get(group, ()))
+        return sum(count for (name, _), count in self._leases.items() if name == group)
 
     def _new_group(self, name: str) -> StatementGroup:
         def make_pool(belief: MemberBelief) -> MemberPool:
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -33,6 +33,8 @@
 MS_PER_S = 1_000.0
 HELD_SHARE_OF_TARGET = 0.2
 """A statement that no member can run is held for so much of its target latency at most."""
+SEARCH_INTERVAL_S = 0.15
+SEARCH_TIMEOUT_S = 0.5
 LEASE_WAIT_SHARE = 0.7
 """While this proxy holds no lease yet, a statement waits so much of its time for one."""
 RETRY_PAUSE_S = 0.03
@@ -168,6 +170,7 @@
             pool = group.primary_pool()
             if pool is None or not pool.belief.is_ready:
                 attempt.last = "the group has no primary"
+                await self._look_for_primary(group)
                 if not await _wait_for_primary(group, attempt):
                     return _give_up(ResultCode.NO_PRIMARY, attempt, session), None
                 continue
@@ -181,6 +184,9 @@
                 return await self._settle_first(session, run, pinned, answer)
             attempt.last = f"{answer.kind} at {pool.belief.record.identity}"
             await self._release(pinned)
+            if answer.kind is AnswerKind.NOT_PRIMARY:
+                await group.says_role(pool.belief.record.identity, is_primary=False)
+                await self._look_for_primary(group)
             if not await _pause(attempt, until=attempt.deadline):
                 return _give_up(ResultCode.NO_PRIMARY, attempt, session), None
 
@@ -276,11 +282,35 @@
             return None
         asked_at = time.monotonic()
         status = await self.ask_status(pool, min(attempt.time_left(), 1.0))
-        if status is None or not status.is_primary:
+        if status is None:
+            return None
+        await group.says_role(pool.belief.record.identity, status.is_primary)
+        if not status.is_primary:
+            await self._look_for_primary(group)
             return None
         group.learn_position(pool.belief.record.identity, asked_at, status.position, proven=True)
         return status.position
 
+    async def _look_for_primary(self, group: StatementGroup) -> None:
+        """Ask the members, in the background, which of them leads; not too often."""
+        now = time.monotonic()
+        if now < group.next_search_at:
+            return
+        group.next_search_at = now + SEARCH_INTERVAL_S
+        for pool in list(group.pools.values()):
+            if pool.belief.is_ready and pool.limit > 0:
+                await curio.spawn(self._ask_role, group, pool, daemon=True)
+
+    async def _ask_role(self, group: StatementGroup, pool: MemberPool) -> None:
+        asked_at = time.monotonic()
+        status = await self.ask_status(pool, SEARCH_TIMEOUT_S)
+        if status is None:
+            return
+        identity = pool.belief.record.identity
+        if status.is_primary:
+            group.learn_position(identity, asked_at, status.position, proven=True)
+        await group.says_role(identity, status.is_primary)
+
     async def ask_status(self, pool: MemberPool, limit_s: float):
         """Ask a member what it says of itself; None when it doesn't answer."""
         try:
