Find a silent primary although all connections to it are in use

Change: a statement that ended without any answer of its member, and a bare connection attempt where no connection is free, are evidence; statements are refused at once while the primary is silent.

--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -48,6 +48,15 @@
     And statement path: the client asks "READ x" and is told "LAGGING I"
     Then statement path: "READ x" ran nowhere
 
+  Scenario: statement path: a silent primary is found although all its connections are in use
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: the lease is for 1 connection
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: a turns silent
+    And statement path: the client asks "WRITE x 2" and is told "TIMEOUT I"
+    And statement path: the client asks "WRITE x 3" and is told "BUSY I"
+    Then statement path: that took less than 350 ms
+
   Scenario: statement path: connections taken back while in use are given back afterwards
     Given statement path: a session database on primary a and replicas b c, the proxy beside b
     When statement path: the client asks "BEGIN" and is told "done T"
--- a/limedyke/core/statements/member_belief.py
+++ b/limedyke/core/statements/member_belief.py
@@ -45,6 +45,11 @@
         """Whether the member itself takes new work."""
         return self.record.state is MemberState.READY
 
+    def takes_work(self, now: float) -> bool:
+        """Whether a statement that only this member can run should be sent there now."""
+        is_gone = self.health is MemberHealth.UNREACHABLE and now < self.paused_until
+        return self.is_ready and not is_gone
+
     def answered(self, now: float, position: LogPosition | None) -> None:
         """Take any sign that the member works."""
         self.contact_at = now
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -25,7 +25,9 @@
 from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.proxy.statements.settings import StatementProxySettings
 
-WATCH_INTERVAL_S = 0.25
+WATCH_INTERVAL_S = 0.2
+BUSY_PROBE_SHARE = 0.3
+"""With statements under way a silence is looked at after so much of the probe interval."""
 HOUSEKEEPING_S = 2.0
 EVENTS = EventLog("groups")
 
@@ -136,13 +138,16 @@
             return True
         interval_s = self._settings.probe_interval_ms / 1_000
         if belief.outstanding:
-            interval_s /= 2
+            interval_s *= BUSY_PROBE_SHARE
         return now - belief.contact_at > interval_s
 
     async def _probe(self, pool: MemberPool) -> None:
         """Ask a member how it is; its belief learns from the answer, or from none."""
         limit_s = self._settings.probe_timeout_ms / 1_000
-        await self._runner.ask_status(pool, limit_s)
+        if pool.has_room:
+            await self._runner.ask_status(pool, limit_s)
+        else:
+            await pool.check_address(limit_s)
 
     async def _report(self, group: str, belief: MemberBelief, is_primary: bool) -> None:
         """Report a member's health when it changed."""
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/member_pool.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 import curio
+from curio import socket
 
 from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.messages.statements import AnswerKind
@@ -18,6 +19,7 @@
     ConnectionRefusedByMemberError,
     MemberConnection,
 )
+from limedyke.settings import split_address
 
 IDLE_CLOSE_S = 6.0
 """Idle connections are few, so that members have room when proxies come back: a member holds a
@@ -101,6 +103,24 @@
                 self.belief.outstanding += 1
                 return connection
 
+    @property
+    def has_room(self) -> bool:
+        """Whether a connection can be had at once."""
+        return bool(self._idle) or self.opened < self.limit
+
+    async def check_address(self, timeout_s: float) -> None:
+        """See whether anything answers at the member's address, when no connection is free."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            async with sock, curio.timeout_after(timeout_s):
+                if self._source_ip:
+                    sock.bind((self._source_ip, 0))
+                await sock.connect(split_address(self.belief.record.address))
+        except curio.TaskTimeout:
+            self.belief.was_silent(time.monotonic())
+        except OSError:
+            self.belief.broke(time.monotonic())
+
     async def putconn(self, connection: MemberConnection) -> None:
         """Take a connection back; one that is closed or in a transaction is given up."""
         self.belief.outstanding -= 1
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -35,6 +35,8 @@
 """A statement that no member can run is held for so much of its target latency at most."""
 SEARCH_INTERVAL_S = 0.15
 SEARCH_TIMEOUT_S = 0.5
+SILENCE_S = 0.35
+"""A member that answers nothing at all for so long while a statement waits is silent."""
 LEASE_WAIT_SHARE = 0.7
 """While this proxy holds no lease yet, a statement waits so much of its time for one."""
 RETRY_PAUSE_S = 0.03
@@ -168,8 +170,8 @@
         """Run a write, or the first statement of a transaction that may write."""
         while True:
             pool = group.primary_pool()
-            if pool is None or not pool.belief.is_ready:
-                attempt.last = "the group has no primary"
+            if pool is None or not pool.belief.takes_work(time.monotonic()):
+                attempt.last = "the group has no primary that answers"
                 await self._look_for_primary(group)
                 if not await _wait_for_primary(group, attempt):
                     return _give_up(ResultCode.NO_PRIMARY, attempt, session), None
@@ -379,6 +381,8 @@
                     run.statement, session.settings, run.begin, run.prepared, after
                 )
         except curio.TaskTimeout:
+            if limit_s >= SILENCE_S and belief.contact_at < started_at:
+                belief.was_silent(time.monotonic())
             return MemberAnswer(AnswerKind.TIMED_OUT, detail=f"no answer in {limit_s:.3f} s")
         now = time.monotonic()
         if answer.kind in (AnswerKind.LOST, AnswerKind.NOT_SENT):
--- a/limedyke/proxy/statements/settings.py
+++ b/limedyke/proxy/statements/settings.py
@@ -31,7 +31,7 @@
     control_retry_limit_ms: int = Field(default=250, ge=20)
     connect_timeout_ms: int = Field(default=600, ge=50)
     probe_interval_ms: int = Field(default=1_000, ge=50)
-    probe_timeout_ms: int = Field(default=600, ge=50)
+    probe_timeout_ms: int = Field(default=400, ge=50)
     maximum_statement_bytes: int = Field(default=1024 * 1024, ge=1_024)
     maximum_clients: int = Field(default=3_000, ge=1)
     drain_deadline_ms: int = Field(default=6_000, ge=100)
