Let one controller stand at a time after a restart; close a leaving session behind an operation only

Cause 2: a leaving proxy closed a session behind SET or PREPARE, whose operation was on its way (94 requests cut without an answer). Change: one whose own pre-vote is under way gives it up for that of a lower name; sessions are closed behind reads, writes and ends of transactions. Ruled out: election timeouts under 450 ms, as a heartbeat crosses regions in 20 ms and slow machines are five times slower. Tests: scripts of the agreement hold under five seeds in place of one, as random timeouts moved; each mutant is still caught.

--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -30,6 +30,10 @@
 FOUNDING_VOTERS = ("a", "b", "c")
 
 
+SCRIPT_SEEDS = range(1, 6)
+"""A script holds under the random timeouts of each; a mutant need break it under one of them."""
+
+
 @when("agreement: seeds {first:d} to {last:d} run under random faults")
 def step_seeds(context, first, last):
     context.reports = [simulate(seed) for seed in range(first, last + 1)]
@@ -59,14 +63,15 @@
 @then('agreement: the script "{script}" breaks nothing')
 def step_script_holds(context, script):
     context.script = script
-    broken = run_script(script)
-    assert not broken, broken
+    for seed in SCRIPT_SEEDS:
+        broken = run_script(script, seed=seed)
+        assert not broken, (seed, broken)
 
 
 @then("agreement: it is broken by the mutant that {mutant}")
 def step_mutant_caught(context, mutant):
     with patched_out(mutant) as machine_class:
-        broken = run_script(context.script, machine_class)
+        broken = any(run_script(context.script, machine_class, seed) for seed in SCRIPT_SEEDS)
     assert broken, f"the mutant that {mutant} was not caught"
 
 
--- a/features/support/agreement_scripts.py
+++ b/features/support/agreement_scripts.py
@@ -59,12 +59,12 @@
 }
 
 
-def run_script(name: str, machine_class: type[Machine] = Machine) -> list[str]:
+def run_script(name: str, machine_class: type[Machine] = Machine, seed: int = 1) -> list[str]:
     """Run a script on a new cluster; return the rules broken, or what it found wrong."""
     script = SCRIPTS[name]
     timing_changes, clock_rates = CLOCKS.get(script, ({}, {}))
     try:
-        cluster = ScriptedCluster(machine_class, timing_changes, clock_rates)
+        cluster = ScriptedCluster(machine_class, timing_changes, clock_rates, seed)
         script(cluster)
         return cluster.violations if script in ENDING_WITHOUT_LEADER else cluster.finish()
     except (ScriptFailureError, AgreementInvariantError, UnwrapError) as error:
--- a/features/support/agreement_world.py
+++ b/features/support/agreement_world.py
@@ -61,6 +61,7 @@
 
     :param options: changes of the simulation's options
     :param clock_rates: rates of the machines' clocks by name, 1.0 for those not named
+    :param seed: of the machines' random timeouts
     """
 
     def __init__(
@@ -68,10 +69,11 @@
         machine_class: type[Machine] = Machine,
         timing_changes: dict[str, object] | None = None,
         clock_rates: dict[str, float] | None = None,
+        seed: int = 1,
     ) -> None:
         options = SimulationOptions(loss=0.0, duplication=0.0, slow=0.0)
         timing = replace(options.timing, **(timing_changes or {}))
-        self.world = World(1, replace(options, timing=timing))
+        self.world = World(seed, replace(options, timing=timing))
         self.world._base_delay_s = DELAY_S
         self.world.deliver = self._deliver
         self.holds: Callable[[Machine, Machine, AgreementMessage], bool] = lambda *_: False
--- a/limedyke/controller/server.py
+++ b/limedyke/controller/server.py
@@ -43,6 +43,7 @@
 LEADERSHIP_CHECK_S = 0.02
 TRANSFER_LIMIT_S = 3.0
 HELLO_TIMEOUT_S = 3.0
+LEADER_WAIT_S = 1.0
 EXIT_FAILED = 1
 EVENTS = EventLog("controller")
 
@@ -272,12 +273,19 @@
     async def _serve_proxy(self, link: Link) -> None:
         async with curio.timeout_after(HELLO_TIMEOUT_S):
             hello = await link.receive()
+        await self._wait_for_some_leader()
         leader = self._leader
         if leader is None or not self._replica.leads or not isinstance(hello, ProxyHello):
             await link.send(NotLeader(self._leader_address()))
             return
         await leader.sessions.serve(link, hello)
 
+    async def _wait_for_some_leader(self) -> None:
+        """Wait a moment for a leader to be known, so that proxies need not ask again and again."""
+        async with curio.ignore_after(LEADER_WAIT_S):
+            while self._leader is None and not self._leader_address():
+                await curio.sleep(LEADERSHIP_CHECK_S)
+
     async def _serve_operator(self, link: Link) -> None:
         while True:
             request = await link.receive()
--- a/limedyke/core/agreement/election.py
+++ b/limedyke/core/agreement/election.py
@@ -105,9 +105,21 @@
             and not self._bound_to_a_leader()
             and self._is_up_to_date(request.last_index, request.last_term)
         )
+        if granted:
+            self._yield_to(sender)
         response = PreVoteResponse(state.term, request.term, granted)
         state.send_after_sync(sender, response)
 
+    def _yield_to(self, sender: ControllerIdentity) -> None:
+        """Give up an own pre-vote under way for that of a lower name, so that votes don't split.
+
+        Voters that restarted together ask at the same moment.
+        """
+        state = self._state
+        if state.role is Role.PRE_CANDIDATE and sender.name < state.identity.name:
+            self._pre_votes = set()
+            state.ask_again_soon()
+
     def on_pre_vote_response(self, sender: ControllerIdentity, response: PreVoteResponse) -> None:
         """Count a pre-vote for the candidacy under way."""
         state = self._state
--- a/limedyke/proxy/controller_choice.py
+++ b/limedyke/proxy/controller_choice.py
@@ -55,6 +55,8 @@
     def redirect(self, leader: str) -> None:
         """Note which controller was named as the leader; empty when none is known."""
         self._redirected = leader
+        if leader:
+            self._attempts = 0
 
     def accepted(self, address: str) -> None:
         """Note that a controller served as the leader; when its link ends, the next one is tried.
--- a/limedyke/proxy/statements/client.py
+++ b/limedyke/proxy/statements/client.py
@@ -16,7 +16,7 @@
     refusal,
 )
 from limedyke.event_log import EventLog
-from limedyke.messages.statements import Statement, StatementAnswer
+from limedyke.messages.statements import Statement, StatementAnswer, StatementKind
 from limedyke.messages.work import TransactionStatus
 from limedyke.proxy.statements.client_codec import (
     ClientCodec,
@@ -32,6 +32,17 @@
 from limedyke.result_codes import ResultCode
 
 RECEIVE_BYTES = 64 * 1024
+ENDS_AN_OPERATION = frozenset(
+    {
+        StatementKind.READ,
+        StatementKind.WRITE,
+        StatementKind.EXECUTE,
+        StatementKind.COMMIT,
+        StatementKind.ROLLBACK,
+    }
+)
+"""Behind other statements, such as SET, the one that they prepare is already on its way."""
+REST_BEFORE_LEAVING_S = 0.25
 FIRST_VIEW_WAIT_S = 1.5
 """A client that comes before the proxy knows any database waits so long; to say that there is no
 such database would be untrue."""
@@ -67,6 +78,7 @@
         self._pinned: PinnedConnection | None = None
         self._events: deque[ClientEvent] = deque()
         self.is_idle = False
+        self._idle_since = 0.0
         self.task: curio.Task | None = None
 
     async def run(self) -> None:
@@ -114,8 +126,12 @@
         return self._events.popleft()
 
     async def leave(self) -> None:
-        """End the session, if it waits for the client outside a transaction."""
-        if self.is_idle and self.task is not None:
+        """End the session, if it has waited for the client outside a transaction for a while.
+
+        What a client has just been told may bring its next statement, which is on its way.
+        """
+        has_rested = time.monotonic() - self._idle_since > REST_BEFORE_LEAVING_S
+        if self.is_idle and has_rested and self.task is not None:
             await self.task.cancel(blocking=False)
 
     async def _stay_for_what_came(self) -> None:
@@ -132,6 +148,7 @@
         """Return received bytes; None when an open transaction has rested for too long."""
         rest_s = self._rest_limit_s()
         self.is_idle = self._session is not None and self._session.transaction is None
+        self._idle_since = time.monotonic()
         try:
             if rest_s is None:
                 return await self._socket.recv(RECEIVE_BYTES)
@@ -203,7 +220,8 @@
         answer = refused or await self._answer(session, statement)
         self._services.log.answered(session.database, statement, answer, started_at)
         await self._socket.sendall(self._codec.answer(answer, session.status))
-        return not (self._services.is_leaving and session.transaction is None)
+        is_over = session.transaction is None and statement.kind in ENDS_AN_OPERATION
+        return not (self._services.is_leaving and is_over)
 
     def _renew_database(self, session: StatementSession) -> StatementAnswer | None:
         """Take the newest declaration of the session's database; refuse when it is gone."""
