Take client encodings as PostgreSQL does; keep the space before a dropped schema

Cause: asyncpg names its encoding 'utf-8' with its quotes, which was refused (LD1008); the stand-in database dropped pg_catalog together with the blank before it, so that SQLAlchemy's first statement became selectversion().

--- a/features/client_driver.feature
+++ b/features/client_driver.feature
@@ -21,4 +21,6 @@
       | LISTEN                                 | 0A000, select 1               |
       | many rows of a statement by executemany | 3                            |
       | cancelling                             | 57014, select 1               |
+      | a session of asyncpg                   | utf-8 taken, select 1         |
+      | an engine of SQLAlchemy                | select 1                      |
       | the token after a write                | changed                       |
--- a/features/lab_database.feature
+++ b/features/lab_database.feature
@@ -19,6 +19,8 @@
       | SELECT pg_is_in_recovery()                                        | [[false]]         |
       | SELECT pg_last_wal_replay_lsn()                                   | [[null]]          |
       | SELECT pg_current_wal_lsn() = '0/0'                               | [[0]]             |
+      | SELECT pg_catalog.version() = version()                           | [[1]]             |
+      | SELECT 1 AS a, pg_catalog.current_schema()                        | [[1, "public"]]   |
       | SHOW server_version                                               | [["16.0"]]        |
       | SHOW transaction_read_only                                        | [["off"]]         |
       | SELECT current_user                                               | [["app"]]         |
--- a/features/steps/client_driver_steps.py
+++ b/features/steps/client_driver_steps.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import threading
 import time
 from collections.abc import Callable
 
+import asyncpg
 import psycopg
+import sqlalchemy
 from behave import then
 from behave.runner import Context
 
-from features.support.client_side_runner import ClientSide, shared_client_side
+from features.support.client_side_runner import DATABASE, PASSWORD, ClientSide, shared_client_side
 
 REPEATS = 20
 TOKEN = b"limedyke.session"
@@ -184,7 +187,48 @@
     return "changed" if before and after and before != after else "the same"
 
 
+def with_asyncpg(side: ClientSide, connection: psycopg.Connection) -> str:
+    """Connect with asyncpg, which names its encoding ``'utf-8'``, and run a statement."""
+
+    async def run() -> str:
+        host, port = side.address
+        other = await asyncpg.connect(
+            host=host, port=port, user="app", password=PASSWORD, database=DATABASE, ssl=False
+        )
+        try:
+            status = await other.execute("select 1")
+        finally:
+            await other.close()
+        return f"utf-8 taken, {status.lower()}"
+
+    return asyncio.run(run())
+
+
+def with_sqlalchemy(side: ClientSide, connection: psycopg.Connection) -> str:
+    """Run a statement through an engine, whose dialect asks for the version first.
+
+    The scripted back end answers with the statement's text, so its version is not parsed.
+    """
+    host, port = side.address
+    url = sqlalchemy.URL.create("postgresql+psycopg", "app", PASSWORD, host, port, DATABASE)
+    engine = sqlalchemy.create_engine(url, connect_args={"sslmode": "disable"})
+    asked: list[str] = []
+
+    def version(other: sqlalchemy.Connection) -> tuple[int, int]:
+        asked.append(other.exec_driver_sql("select pg_catalog.version()").scalar())
+        return (16, 0)
+
+    engine.dialect._get_server_version_info = version
+    with engine.connect() as other:
+        value = other.exec_driver_sql("select 1").scalar()
+    engine.dispose()
+    assert asked == ["select pg_catalog.version()"], asked
+    return str(value)
+
+
 CASES = {
+    "a session of asyncpg": with_asyncpg,
+    "an engine of SQLAlchemy": with_sqlalchemy,
     "plain statements": plain,
     "statements with parameters": parameters,
     "prepared statements, used often": prepared,
--- a/limedyke/core/session_opening.py
+++ b/limedyke/core/session_opening.py
@@ -14,7 +14,7 @@
 from limedyke.core.session_settings import SessionSettings
 from limedyke.core.session_state import SessionState
 from limedyke.core.session_token import TokenOwner
-from limedyke.core.statement_commands import ENCODINGS, PROTECTED_SETTINGS
+from limedyke.core.statement_commands import PROTECTED_SETTINGS, is_carried_encoding
 from limedyke.messages.work import TransactionStatus
 from limedyke.postgres.client_messages import (
     READY,
@@ -52,7 +52,7 @@
     """Open a session, or return the ErrorResponse that refuses its startup settings."""
     own, others = _split_settings(login.settings)
     encoding = others.get("client_encoding", "utf8")
-    if encoding.lower() not in ENCODINGS:
+    if not is_carried_encoding(encoding):
         failure = Failure(ResultCode.FEATURE_NOT_SUPPORTED, f"client encoding {encoding}")
         return Err(failure_response(failure, "FATAL"))
     protected = [name for name in others if name in PROTECTED_SETTINGS]
--- a/limedyke/core/statement_commands.py
+++ b/limedyke/core/statement_commands.py
@@ -13,7 +13,7 @@
 from limedyke.postgres.client_startup import SESSION_PREFIX
 
 LIST_SETTINGS = frozenset({"search_path", "temp_tablespaces"})
-ENCODINGS = frozenset({"utf8", "utf-8", "unicode", "sql_ascii", "latin1", "default"})
+_ENCODINGS = frozenset({"utf8", "unicode", "sqlascii", "latin1", "default"})
 OPEN_BEHIND_COMMIT = "a transaction begun in the batch that commits another"
 READ_ONLY_MODE = "transaction_read_only"
 PROTECTED_SETTINGS = {
@@ -99,11 +99,20 @@
     return "".join(unquote_name(token) for token in tokens).lower()
 
 
+def is_carried_encoding(name: str) -> bool:
+    """Tell whether the proxy carries a client encoding.
+
+    As in PostgreSQL only letters and digits count, in any case: asyncpg sends ``'utf-8'``, its
+    quotes included.
+    """
+    return "".join(filter(str.isalnum, name)).lower() in _ENCODINGS
+
+
 def _assign(name: str, values: list[Token], local: bool) -> StatementProfile:
     if name in PROTECTED_SETTINGS:
         return refused(PROTECTED_SETTINGS[name])
     value = _setting_value(name, values)
-    if name == "client_encoding" and value.lower() not in ENCODINGS:
+    if name == "client_encoding" and not is_carried_encoding(value):
         return refused(f"client encoding {value}")
     is_default = len(values) == 1 and values[0].upper == "DEFAULT"
     if name.startswith(SESSION_PREFIX):
--- a/limedyke_lab/database/dialect.py
+++ b/limedyke_lab/database/dialect.py
@@ -78,12 +78,16 @@
         return f'DELETE FROM "{write_target(tokens)}"'
     is_definition = tokens[0].key in DEFINITION_WORDS
     pieces: list[str] = []
+    is_dropped_spaced = False
     for index, token in enumerate(tokens):
         if token.kind == "cast":
             _apply_cast(pieces, tokens[index - 1] if index else None, token)
-        elif not _is_dropped_schema(tokens, index):
-            space = " " if token.is_spaced and pieces else ""
+        elif _is_dropped_schema(tokens, index):
+            is_dropped_spaced = is_dropped_spaced or token.is_spaced
+        else:
+            space = " " if (token.is_spaced or is_dropped_spaced) and pieces else ""
             pieces.append(space + _translate_token(token, is_definition))
+            is_dropped_spaced = False
     return "".join(pieces)
 
 
