Prove the platform's programs as real processes on loopback

Three controllers, two proxies, stand-ins for members, operator and authority: founding, first configuration, reads and writes, the loss of the primary and of a controller, older, invalid and newer configurations, a proxy that comes back without a disk.

--- /dev/null
+++ b/features/platform_processes.feature
@@ -0,0 +1,23 @@
+@fleet
+Feature: The programs on the platform, as real processes
+  Three controllers and two proxies on loopback; stand-ins for members, operator and authority.
+
+  Scenario: platform: from the first configuration through the loss of the primary and a controller
+    Given platform: all processes started empty
+    Then platform: a configuration with the database "db1" is acknowledged within 8 s
+    And platform: every proxy is ready within 5 s
+    When platform: a client at the first proxy opens "db1"
+    Then platform: it asks "WRITE x 1" and is told "done I" within 5 s
+    And platform: it asks "READ x" and is told "1 done I" within 1 s
+    And platform: a client at the second proxy reads "1" from x within 3 s
+    When platform: the primary crashes
+    Then platform: it asks "WRITE x 2" and is told "done I" within 8 s
+    And platform: one member was promoted
+    When platform: the first controller is killed
+    Then platform: a configuration with the database "db2" is acknowledged within 8 s
+    And platform: a session at "db2" opens within 4 s
+    And platform: an older version is acknowledged and changes nothing
+    And platform: an invalid configuration is refused
+    When platform: the second proxy is killed and started again
+    Then platform: every proxy is ready within 8 s
+    And platform: a client at the second proxy reads "2" from x within 3 s
--- /dev/null
+++ b/features/steps/platform_processes_steps.py
@@ -0,0 +1,151 @@
+"""Steps on the programs of the platform as real processes."""
+
+from __future__ import annotations
+
+import time
+
+import curio
+from behave import given, then, when
+from curio import socket
+
+from features.support.line_platform.deployment import (
+    CONTROLLERS,
+    FRONT_PORT,
+    PROXIES,
+    Deployment,
+)
+from features.support.statement_path import LineClient, summary
+
+RETRY_S = 0.1
+
+
+def run(context, function, *arguments):
+    """Run a coroutine in the scenario's kernel."""
+    return context.kernel.run(function, *arguments)
+
+
+async def open_session(ip: str, database: str) -> tuple[LineClient, str]:
+    """Open a session at a proxy; return the client and what it was told."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    await sock.connect((ip, FRONT_PORT))
+    client = LineClient(sock)
+    await client.send(f"START {database} u1\r\n")
+    return client, summary([await client.receive()])
+
+
+@given("platform: all processes started empty")
+def step_start(context):
+    context.kernel = curio.Kernel()
+    context.deployment = Deployment(context.folder)
+
+    def end() -> None:
+        context.kernel.run(context.deployment.stop)
+        context.kernel.run(shutdown=True)
+
+    context.add_cleanup(end)
+    run(context, context.deployment.start)
+
+
+@then('platform: a configuration with the database "{name}" is acknowledged within {limit:d} s')
+def step_declared(context, name, limit):
+    deployment = context.deployment
+    deployment.version += 1
+    databases = ("db1",) if name == "db1" else ("db1", name)
+
+    async def acknowledged() -> bool:
+        for ip in CONTROLLERS:
+            if await deployment.send_configuration(deployment.version, databases, ip) == 200:
+                return True
+        return False
+
+    run(context, deployment.wait_until, acknowledged, limit, "an acknowledgement")
+
+
+@then("platform: every proxy is ready within {limit:d} s")
+def step_ready(context, limit):
+    async def ready() -> bool:
+        return all([await context.deployment.is_ready(ip) for ip in PROXIES])
+
+    run(context, context.deployment.wait_until, ready, limit, "proxies ready")
+
+
+@when('platform: a client at the first proxy opens "{database}"')
+def step_client(context, database):
+    context.client, told = run(context, open_session, PROXIES[0], database)
+    assert told == "I", told
+
+
+@then('platform: it asks "{asked}" and is told "{told}" within {limit:d} s')
+def step_asks(context, asked, told, limit):
+    answers = []
+
+    async def asked_with_success() -> bool:
+        answers.append(await context.client.ask(asked))
+        return answers[-1] == told
+
+    run(context, context.deployment.wait_until, asked_with_success, limit, f"{told}: {answers}")
+
+
+@then('platform: a client at the second proxy reads "{value}" from x within {limit:d} s')
+def step_reads(context, value, limit):
+    async def reads() -> bool:
+        client, told = await open_session(PROXIES[1], "db1")
+        if told != "I":
+            return False
+        answer = await client.ask("READ x")
+        await client.close()
+        return answer == f"{value} done I"
+
+    run(context, context.deployment.wait_until, reads, limit, f"{value} read")
+
+
+@when("platform: the primary crashes")
+def step_crash(context):
+    run(context, context.deployment.group.crash, context.deployment.group.primary.identity)
+
+
+@then("platform: one member was promoted")
+def step_promoted(context):
+    promoted = {identity for identity, _ in context.deployment.promotions}
+    assert promoted and "a" not in promoted, context.deployment.promotions
+    assert context.deployment.group.primary.identity in promoted, promoted
+
+
+@when("platform: the first controller is killed")
+def step_kill_controller(context):
+    context.deployment.kill(CONTROLLERS[0])
+
+
+@then('platform: a session at "{database}" opens within {limit:d} s')
+def step_opens(context, database, limit):
+    async def opens() -> bool:
+        client, told = await open_session(PROXIES[0], database)
+        await client.close()
+        return told == "I"
+
+    run(context, context.deployment.wait_until, opens, limit, f"a session at {database}")
+
+
+@then("platform: an older version is acknowledged and changes nothing")
+def step_older(context):
+    status = run(context, context.deployment.send_configuration, 1, ("db1",), CONTROLLERS[1])
+    assert status == 200, status
+    time.sleep(RETRY_S)
+    _, told = run(context, open_session, PROXIES[0], "db2")
+    assert told == "I", told
+
+
+@then("platform: an invalid configuration is refused")
+def step_invalid(context):
+    version = context.deployment.version + 5
+    same_twice = ("db1", "db1")
+    status = run(
+        context, context.deployment.send_configuration, version, same_twice, CONTROLLERS[1]
+    )
+    assert status == 400, status
+
+
+@when("platform: the second proxy is killed and started again")
+def step_restart_proxy(context):
+    context.deployment.kill(PROXIES[1])
+    context.deployment.start_process(PROXIES[1], "run_proxy.py")
--- /dev/null
+++ b/features/support/line_platform/deployment.py
@@ -0,0 +1,191 @@
+"""A deployment on loopback: the two programs as processes, stand-ins for all around them."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import curio
+
+from features.support.line_platform.group import StandInGroup, StandInMember
+from features.support.platform_path import PLATFORM_FOLDER
+from limedyke.transport.http_client import HttpCall, call_http
+from limedyke.transport.http_server import HttpAnswer, HttpLimits, HttpRequest, HttpServer
+from limedyke.transport.link import listen
+
+CONTROLLERS = ("127.31.1.1", "127.31.2.1", "127.31.3.1")
+PROXIES = ("127.31.1.2", "127.31.2.2")
+ZONES = {"127.31.1": "z1", "127.31.2": "z2", "127.31.3": "z3"}
+CONTROL_PORT, FRONT_PORT, READY_PORT, CLOUD_PORT = 28_782, 28_784, 28_785, 28_783
+FIRST_INTERNAL_PORT = 28_440
+CLOUD_ADDRESS = f"127.31.9.1:{CLOUD_PORT}"
+HEARTBEAT_S = 0.3
+PROMOTE_S = 0.2
+CALL_TIMEOUT_S = 3.0
+GROUP = "g1"
+
+
+class Deployment:
+    """Three controllers, two proxies, one group of members.
+
+    :param folder: for data, node files and logs
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._processes: dict[str, subprocess.Popen] = {}
+        self.group = StandInGroup(GROUP, ("a", "b", "c"))
+        self.promotions: list[tuple[str, int]] = []
+        self.version = 0
+
+    async def start(self) -> None:
+        """Start the stand-ins and all processes."""
+        await self.group.start()
+        listener = listen(CLOUD_ADDRESS).unwrap()
+        server = HttpServer(self._promote, HttpLimits(64 * 1024))
+        await curio.spawn(server.run, listener, daemon=True)
+        for ip in CONTROLLERS:
+            self.start_process(ip, "run_controller.py", bootstrap=True)
+        for ip in PROXIES:
+            self.start_process(ip, "run_proxy.py", bootstrap=True)
+        await curio.spawn(self._beat, daemon=True)
+
+    def start_process(self, ip: str, program: str, bootstrap: bool = False) -> None:
+        """Start one process with a node file of its own."""
+        path = self._folder / f"{ip}.json"
+        path.write_text(json.dumps(self._node_file(ip, bootstrap)))
+        environment = {**os.environ, "LIMEDYKE_NODE_FILE": str(path)}
+        with open(self._folder / f"{ip}.log", "ab") as log:
+            self._processes[ip] = subprocess.Popen(
+                [sys.executable, str(PLATFORM_FOLDER / program)],
+                env=environment,
+                stdout=log,
+                stderr=log,
+                cwd=PLATFORM_FOLDER.parent,
+            )
+
+    def _node_file(self, ip: str, bootstrap: bool) -> dict:
+        is_controller = ip in CONTROLLERS
+        front = {"front": f"{ip}:{FRONT_PORT}", "readiness": f"{ip}:{READY_PORT}"}
+        return {
+            "nodeName": ip,
+            "ip": ip,
+            "zone": ZONES[ip.rpartition(".")[0]],
+            "listen": {"control": f"{ip}:{CONTROL_PORT}"} if is_controller else front,
+            "internalPortRange": [FIRST_INTERNAL_PORT, FIRST_INTERNAL_PORT + 15],
+            "seedNodes": [f"{seed}:{CONTROL_PORT}" for seed in CONTROLLERS],
+            "bootstrap": bootstrap,
+            "dataDir": str(self._folder / ip) if is_controller else None,
+            "heartbeatIntervalMs": int(HEARTBEAT_S * 1_000),
+            "faultTolerance": {"machines": 1},
+            "cloudApi": {"address": CLOUD_ADDRESS},
+        }
+
+    def kill(self, ip: str) -> None:
+        """Kill a process."""
+        self._processes[ip].kill()
+        self._processes[ip].wait()
+
+    async def stop(self) -> None:
+        """End everything that was started."""
+        for process in self._processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGKILL)
+                process.wait()
+        await self.group.stop()
+
+    async def wait_until(self, condition, seconds: float, what: str) -> None:
+        """Wait until a coroutine function gives True.
+
+        :raises AssertionError: when it doesn't in time
+        """
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            if await condition():
+                return
+            await curio.sleep(0.05)
+        raise AssertionError(f"not in {seconds} s: {what}; logs in {self._folder}")
+
+    async def is_ready(self, ip: str) -> bool:
+        """Tell whether a proxy says that it is ready."""
+        call = HttpCall("GET", "/ready", b"")
+        return await call_http(f"{ip}:{READY_PORT}", call, CALL_TIMEOUT_S) == 200
+
+    async def declare(self, databases: tuple[str, ...], ip: str = CONTROLLERS[0]) -> int | None:
+        """Send the next version of the configuration; return the status."""
+        self.version += 1
+        return await self.send_configuration(self.version, databases, ip)
+
+    async def send_configuration(
+        self, version: int, databases: tuple[str, ...], ip: str = CONTROLLERS[0]
+    ) -> int | None:
+        """Send a configuration under a version; return the status."""
+        routes = [
+            {
+                "name": f"r-{name}",
+                "hostname": name,
+                "pathPrefix": "/",
+                "routeType": "direct",
+                "timeoutMs": 1_000,
+                "targetLatencyMs": 1_000,
+                "priority": 1,
+                "service": GROUP,
+                "maxAttempts": 2,
+                "maxStalenessMs": 2_000,
+            }
+            for name in databases
+        ]
+        services = [{"name": GROUP, "maxConnections": 20, "syncReplicas": 0}]
+        body = {"version": version, "routes": routes, "services": services, "limits": {}}
+        call = HttpCall("PUT", "/config", json.dumps(body).encode())
+        return await call_http(f"{ip}:{CONTROL_PORT}", call, CALL_TIMEOUT_S)
+
+    async def read_status(self, ip: str) -> int | None:
+        """Return the status of a read of the configuration at a controller."""
+        call = HttpCall("GET", "/config", b"")
+        return await call_http(f"{ip}:{CONTROL_PORT}", call, CALL_TIMEOUT_S)
+
+    async def _promote(self, request: HttpRequest) -> HttpAnswer:
+        """Promote a member a little later, as the authority does."""
+        identity = json.loads(request.body)["id"]
+        member = self.group.members[identity]
+        if member.task.terminated:
+            return HttpAnswer(409)
+        self.promotions.append((identity, len(self.promotions)))
+        await curio.spawn(self._carry_out, identity, daemon=True)
+        return HttpAnswer(200)
+
+    async def _carry_out(self, identity: str) -> None:
+        await curio.sleep(PROMOTE_S)
+        self.group.promote(identity)
+        await self._announce(self.group.members[identity])
+
+    async def _beat(self) -> None:
+        while True:
+            for member in self.group.members.values():
+                if not member.task.terminated:
+                    await self._announce(member)
+            await curio.sleep(HEARTBEAT_S)
+
+    async def _announce(self, member: StandInMember) -> None:
+        """Announce a member at the first controller that acknowledges it."""
+        body = {
+            "service": GROUP,
+            "address": member.address,
+            "zone": "z1",
+            "version": "v1",
+            "capacity": 3,
+            "state": "ready",
+            "warmupLeftMs": 0,
+            "dbRole": "primary" if member.is_primary else "replica",
+            "callSeq": int(time.monotonic() * 1_000),
+        }
+        call = HttpCall("PUT", f"/instances/{member.identity}", json.dumps(body).encode())
+        for ip in CONTROLLERS:
+            if await call_http(f"{ip}:{CONTROL_PORT}", call, 1.0) == 200:
+                return
