Explain one request from the logs of several processes; name the member that did not answer

limedyke explain REQUEST [FILE...] prints the lines that carry the id in order of time, and the decisions on its group in the 10 s before; lines that are no events are counted. The line of a statement without an answer names the member.

--- a/limedyke/cli.py
+++ b/limedyke/cli.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from importlib import import_module
 from importlib.metadata import PackageNotFoundError, version
 from pathlib import Path
@@ -16,6 +16,8 @@
 from limedyke.cli_command import run_command
 from limedyke.curio_logging import quiet_late_timeouts
 from limedyke.event_log import start_logging
+from limedyke.log_explanation import as_text as as_explanation
+from limedyke.log_explanation import explain as explain_request
 from limedyke.settings import (
     EXIT_SETTINGS_INVALID,
     CommonSettings,
@@ -76,6 +78,25 @@
     _run_process(ControllerSettings, settings, overrides, run)
 
 
+def explain(request: str, *files: str) -> None:
+    """Print what event logs say of a request, and the decisions shortly before.
+
+    Args:
+        request: the request's id, as its client sent it
+        files: logs of the processes; standard input without any
+    """
+    print(as_explanation(explain_request(request, _log_lines(files))))
+
+
+def _log_lines(files: tuple[str, ...]) -> Iterator[tuple[str, str]]:
+    """Give the lines of files with their names; bytes that are no text don't stop it."""
+    if not files:
+        yield from (("-", line) for line in sys.stdin)
+    for name in files:
+        with open(name, errors="replace") as file:
+            yield from ((name, line) for line in file)
+
+
 COMMANDS: dict[str, Callable[..., object]] = {
     "proxy": proxy,
     "controller": controller_process,
@@ -87,6 +108,7 @@
     "drain": cli_operations.drain,
     "switchover": cli_operations.switchover,
     "verifier": cli_operator.verifier,
+    "explain": explain,
 }
 PROCESSES = ("proxy", "controller")
 SWITCHES = ("--yes", "--undo")
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -383,7 +383,8 @@
         except curio.TaskTimeout:
             if limit_s >= SILENCE_S and belief.contact_at < started_at:
                 belief.was_silent(time.monotonic())
-            return MemberAnswer(AnswerKind.TIMED_OUT, detail=f"no answer in {limit_s:.3f} s")
+            detail = f"no answer of {belief.record.identity} in {limit_s:.3f} s"
+            return MemberAnswer(AnswerKind.TIMED_OUT, detail=detail)
         now = time.monotonic()
         if answer.kind in (AnswerKind.LOST, AnswerKind.NOT_SENT):
             belief.broke(now)
