--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -18,12 +18,14 @@
     SessionLimits,
 )
 from limedyke.messages.declaration import Group, PromotionMode, TenantAccess
+from limedyke.metrics import new_registry
 from limedyke.proxy.control_view import ControlView
 from limedyke.proxy.statements.client import ClientServices, StatementClient
 from limedyke.proxy.statements.groups import StatementGroups
 from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.proxy.statements.statement_log import StatementLog
+from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from line_protocol import LineClientCodec, LineMemberCodec
 
 GROUP = "g"
@@ -113,9 +115,11 @@
             link_advertise="127.0.0.1:1",
             controllers=("127.0.0.1:1",),
         )
-        runner = StatementRunner("z2")
+        self.registry = new_registry()
+        metrics = StatementMetrics(self.registry)
+        runner = StatementRunner("z2", metrics)
         self.groups = StatementGroups(settings, runner, LineMemberCodec, lambda: self.lease_ends_at)
-        self.services = ClientServices(self.groups, runner, StatementLog())
+        self.services = ClientServices(self.groups, runner, StatementLog(metrics))
 
     async def start(self, connections: int = 4) -> None:
         """Start the members, and give the proxy its view and a lease."""
--- a/limedyke/event_log.py
+++ b/limedyke/event_log.py
@@ -5,6 +5,7 @@
 import json
 import re
 import sys
+from typing import Protocol
 
 import logbook
 
@@ -32,6 +33,16 @@
     return " ".join(pairs)
 
 
+class TextOutput(Protocol):
+    """Where lines are written."""
+
+    def write(self, text: str) -> None:
+        """Take text."""
+
+    def flush(self) -> None:
+        """Pass on what was taken."""
+
+
 class EventLog:
     """Writes events of one component.
 
@@ -58,10 +69,11 @@
         self._logger.debug(format_event(event, **fields))
 
 
-def start_logging(level: str = "INFO") -> None:
-    """Send events of this process to standard error.
+def start_logging(level: str = "INFO", stream: TextOutput | None = None) -> None:
+    """Send events of this process to a stream.
 
     :param level: the lowest level written, a logbook level name
+    :param stream: standard error when None
     """
-    handler = logbook.StreamHandler(sys.stderr, level=level, format_string=_FORMAT)
+    handler = logbook.StreamHandler(stream or sys.stderr, level=level, format_string=_FORMAT)
     handler.push_application()
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -28,6 +28,7 @@
     MemberConnection,
 )
 from limedyke.proxy.statements.member_pool import MemberPool, PoolClosedError, PoolTimeoutError
+from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from limedyke.result_codes import ResultCode
 
 MS_PER_S = 1_000.0
@@ -74,10 +75,12 @@
     """Runs the statements of all sessions of this proxy.
 
     :param zone: of this proxy
+    :param metrics: counts what members answered
     """
 
-    def __init__(self, zone: str) -> None:
+    def __init__(self, zone: str, metrics: StatementMetrics) -> None:
         self._zone = zone
+        self._metrics = metrics
 
     async def run(
         self,
@@ -383,9 +386,12 @@
         except curio.TaskTimeout:
             if limit_s >= SILENCE_S and belief.contact_at < started_at:
                 belief.was_silent(time.monotonic())
+            self._metrics.member_answered(AnswerKind.TIMED_OUT, False, limit_s)
             detail = f"no answer of {belief.record.identity} in {limit_s:.3f} s"
             return MemberAnswer(AnswerKind.TIMED_OUT, detail=detail)
         now = time.monotonic()
+        is_replica = belief.record.identity != group.primary
+        self._metrics.member_answered(answer.kind, is_replica, now - started_at)
         if answer.kind in (AnswerKind.LOST, AnswerKind.NOT_SENT):
             belief.broke(now)
             return answer
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -22,6 +22,7 @@
 from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.proxy.statements.statement_log import StatementLog
+from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from limedyke.settings import EXIT_SETTINGS_INVALID, Secrets
 from limedyke.settings_watch import SettingsWatch
 from limedyke.stop_signal import StopSignal
@@ -65,16 +66,18 @@
         self._settings_watch = SettingsWatch(settings_file, self._reload)
         self._key = (secrets.get(settings.cluster_key) or "").encode()
         self._make_client_codec = make_client_codec
-        runner = StatementRunner(settings.zone)
+        self._registry = new_registry()
+        metrics = StatementMetrics(self._registry)
+        runner = StatementRunner(settings.zone, metrics)
         self._groups = StatementGroups(
             settings, runner, make_member_codec, lambda: self._control.primary_lease_ends_at
         )
         store = MemoryControlStore(settings.link_advertise)
         self._control = ControlClient(settings, secrets, store, self._groups)
         self._groups.reporter = self._control
-        self._services = ClientServices(self._groups, runner, StatementLog())
+        self._services = ClientServices(self._groups, runner, StatementLog(metrics))
         self._clients: set[StatementClient] = set()
-        self._registry = new_registry()
+        metrics.sessions.set_function(lambda: len(self._clients))
 
     async def run(self) -> int:
         """Run until a planned stop or a failure; return the exit status."""
--- a/limedyke/proxy/statements/statement_log.py
+++ b/limedyke/proxy/statements/statement_log.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import time
-from collections import Counter
 
 from limedyke.event_log import EventLog
 from limedyke.messages.databases import Database
 from limedyke.messages.statements import Statement, StatementAnswer
+from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from limedyke.result_codes import CODE_BY_NUMBER
 
 LINES_PER_SECOND = 50
@@ -16,10 +16,13 @@
 
 
 class StatementLog:
-    """Writes at most ``LINES_PER_SECOND`` lines a second; what is left out is counted."""
+    """Writes at most ``LINES_PER_SECOND`` lines a second; what is left out is counted.
 
-    def __init__(self) -> None:
-        self.counts: Counter[tuple[str, str]] = Counter()
+    :param metrics: counts all answers
+    """
+
+    def __init__(self, metrics: StatementMetrics) -> None:
+        self._metrics = metrics
         self._budget = float(LINES_PER_SECOND)
         self._filled_at = time.monotonic()
         self._left_out = 0
@@ -32,7 +35,7 @@
         """Take the answer to a statement."""
         code = CODE_BY_NUMBER.get(answer.code)
         label = code.label if code is not None else "done"
-        self.counts[(statement.kind, label)] += 1
+        self._metrics.answered(statement.kind, label, time.monotonic() - started_at)
         if code is None:
             self._served += 1
             self._sum_up()
@@ -54,7 +57,7 @@
     def session_refused(self, database: str, answer: StatementAnswer) -> None:
         """Take a session that was not opened."""
         label = CODE_BY_NUMBER[answer.code].label
-        self.counts[("session", label)] += 1
+        self._metrics.session_refused(label)
         if self._may_write():
             EVENTS.info("session-refused", database=database, code=label)
 
@@ -65,6 +68,7 @@
         self._filled_at = now
         if self._budget < 1.0:
             self._left_out += 1
+            self._metrics.lines_left_out.inc()
             return False
         self._budget -= 1.0
         return True
--- /dev/null
+++ b/limedyke/proxy/statements/statement_metrics.py
@@ -0,0 +1,71 @@
+"""Prometheus metrics of a proxy for sessions of statements; see docs/METRICS.md."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+from limedyke.messages.statements import AnswerKind, StatementKind
+from limedyke.metrics import REQUEST_SECONDS_BUCKETS
+
+PREFIX = "limedyke_statements_"
+PRIMARY, REPLICA = "primary", "replica"
+
+
+class StatementMetrics:
+    """Counters and latencies; label values are of fixed sets.
+
+    :param registry: the registry that ``/metrics`` shows
+    """
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        self._answers = Counter(
+            f"{PREFIX}answers",
+            "Statements answered, by kind and code.",
+            ("kind", "code"),
+            registry=registry,
+        )
+        self._seconds = Histogram(
+            f"{PREFIX}seconds",
+            "Time from a statement's receipt to its answer.",
+            ("kind",),
+            buckets=REQUEST_SECONDS_BUCKETS,
+            registry=registry,
+        )
+        self._member_answers = Counter(
+            f"{PREFIX}member_answers",
+            "Answers of members, by what they say and the member's role.",
+            ("answer", "role"),
+            registry=registry,
+        )
+        self._member_seconds = Histogram(
+            f"{PREFIX}member_seconds",
+            "Time from sending a statement to a member to its answer.",
+            ("role",),
+            buckets=REQUEST_SECONDS_BUCKETS,
+            registry=registry,
+        )
+        self._refused_sessions = Counter(
+            f"{PREFIX}sessions_refused", "Sessions not opened.", ("code",), registry=registry
+        )
+        self.lines_left_out = Counter(
+            f"{PREFIX}log_lines_left_out", "Log lines beyond the budget.", registry=registry
+        )
+        self.sessions = Gauge(f"{PREFIX}sessions", "Open client connections.", registry=registry)
+
+    def answered(self, kind: StatementKind, code: str, seconds: float) -> None:
+        """Count an answer to a client.
+
+        :param code: label of the result code, or ``done``
+        """
+        self._answers.labels(kind.value, code).inc()
+        self._seconds.labels(kind.value).observe(seconds)
+
+    def member_answered(self, answer: AnswerKind, by_replica: bool, seconds: float) -> None:
+        """Count what a member answered."""
+        role = REPLICA if by_replica else PRIMARY
+        self._member_answers.labels(answer.value, role).inc()
+        self._member_seconds.labels(role).observe(seconds)
+
+    def session_refused(self, code: str) -> None:
+        """Count a session that was not opened."""
+        self._refused_sessions.labels(code).inc()
