--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -145,7 +145,7 @@
         """Ask a member how it is; its belief learns from the answer, or from none."""
         limit_s = self._settings.probe_timeout_ms / 1_000
         if pool.has_room:
-            await self._runner.ask_status(pool, limit_s)
+            await self._runner.questions.ask_status(pool, limit_s)
         else:
             await pool.check_address(limit_s)
 
--- /dev/null
+++ b/limedyke/proxy/statements/member_questions.py
@@ -0,0 +1,86 @@
+"""Asks members of themselves: their state, their position, and which of them leads."""
+
+from __future__ import annotations
+
+import time
+
+import curio
+
+from limedyke.messages.statements import MemberStatus
+from limedyke.messages.work import LogPosition
+from limedyke.proxy.statements.group import StatementGroup
+from limedyke.proxy.statements.member_connection import (
+    ConnectionLostError,
+    ConnectionRefusedByMemberError,
+)
+from limedyke.proxy.statements.member_pool import MemberPool, PoolClosedError, PoolTimeoutError
+
+SEARCH_INTERVAL_S = 0.15
+SEARCH_TIMEOUT_S = 0.5
+
+
+class MemberQuestions:
+    """Questions of the proxy's own, on connections of the pools."""
+
+    async def prove_position(self, group: StatementGroup, limit_s: float) -> LogPosition | None:
+        """Ask the member that should lead for its position, now; None when it does not lead."""
+        pool = group.primary_pool()
+        if pool is None:
+            return None
+        asked_at = time.monotonic()
+        status = await self.ask_status(pool, min(limit_s, 1.0))
+        if status is None:
+            return None
+        await group.says_role(pool.belief.record.identity, status.is_primary)
+        if not status.is_primary:
+            await self.look_for_primary(group)
+            return None
+        group.learn_position(pool.belief.record.identity, asked_at, status.position, proven=True)
+        return status.position
+
+    async def look_for_primary(self, group: StatementGroup) -> None:
+        """Ask the members, in the background, which of them leads; not too often."""
+        now = time.monotonic()
+        if now < group.next_search_at:
+            return
+        group.next_search_at = now + SEARCH_INTERVAL_S
+        for pool in list(group.pools.values()):
+            if pool.belief.is_ready and pool.limit > 0:
+                await curio.spawn(self._ask_role, group, pool, daemon=True)
+
+    async def _ask_role(self, group: StatementGroup, pool: MemberPool) -> None:
+        asked_at = time.monotonic()
+        status = await self.ask_status(pool, SEARCH_TIMEOUT_S)
+        if status is None:
+            return
+        identity = pool.belief.record.identity
+        if status.is_primary:
+            group.learn_position(identity, asked_at, status.position, proven=True)
+        await group.says_role(identity, status.is_primary)
+
+    async def ask_status(self, pool: MemberPool, limit_s: float) -> MemberStatus | None:
+        """Ask a member what it says of itself; None when it doesn't answer."""
+        try:
+            connection = await pool.getconn({}, 0, limit_s)
+        except (
+            ConnectionLostError,
+            ConnectionRefusedByMemberError,
+            PoolClosedError,
+            PoolTimeoutError,
+        ):
+            return None
+        asked_at = time.monotonic()
+        status = None
+        try:
+            async with curio.timeout_after(limit_s):
+                status = await connection.ask_status()
+            position = status.position if status is not None else None
+            pool.belief.answered(time.monotonic(), position)
+        except curio.TaskTimeout:
+            if time.monotonic() - asked_at >= limit_s:
+                pool.belief.was_silent(time.monotonic())
+        except ConnectionLostError:
+            pool.belief.broke(time.monotonic())
+        finally:
+            await pool.putconn(connection)
+        return status
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -2,9 +2,8 @@
 
 from __future__ import annotations
 
-import math
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import curio
 
@@ -21,6 +20,14 @@
     StatementKind,
 )
 from limedyke.messages.work import LogPosition, TransactionStatus
+from limedyke.proxy.statements.attempt import (
+    RETRY_AFTER_MS,
+    RETRY_PAUSE_S,
+    Attempt,
+    give_up,
+    pause,
+    wait_for_primary,
+)
 from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.member_connection import (
     ConnectionLostError,
@@ -28,23 +35,20 @@
     MemberConnection,
 )
 from limedyke.proxy.statements.member_pool import MemberPool, PoolClosedError, PoolTimeoutError
+from limedyke.proxy.statements.member_questions import MemberQuestions
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from limedyke.result_codes import ResultCode
 
 MS_PER_S = 1_000.0
 HELD_SHARE_OF_TARGET = 0.2
 """A statement that no member can run is held for so much of its target latency at most."""
-SEARCH_INTERVAL_S = 0.15
-SEARCH_TIMEOUT_S = 0.5
 SILENCE_S = 0.35
 """A member that answers nothing at all for so long while a statement waits is silent."""
 LEASE_WAIT_SHARE = 0.7
 """While this proxy holds no lease yet, a statement waits so much of its time for one."""
-RETRY_PAUSE_S = 0.03
 READ_ATTEMPT_SHARE = 0.5
 """A first attempt to read gets so much of the time, so that another member can be tried."""
 LEAST_ATTEMPT_S = 0.05
-RETRY_AFTER_MS = 200
 STALENESS_MARGIN_S = 0.03
 EVENTS = EventLog("statements")
 
@@ -57,20 +61,6 @@
     connection: MemberConnection
 
 
-@dataclass(slots=True)
-class _Attempt:
-    """One statement on its way: how long it has, and what was tried."""
-
-    deadline: float
-    hold_until: float
-    tried: set[str] = field(default_factory=set)
-    runs: int = 0
-    last: str = "no member is known"
-
-    def time_left(self) -> float:
-        return self.deadline - time.monotonic()
-
-
 class StatementRunner:
     """Runs the statements of all sessions of this proxy.
 
@@ -81,6 +71,7 @@
     def __init__(self, zone: str, metrics: StatementMetrics) -> None:
         self._zone = zone
         self._metrics = metrics
+        self.questions = MemberQuestions()
 
     async def run(
         self,
@@ -92,7 +83,7 @@
         """Run a statement; return its answer, and the connection of the open transaction."""
         now = time.monotonic()
         database = session.database
-        attempt = _Attempt(
+        attempt = Attempt(
             deadline=now + database.statement_timeout_ms / MS_PER_S,
             hold_until=now + HELD_SHARE_OF_TARGET * database.target_latency_ms / MS_PER_S,
         )
@@ -124,7 +115,7 @@
         run: RunOnMember,
         group: StatementGroup,
         pinned: PinnedConnection,
-        attempt: _Attempt,
+        attempt: Attempt,
     ) -> tuple[StatementAnswer, PinnedConnection | None]:
         """Run a further statement of a transaction on its connection."""
         is_commit = run.statement.kind is StatementKind.COMMIT
@@ -168,21 +159,21 @@
         session: StatementSession,
         run: RunOnMember,
         group: StatementGroup,
-        attempt: _Attempt,
+        attempt: Attempt,
     ) -> tuple[StatementAnswer, PinnedConnection | None]:
         """Run a write, or the first statement of a transaction that may write."""
         while True:
             pool = group.primary_pool()
             if pool is None or not pool.belief.takes_work(time.monotonic()):
                 attempt.last = "the group has no primary that answers"
-                await self._look_for_primary(group)
-                if not await _wait_for_primary(group, attempt):
-                    return _give_up(ResultCode.NO_PRIMARY, attempt, session), None
+                await self.questions.look_for_primary(group)
+                if not await wait_for_primary(group, attempt):
+                    return give_up(ResultCode.NO_PRIMARY, attempt, session), None
                 continue
             pinned = await self._connect(pool, session, attempt)
             if pinned is None:
-                if not await _pause(attempt):
-                    return _give_up(ResultCode.NO_PRIMARY, attempt, session), None
+                if not await pause(attempt):
+                    return give_up(ResultCode.NO_PRIMARY, attempt, session), None
                 continue
             answer = await self._exchange(pinned, session, run, group, None, attempt.time_left())
             if answer.kind not in NOT_RUN:
@@ -191,30 +182,30 @@
             await self._release(pinned)
             if answer.kind is AnswerKind.NOT_PRIMARY:
                 await group.says_role(pool.belief.record.identity, is_primary=False)
-                await self._look_for_primary(group)
-            if not await _pause(attempt, until=attempt.deadline):
-                return _give_up(ResultCode.NO_PRIMARY, attempt, session), None
+                await self.questions.look_for_primary(group)
+            if not await pause(attempt, until=attempt.deadline):
+                return give_up(ResultCode.NO_PRIMARY, attempt, session), None
 
     async def _run_read(
         self,
         session: StatementSession,
         run: RunOnMember,
         group: StatementGroup,
-        attempt: _Attempt,
+        attempt: Attempt,
     ) -> tuple[StatementAnswer, PinnedConnection | None]:
         """Run a read, or the first statement of a transaction that only reads."""
         while True:
             required = await self._required_position(session, group, attempt)
             if required is None and not group.is_surely_primary(group.primary, 0.0):
                 attempt.last = "no position of the primary is proved"
-                if not await _pause(attempt):
-                    return _give_up(ResultCode.FRESHNESS_UNPROVEN, attempt, session), None
+                if not await pause(attempt):
+                    return give_up(ResultCode.FRESHNESS_UNPROVEN, attempt, session), None
                 continue
             pool = self._choose(session, group, required, attempt)
             if pool is None:
                 attempt.tried.clear()
-                if not await _pause(attempt):
-                    return _give_up(ResultCode.NO_MEMBER, attempt, session), None
+                if not await pause(attempt):
+                    return give_up(ResultCode.NO_MEMBER, attempt, session), None
                 continue
             identity = pool.belief.record.identity
             attempt.tried.add(identity)
@@ -248,7 +239,7 @@
         session: StatementSession,
         group: StatementGroup,
         required: LogPosition | None,
-        attempt: _Attempt,
+        attempt: Attempt,
     ) -> MemberPool | None:
         now = time.monotonic()
         wants_primary = session.database.consistency is Consistency.PRIMARY
@@ -261,7 +252,7 @@
         return group.pools[ordered[0].record.identity] if ordered else None
 
     async def _required_position(
-        self, session: StatementSession, group: StatementGroup, attempt: _Attempt
+        self, session: StatementSession, group: StatementGroup, attempt: Attempt
     ) -> LogPosition | None:
         """Return a position that a replica must hold for this read; None when none is proved."""
         database = session.database
@@ -269,88 +260,25 @@
         if database.consistency is Consistency.PRIMARY:
             if group.is_surely_primary(group.primary, 0.0):
                 return None
-            return await self._prove_position(group, attempt)
+            return await self.questions.prove_position(group, attempt.time_left())
         since = now - database.max_staleness_ms / MS_PER_S + STALENESS_MARGIN_S
         position = group.positions.not_older_than(since)
         if position is None and not group.is_surely_primary(group.primary, 0.0):
-            position = await self._prove_position(group, attempt)
+            position = await self.questions.prove_position(group, attempt.time_left())
         if position is None:
             return None
         if database.consistency is Consistency.SESSION and session.written is not None:
             return max(position, session.written)
         return position
 
-    async def _prove_position(self, group: StatementGroup, attempt: _Attempt) -> LogPosition | None:
-        """Ask the members that may lead for their position, now."""
-        pool = group.primary_pool()
-        if pool is None:
-            return None
-        asked_at = time.monotonic()
-        status = await self.ask_status(pool, min(attempt.time_left(), 1.0))
-        if status is None:
-            return None
-        await group.says_role(pool.belief.record.identity, status.is_primary)
-        if not status.is_primary:
-            await self._look_for_primary(group)
-            return None
-        group.learn_position(pool.belief.record.identity, asked_at, status.position, proven=True)
-        return status.position
-
-    async def _look_for_primary(self, group: StatementGroup) -> None:
-        """Ask the members, in the background, which of them leads; not too often."""
-        now = time.monotonic()
-        if now < group.next_search_at:
-            return
-        group.next_search_at = now + SEARCH_INTERVAL_S
-        for pool in list(group.pools.values()):
-            if pool.belief.is_ready and pool.limit > 0:
-                await curio.spawn(self._ask_role, group, pool, daemon=True)
-
-    async def _ask_role(self, group: StatementGroup, pool: MemberPool) -> None:
-        asked_at = time.monotonic()
-        status = await self.ask_status(pool, SEARCH_TIMEOUT_S)
-        if status is None:
-            return
-        identity = pool.belief.record.identity
-        if status.is_primary:
-            group.learn_position(identity, asked_at, status.position, proven=True)
-        await group.says_role(identity, status.is_primary)
-
-    async def ask_status(self, pool: MemberPool, limit_s: float):
-        """Ask a member what it says of itself; None when it doesn't answer."""
-        try:
-            connection = await pool.getconn({}, 0, limit_s)
-        except (
-            ConnectionLostError,
-            ConnectionRefusedByMemberError,
-            PoolClosedError,
-            PoolTimeoutError,
-        ):
-            return None
-        asked_at = time.monotonic()
-        status = None
-        try:
-            async with curio.timeout_after(limit_s):
-                status = await connection.ask_status()
-            position = status.position if status is not None else None
-            pool.belief.answered(time.monotonic(), position)
-        except curio.TaskTimeout:
-            if time.monotonic() - asked_at >= limit_s:
-                pool.belief.was_silent(time.monotonic())
-        except ConnectionLostError:
-            pool.belief.broke(time.monotonic())
-        finally:
-            await pool.putconn(connection)
-        return status
-
-    def _attempt_limit_s(self, session: StatementSession, attempt: _Attempt) -> float:
+    def _attempt_limit_s(self, session: StatementSession, attempt: Attempt) -> float:
         left_s = attempt.time_left()
         if attempt.runs + 1 >= session.database.maximum_attempts:
             return left_s
         return max(left_s * READ_ATTEMPT_SHARE, LEAST_ATTEMPT_S)
 
     async def _connect(
-        self, pool: MemberPool, session: StatementSession, attempt: _Attempt
+        self, pool: MemberPool, session: StatementSession, attempt: Attempt
     ) -> PinnedConnection | None:
         """Return a connection, or None when the member gives none."""
         database = session.database
@@ -468,34 +396,3 @@
     if run.writes:
         return refusal(ResultCode.OUTCOME_UNKNOWN, answer.detail)
     return refusal(ResultCode.READ_UNANSWERED, answer.detail)
-
-
-def _give_up(code: ResultCode, attempt: _Attempt, session: StatementSession) -> StatementAnswer:
-    """Refuse a statement that did not run; an open transaction fails with it."""
-    if session.transaction is not None:
-        session.fail_transaction()
-        return refusal(ResultCode.TRANSACTION_LOST, attempt.last, RETRY_AFTER_MS)
-    return refusal(code, attempt.last, RETRY_AFTER_MS)
-
-
-async def _wait_for_primary(group: StatementGroup, attempt: _Attempt) -> bool:
-    """Wait for a change of the primary while the statement may be held."""
-    left_s = min(attempt.hold_until, attempt.deadline) - time.monotonic()
-    if left_s <= 0.0:
-        return False
-    await curio.ignore_after(left_s, group.primary_changed.wait)
-    return time.monotonic() < attempt.hold_until
-
-
-async def _pause(attempt: _Attempt, until: float | None = None) -> bool:
-    """Pause before another attempt; False when the statement may not be held that long."""
-    limit = min(attempt.hold_until if until is None else until, attempt.deadline)
-    if time.monotonic() + RETRY_PAUSE_S >= limit:
-        return False
-    await curio.sleep(RETRY_PAUSE_S)
-    return True
-
-
-def milliseconds(seconds: float) -> int:
-    """Return whole milliseconds, rounded up."""
-    return math.ceil(seconds * MS_PER_S)
