--- a/limedyke/core/group_view.py
+++ b/limedyke/core/group_view.py
@@ -11,6 +11,7 @@
 from limedyke.messages.work import LogPosition
 
 SAMPLES_KEPT = 64
+ROUND_TRIPS_NEEDED = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +30,7 @@
     :param seen_at: when that answer was asked for; 0 for never
     :param lag: how far a replica is behind, as its answers show
     :param round_trip_s: least time in which the member answered; 0 while not known
+    :param round_trips: how many answers told it
     :param outstanding: units of this proxy under way at the member
     :param waiting: units of this proxy that wait for it
     :param slots: statements this proxy may execute there at once
@@ -46,6 +48,7 @@
     seen_at: float = 0.0
     lag: ReplicaLag = field(default_factory=ReplicaLag)
     round_trip_s: float = 0.0
+    round_trips: int = 0
     outstanding: int = 0
     waiting: int = 0
     slots: int = 1
@@ -63,9 +66,19 @@
         It never grows again: under a lasting load all answers take longer, and a round trip
         that followed them would allow more and more units under way.
         """
+        self.round_trips += 1
         if self.round_trip_s == 0.0 or seconds < self.round_trip_s:
             self.round_trip_s = seconds
 
+    @property
+    def network_s(self) -> float:
+        """The network's part of an answer's time; 0 until several answers have told it.
+
+        A single one may have waited for this process itself, such as while many requests that
+        waited for a new primary start at once.
+        """
+        return self.round_trip_s if self.round_trips >= ROUND_TRIPS_NEEDED else 0.0
+
     def holds(self, required: LogPosition) -> bool:
         """Tell whether its last answer reached a place."""
         return self.seen_at > 0.0 and self.place.satisfies(required)
--- a/limedyke/core/slot_use.py
+++ b/limedyke/core/slot_use.py
@@ -75,5 +75,5 @@
     def _set_limit(self) -> None:
         state = self.state
         state.in_flight_limit = admission.in_flight_limit(
-            state.slots, self._mean_s, state.round_trip_s
+            state.slots, self._mean_s, state.network_s
         )
--- a/limedyke/proxy/member_monitor.py
+++ b/limedyke/proxy/member_monitor.py
@@ -192,6 +192,9 @@
             watch.judge.take_role(result.ok_value.position.is_replica)
             watch.judge.answered(now, result.ok_value.round_trip_s)
             self._observe(name, result.ok_value.position, asked_at)
+            state = self._view.members.get(name)
+            if state is not None and result.ok_value.round_trip_s:
+                state.answered_in(result.ok_value.round_trip_s)
         elif is_overload(result.err_value):
             watch.judge.overloaded(now)
         elif not is_silence(result.err_value):
