--- a/features/steps/pool_refusals_steps.py
+++ b/features/steps/pool_refusals_steps.py
@@ -61,7 +61,14 @@
 def step_member_away(context, wait_ms):
     _short_wait(context, wait_ms)
     set_switch(context, "a", "refuse_connections", "on", "off")
-    gate_of(context).shut_all()
+    gate = gate_of(context)
+
+    def is_cut_off() -> bool:
+        """Break what is open; a connection that was being opened meanwhile is broken too."""
+        gate.shut_all()
+        return all(not pool.connections and not pool._opening for pool in gate.pools.values())
+
+    context.lab.wait(is_cut_off)
 
 
 @when("pool: {count:d} writes with {deadline_ms:d} ms to go come at once")
