--- a/features/steps/foundation_settings_steps.py
+++ b/features/steps/foundation_settings_steps.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 from pydantic_core import PydanticUndefined
 
+from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.result_codes import ResultCode
 from limedyke.settings import (
     CommonSettings,
@@ -126,7 +127,14 @@
     page = (ROOT / "docs" / "SETTINGS.md").read_text()
     rows = set(re.findall(r"^\| `([a-z_]+)` \| ([^|]+) \|", page, re.MULTILINE))
     expected = set()
-    for model in (CommonSettings, ProxySettings, ControllerSettings, TlsSettings):
+    models = (
+        CommonSettings,
+        ProxySettings,
+        ControllerSettings,
+        TlsSettings,
+        StatementProxySettings,
+    )
+    for model in models:
         expected |= {(key, _default_text(field)) for key, field in model.model_fields.items()}
     rows = {(key, default.strip()) for key, default in rows}
     assert rows == expected, f"missing {expected - rows}, not settings {rows - expected}"
--- a/limedyke/proxy/statements/settings.py
+++ b/limedyke/proxy/statements/settings.py
@@ -8,7 +8,7 @@
 
 
 class StatementProxySettings(Model):
-    """Settings of a proxy without a disk. Times are in milliseconds, sizes in bytes.
+    """Settings of a proxy without a disk. Times are in milliseconds.
 
     ``name`` differs in each life of the process; ``controllers`` are those known at the start,
     others are learned.
@@ -32,6 +32,5 @@
     connect_timeout_ms: int = Field(default=600, ge=50)
     probe_interval_ms: int = Field(default=1_000, ge=50)
     probe_timeout_ms: int = Field(default=400, ge=50)
-    maximum_statement_bytes: int = Field(default=1024 * 1024, ge=1_024)
     maximum_clients: int = Field(default=3_000, ge=1)
     drain_deadline_ms: int = Field(default=6_000, ge=100)
