Use the primary's lease up to 0.2 s before its end only

Cause, found by reading: a read sent just before the lease ends runs after it, perhaps behind a queue, when another member may lead. Change: a margin; a parameter that nothing used is gone.

--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -14,6 +14,7 @@
 from limedyke.messages.work import LogPosition
 from limedyke.proxy.statements.member_pool import MemberPool
 
+LEASE_MARGIN_S = 0.2
 MakePool = Callable[[MemberBelief], MemberPool]
 
 
@@ -74,12 +75,13 @@
             self.exposed = identity
             await self._wake_waiting()
 
-    def is_surely_primary(self, identity: str, since: float) -> bool:
-        """Tell whether a member is the recorded primary, and nobody else can have been since.
+    def is_surely_primary(self, identity: str) -> bool:
+        """Tell whether a member is the recorded primary, and no other can be for a while.
 
-        :param since: when the lease must have been in force at the latest
+        A statement that is sent now runs a little later: the lease must hold until then.
         """
-        return identity == self.primary and time.monotonic() < self._lease_ends_at()
+        surely_until = self._lease_ends_at() - LEASE_MARGIN_S
+        return identity == self.primary and time.monotonic() < surely_until
 
     async def take_members(self, members: Mapping[str, AnnouncedMember]) -> None:
         """Take the recorded members of this group, by identity."""
@@ -137,7 +139,7 @@
         """
         if position is None:
             return
-        if proven or self.is_surely_primary(identity, asked_at):
+        if proven or self.is_surely_primary(identity):
             self.positions.add(asked_at, position)
 
     async def drain(self) -> None:
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -10,7 +10,6 @@
 from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.core.statements.routing import order_for_read
 from limedyke.core.statements.session import RunOnMember, StatementSession, refusal
-from limedyke.event_log import EventLog
 from limedyke.messages.databases import Consistency
 from limedyke.messages.statements import (
     NOT_RUN,
@@ -50,7 +49,6 @@
 """A first attempt to read gets so much of the time, so that another member can be tried."""
 LEAST_ATTEMPT_S = 0.05
 STALENESS_MARGIN_S = 0.03
-EVENTS = EventLog("statements")
 
 
 @dataclass(slots=True)
@@ -196,7 +194,7 @@
         """Run a read, or the first statement of a transaction that only reads."""
         while True:
             required = await self._required_position(session, group, attempt)
-            if required is None and not group.is_surely_primary(group.primary, 0.0):
+            if required is None and not group.is_surely_primary(group.primary):
                 attempt.last = "no position of the primary is proved"
                 if not await pause(attempt):
                     return give_up(ResultCode.FRESHNESS_UNPROVEN, attempt, session), None
@@ -212,7 +210,7 @@
             pinned = await self._connect(pool, session, attempt)
             if pinned is None:
                 continue
-            is_primary = group.is_surely_primary(identity, 0.0)
+            is_primary = group.is_surely_primary(identity)
             if required is None and not is_primary:
                 await self._release(pinned)
                 continue
@@ -243,9 +241,7 @@
     ) -> MemberPool | None:
         now = time.monotonic()
         wants_primary = session.database.consistency is Consistency.PRIMARY
-        position = (
-            None if wants_primary and group.is_surely_primary(group.primary, 0.0) else required
-        )
+        position = None if wants_primary and group.is_surely_primary(group.primary) else required
         ordered = order_for_read(
             group.beliefs, group.primary, position, self._zone, attempt.tried, now
         )
@@ -258,12 +254,12 @@
         database = session.database
         now = time.monotonic()
         if database.consistency is Consistency.PRIMARY:
-            if group.is_surely_primary(group.primary, 0.0):
+            if group.is_surely_primary(group.primary):
                 return None
             return await self.questions.prove_position(group, attempt.time_left())
         since = now - database.max_staleness_ms / MS_PER_S + STALENESS_MARGIN_S
         position = group.positions.not_older_than(since)
-        if position is None and not group.is_surely_primary(group.primary, 0.0):
+        if position is None and not group.is_surely_primary(group.primary):
             position = await self.questions.prove_position(group, attempt.time_left())
         if position is None:
             return None
