--- /dev/null
+++ b/features/statement_forwarding.feature
@@ -0,0 +1,122 @@
+Feature: Statements of a proxy without a lease run at home proxies of their group
+  Connections are scarce: most proxies hold none to a group and send its statements to a home
+  proxy, over links that all their clients share.
+
+  Scenario Outline: statement homes: <consistency> reads
+    Given statement homes: a <consistency> database, home proxies h1 in z2
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: the client asks "READ x" and is told "1 done I"
+    Then statement homes: h1 took 2 statements
+
+    Examples:
+      | consistency |
+      | primary     |
+      | session     |
+
+  Scenario: statement homes: a session sees its own work through a replica that lags
+    Given statement homes: a session database, home proxies h1 in z2
+    And statement path: replicas lag by 400 ms
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: the client asks "READ x" and is told "1 done I"
+    Then statement path: "READ x" ran at a
+
+  Scenario: statement homes: settings and prepared names go along
+    Given statement homes: a session database, home proxies h1 in z2
+    When statement path: the client asks "SET tone low" and is told "done I"
+    And statement path: the client asks "PREPARE s WRITE first" and is told "done I"
+    And statement path: the client asks "EXECUTE s x 1" and is told "done I"
+    And statement path: the client asks "BEGIN" and is told "done T"
+    And statement path: the client asks "WRITE x 2" and is told "done T"
+    And statement path: the client asks "READ y" and is told "- done T"
+    And statement path: the client asks "COMMIT" and is told "done I"
+    Then statement path: all ran at a with "tone=low"
+
+  Scenario: statement homes: statements of several clients at once
+    Given statement homes: a session database, home proxies h1 in z2
+    When statement homes: 8 clients write at once
+    Then statement homes: all are told "done I"
+
+  Scenario Outline: statement homes: a transaction, then <end>
+    Given statement homes: a session database, home proxies h1 in z2
+    When statement path: the client asks "BEGIN" and is told "done T"
+    And statement path: the client asks "WRITE x 2" and is told "done T"
+    And statement homes: <end>
+    Then statement homes: no connection is in use at h1
+    When statement path: another client asks "READ x" and is told "<row> done I"
+
+    Examples:
+      | end                        | row |
+      | the client asks "COMMIT"   | 2   |
+      | the client asks "ROLLBACK" | -   |
+      | the client leaves          | -   |
+      | the links of h1 break      | -   |
+
+  Scenario: statement homes: the nearest home proxy is taken
+    Given statement homes: a session database, home proxies h1 in z5 of r2, h2 in z3 of r1, h3 in z2 of r1
+    When statement homes: links to all are open
+    And statement path: the client asks "WRITE x 1" and is told "done I"
+    Then statement homes: h3 took 1 statements
+    When statement homes: h3 drains
+    And statement path: the client asks "WRITE x 1" and is told "done I"
+    Then statement homes: h2 took 1 statements
+
+  Scenario Outline: statement homes: <fault> for "<asked>"
+    Given statement homes: a session database, home proxies h1 in z2, h2 in z3
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement homes: links to all are open
+    And statement homes: <fault>
+    And statement path: the client asks "<asked>" and is told "<told>"
+    Then statement homes: "<asked>" ran at most <times> times
+
+    Examples:
+      | fault                        | asked     | told      | times |
+      | h1 drains                    | WRITE x 2 | done I    | 1     |
+      | h1 holds no lease            | WRITE x 2 | done I    | 1     |
+      | nobody holds a lease         | WRITE x 2 | BUSY I    | 0     |
+      | h1 freezes                   | READ x    | 1 done I  | 1     |
+      | h1 freezes                   | WRITE x 2 | INDOUBT I | 1     |
+      | the primary turns silent     | WRITE x 2 | TIMEOUT I | 1     |
+
+  Scenario: statement homes: a home proxy that went silent is avoided
+    Given statement homes: a session database, home proxies h1 in z2, h2 in z3
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement homes: links to all are open
+    And statement homes: h1 freezes
+    And statement homes: a client waits at h1 for 750 ms
+    And statement path: the client asks "WRITE x 2" and is told "done I"
+    Then statement path: that took less than 200 ms
+
+  Scenario: statement homes: a transaction whose home proxy is lost
+    Given statement homes: a session database, home proxies h1 in z2, h2 in z3
+    When statement path: the client asks "BEGIN" and is told "done T"
+    And statement path: the client asks "WRITE x 2" and is told "done T"
+    And statement homes: the links of h1 break
+    And statement path: the client asks "READ y" and is told "ABORTED E"
+    And statement path: the client asks "ROLLBACK" and is told "done I"
+    And statement path: the client asks "WRITE x 3" and is told "done I"
+
+  Scenario: statement homes: a commit whose home proxy is lost
+    Given statement homes: a session database, home proxies h1 in z2
+    When statement path: the client asks "BEGIN" and is told "done T"
+    And statement path: the client asks "WRITE x 2" and is told "done T"
+    And statement homes: h1 freezes
+    And statement path: the client asks "COMMIT" and is told "INDOUBT I"
+
+  Scenario: statement homes: a lease that comes while a statement waits is used
+    Given statement homes: a session database, home proxies h1 in z2
+    And statement homes: nobody holds a lease
+    When statement homes: the client asks "WRITE x 1", and 100 ms later the proxy gets a lease
+    Then statement homes: all are told "done I"
+    And statement homes: nobody holds a lease
+
+  Scenario: statement homes: what is stopped on its way gives its connection back
+    Given statement homes: a session database, home proxies h1 in z2
+    And statement homes: the lease of h1 is for 1 connection
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: a loses 0 answer
+    And statement homes: the primary turns silent
+    And statement homes: a client writes and is cut off
+    And statement homes: the primary answers again
+    And statement path: 700 ms pass
+    And statement path: the client asks "WRITE x 3" and is told "done I"
+    Then statement homes: no connection is in use at h1
--- a/features/steps/forwarding_work_steps.py
+++ b/features/steps/forwarding_work_steps.py
@@ -144,7 +144,7 @@
 
 
 def _cut_requests(context):
-    for link in context.lab.proxies["p2"]._forwarding._links.values():
+    for link in context.lab.proxies["p2"]._forwarding.links.links():
         link._link.send = _swallow
 
 
@@ -199,7 +199,7 @@
 def step_cut_off(context):
     _open_transaction(context)
     _cut_requests(context)
-    for link in context.lab.proxies["p2"]._forwarding._links.values():
+    for link in context.lab.proxies["p2"]._forwarding.links.links():
         link._link.close = _stay_open
 
 
--- a/features/steps/scale_links_steps.py
+++ b/features/steps/scale_links_steps.py
@@ -145,12 +145,12 @@
 
     def is_open(self, home):
         """Tell whether the link to a home proxy is open."""
-        link = self.executor._links.get(home)
+        link = self.executor.links.get(home)
         return link is not None and not link.closed
 
     def is_busy(self, home):
         """Tell whether a unit is on the link to a home proxy."""
-        return self.is_open(home) and bool(self.executor._links[home]._streams)
+        return self.is_open(home) and bool(self.executor.links.get(home)._streams)
 
     def wait(self, condition):
         """Let tasks go on until a condition holds."""
@@ -270,7 +270,7 @@
         if home in busy:
             context.writes_left.append(links.ask(home, data=b"held"))
             links.wait(lambda home=home: links.is_busy(home))
-            links.executor._links[home].used_at -= LONGER_S
+            links.executor.links.get(home).used_at -= LONGER_S
 
 
 @when("links: p4 is used")
--- /dev/null
+++ b/features/steps/statement_forwarding_steps.py
@@ -0,0 +1,168 @@
+"""Steps on statements that home proxies run for a proxy without a lease."""
+
+from __future__ import annotations
+
+import re
+import time
+
+import curio
+from behave import given, step, then, when
+
+from features.steps.statement_path_steps import begin, run
+from features.support.statement_homes import ForwardingPath
+from features.support.statement_path import GROUP
+from limedyke.messages.control import ConnectionLease
+from limedyke.messages.databases import Consistency
+
+SETTLE_S = 3.0
+
+
+def parse_homes(text):
+    """Return name, zone and region of each home proxy in a list."""
+    found = re.findall(r"(\w+) in (\w+)(?: of (\w+))?", text)
+    return tuple((name, zone, region or "r1") for name, zone, region in found)
+
+
+@given("statement homes: a {consistency} database, home proxies {homes}")
+def step_homes(context, consistency, homes):
+    begin(context, ForwardingPath(Consistency(consistency), parse_homes(homes)))
+    run(context, context.path.start)
+    context.client, _ = run(context, context.path.connect)
+    context.other = None
+
+
+def wait(context, condition):
+    """Let the kernel run until a condition holds."""
+    deadline = time.monotonic() + SETTLE_S
+    while not condition():
+        assert time.monotonic() < deadline, "not reached in time"
+        run(context, curio.sleep, 0.02)
+
+
+@then("statement homes: {name:w} took {count:d} statements")
+def step_took(context, name, count):
+    assert context.path.served(name) == count, context.path.served(name)
+
+
+@when("statement homes: {count:d} clients write at once")
+def step_at_once(context, count):
+    async def write_all():
+        clients = [(await context.path.connect())[0] for _ in range(count)]
+        tasks = [await curio.spawn(client.ask, "WRITE x 1") for client in clients]
+        return [await task.join() for task in tasks]
+
+    context.all_told = run(context, write_all)
+
+
+@then('statement homes: all are told "{told}"')
+def step_all_told(context, told):
+    assert set(context.all_told) == {told}, context.all_told
+
+
+@when('statement homes: the client asks "{asked}"')
+def step_client_asks(context, asked):
+    assert run(context, context.client.ask, asked) == "done I"
+
+
+@when("statement homes: the client leaves")
+def step_leaves(context):
+    run(context, context.client.close)
+
+
+@step("statement homes: the links of {name:w} break")
+def step_break(context, name):
+    run(context, context.path.homes[name].lose_links)
+    run(context, curio.sleep, 0.05)
+
+
+@then("statement homes: no connection is in use at {name:w}")
+def step_none_in_use(context, name):
+    wait(context, lambda: context.path.homes[name].connections() == 0)
+    assert not context.path.homes[name].service.has_work
+
+
+@step("statement homes: links to all are open")
+def step_links(context):
+    async def dial_all():
+        tried = set()
+        while (link := await context.path.links.choose(GROUP, tried)) is not None:
+            tried.add(link.home)
+        return tried
+
+    wait(context, lambda: len(run(context, dial_all)) == len(context.path.homes))
+
+
+@step("statement homes: {name:w} drains")
+def step_drains(context, name):
+    context.path.homes[name].server.draining = True
+
+
+@step("statement homes: {name:w} freezes")
+def step_freezes(context, name):
+    context.path.homes[name].freeze()
+
+
+@step("statement homes: {name:w} holds no lease")
+def step_no_lease(context, name):
+    run(context, context.path.homes[name].lease, 0)
+
+
+@step("statement homes: nobody holds a lease")
+def step_no_leases(context):
+    for home in context.path.homes.values():
+        run(context, home.lease, 0)
+
+
+@given("statement homes: the lease of {name:w} is for 1 connection")
+def step_one_connection(context, name):
+    run(context, context.path.homes[name].lease, 1)
+
+
+@step("statement homes: the primary turns silent")
+def step_silent(context):
+    context.path.group.primary.faults.silent = True
+
+
+@step("statement homes: the primary answers again")
+def step_answers(context):
+    context.path.group.primary.faults.silent = False
+
+
+@then('statement homes: "{text}" ran at most {times:d} times')
+def step_ran(context, text, times):
+    assert len(context.path.runs_of(text)) <= times, context.path.runs_of(text)
+
+
+@step("statement homes: a client waits at {name:w} for {milliseconds:d} ms")
+def step_client_waits(context, name, milliseconds):
+    async def ask_and_wait():
+        client, _ = await context.path.connect()
+        await client.send("QUERY w1 WRITE y 1\r\n")
+        await curio.sleep(milliseconds / 1_000)
+
+    run(context, ask_and_wait)
+    assert context.path.served(name) >= 1
+
+
+@when('statement homes: the client asks "{asked}", and {delay:d} ms later the proxy gets a lease')
+def step_lease_later(context, asked, delay):
+    async def ask_then_lease():
+        task = await curio.spawn(context.client.ask, asked)
+        await curio.sleep(delay / 1_000)
+        lease = ConnectionLease(GROUP, "shared", 2)
+        await context.path.groups.leases_changed((lease,), float("inf"))
+        return [await task.join()]
+
+    context.all_told = run(context, ask_then_lease)
+
+
+@step("statement homes: a client writes and is cut off")
+def step_cut_off(context):
+    async def write_and_leave():
+        client, _ = await context.path.connect()
+        await client.send("QUERY w1 WRITE x 2\r\n")
+        await curio.sleep(0.1)
+        for home in context.path.homes.values():
+            await home.lose_links()
+
+    run(context, write_and_leave)
--- /dev/null
+++ b/features/support/statement_homes.py
@@ -0,0 +1,127 @@
+"""A proxy that holds no lease, and home proxies that run its statements, in one process."""
+
+from __future__ import annotations
+
+import struct
+
+import curio
+from curio import socket
+
+from features.support.statement_path import GROUP, NEVER, StatementPath
+from limedyke.messages.control import ConnectionLease, ProxyRecord, ProxyState
+from limedyke.messages.databases import Consistency
+from limedyke.messages.handshake import PeerRole
+from limedyke.messages.statements import StatementUnit
+from limedyke.metrics import new_registry
+from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.forwarding_server import ForwardingServer
+from limedyke.proxy.statements.groups import StatementGroups
+from limedyke.proxy.statements.home_service import StatementHomeService, refuse_unit
+from limedyke.proxy.statements.runner import StatementRunner
+from limedyke.proxy.statements.statement_log import StatementLog
+from limedyke.proxy.statements.statement_metrics import StatementMetrics
+from limedyke.transport.link import Link, LinkIdentity, listen, serve_links
+from line_protocol import LineMemberCodec
+
+KEY = b"key"
+FROZEN_S = 60.0
+RESET = struct.pack("ii", 1, 0)
+
+
+class HomeProxy:
+    """What a home proxy has of the product: groups under a lease, and the service of units."""
+
+    def __init__(self, name: str, zone: str, region: str, path: StatementPath) -> None:
+        self.name = name
+        self.zone = zone
+        self.region = region
+        self.metrics = StatementMetrics(new_registry())
+        runner = StatementRunner(zone, self.metrics)
+        self.groups = StatementGroups(
+            path.settings, runner, LineMemberCodec, lambda: path.lease_ends_at
+        )
+        self.service = StatementHomeService(
+            self.groups, runner, StatementLog(self.metrics), self.metrics
+        )
+        self.server = ForwardingServer(self.service, StatementUnit, refuse_unit)
+        self.links: set[Link] = set()
+        self.is_frozen = False
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen for links of other proxies on loopback."""
+        listener = listen("127.0.0.1:0").ok_value
+        host, port = listener.getsockname()
+        self.address = f"{host}:{port}"
+        identity = LinkIdentity(PeerRole.PROXY, self.name, KEY)
+        await curio.spawn(serve_links, listener, identity, lambda *_: KEY, self._serve, daemon=True)
+
+    async def _serve(self, link: Link) -> None:
+        self.links.add(link)
+        receive = link.receive
+
+        async def receive_unless_frozen() -> object:
+            message = await receive()
+            if self.is_frozen:
+                await curio.sleep(FROZEN_S)
+            return message
+
+        link.receive = receive_unless_frozen
+        await self.server.serve(link)
+
+    async def lease(self, connections: int) -> None:
+        """Give it a lease of so many connections to each member."""
+        leases = (ConnectionLease(GROUP, "shared", connections),) if connections else ()
+        await self.groups.leases_changed(leases, NEVER)
+
+    def freeze(self) -> None:
+        """Have it take nothing more of what its links bring, and answer nothing."""
+        self.is_frozen = True
+
+    async def lose_links(self) -> None:
+        """Break all its links."""
+        for link in list(self.links):
+            link._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            await link._socket.shutdown(socket.SHUT_RDWR)
+
+    def record(self) -> ProxyRecord:
+        """Return its record as the controllers have it."""
+        return ProxyRecord(
+            self.name, 1, self.address, self.zone, ProxyState.SERVING, region=self.region
+        )
+
+    def connections(self) -> int:
+        """Return the connections to members that it counts as open and in use."""
+        pools = self.groups.groups[GROUP].pools.values()
+        return sum(pool.belief.outstanding for pool in pools)
+
+
+class ForwardingPath(StatementPath):
+    """A proxy without a lease between clients and home proxies.
+
+    :param homes: name, zone and region of each home proxy
+    """
+
+    def __init__(self, consistency: Consistency, homes: tuple[tuple[str, str, str], ...]) -> None:
+        super().__init__(consistency)
+        self.homes = {name: HomeProxy(name, zone, region, self) for name, zone, region in homes}
+
+    async def start(self, connections: int = 4) -> None:
+        """Start members and home proxies; the proxy itself gets no lease."""
+        await self.group.start()
+        for home in self.homes.values():
+            await home.start()
+        self.proxies = {name: home.record() for name, home in self.homes.items()}
+        await self.tell_view()
+        for home in self.homes.values():
+            await home.lease(connections)
+
+    async def take_view(self, view: ControlView) -> None:
+        """Bring a view into force at all proxies."""
+        await super().take_view(view)
+        for home in self.homes.values():
+            await home.groups.control_changed(view)
+
+    def served(self, name: str) -> int:
+        """Return how many statements a home proxy took."""
+        return int(self.homes[name].metrics.forwarded_in._value.get())
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -9,7 +9,7 @@
 
 import features.support.platform_path  # noqa: F401
 from features.support.line_platform.group import StandInGroup
-from limedyke.messages.control import ConnectionLease, GroupPrimary
+from limedyke.messages.control import ConnectionLease, GroupPrimary, ProxyRecord
 from limedyke.messages.databases import (
     AnnouncedMember,
     Consistency,
@@ -20,12 +20,16 @@
 from limedyke.messages.declaration import Group, PromotionMode, TenantAccess
 from limedyke.metrics import new_registry
 from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.home_links import HomeLinks
 from limedyke.proxy.statements.client import ClientServices, StatementClient
+from limedyke.proxy.statements.executor import StatementExecutor
+from limedyke.proxy.statements.forwarding import StatementForwarding
 from limedyke.proxy.statements.groups import StatementGroups
 from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
+from limedyke.settings import Secrets
 from line_protocol import LineClientCodec, LineMemberCodec
 
 GROUP = "g"
@@ -105,9 +109,11 @@
         self.with_database = True
         self.clients: list[LineClient] = []
         self.index = 0
+        self.proxies: dict[str, ProxyRecord] = {}
         settings = StatementProxySettings(
             name="proxy",
             zone="z2",
+            region="r1",
             client_listen="127.0.0.1:1",
             ready_listen="127.0.0.1:1",
             status_listen="127.0.0.1:1",
@@ -117,9 +123,12 @@
         )
         self.registry = new_registry()
         metrics = StatementMetrics(self.registry)
+        self.settings = settings
         runner = StatementRunner("z2", metrics)
         self.groups = StatementGroups(settings, runner, LineMemberCodec, lambda: self.lease_ends_at)
-        self.services = ClientServices(self.groups, runner, StatementLog(metrics))
+        self.links = HomeLinks(settings, Secrets({settings.cluster_key: "key"}))
+        executor = StatementExecutor(self.groups, runner, StatementForwarding(self.links, metrics))
+        self.services = ClientServices(self.groups, executor, StatementLog(metrics))
 
     async def start(self, connections: int = 4) -> None:
         """Start the members, and give the proxy its view and a lease."""
@@ -142,7 +151,14 @@
             databases={"db": database} if self.with_database else {},
             session_limits=SessionLimits(self.idle_in_transaction_ms),
             announced={name: self._record(name) for name in self.group.members},
+            proxies=self.proxies,
+            homes={GROUP: tuple(self.proxies)},
         )
+        await self.take_view(view)
+
+    async def take_view(self, view: ControlView) -> None:
+        """Bring a view into force at the proxy."""
+        self.links.control_changed(view)
         await self.groups.control_changed(view)
 
     def _record(self, name: str) -> AnnouncedMember:
--- a/limedyke/core/control/membership.py
+++ b/limedyke/core/control/membership.py
@@ -96,6 +96,7 @@
             hello.zone,
             ProxyState.SERVING,
             hello.folder_id,
+            hello.region,
         )
         self._sessions[hello.name] = ProxySession(
             heard_at=now,
--- a/limedyke/core/statements/session.py
+++ b/limedyke/core/statements/session.py
@@ -9,19 +9,16 @@
 from dataclasses import dataclass, field
 
 from limedyke.messages.databases import Consistency, Database
-from limedyke.messages.statements import Statement, StatementAnswer, StatementKind
+from limedyke.messages.statements import (
+    PreparedShape,
+    Statement,
+    StatementAnswer,
+    StatementKind,
+)
 from limedyke.messages.work import LogPosition, TransactionStatus
 from limedyke.result_codes import ResultCode
 
 
-@dataclass(frozen=True, slots=True)
-class PreparedShape:
-    """What a prepared name stands for."""
-
-    shape: str
-    writes: bool
-
-
 @dataclass(frozen=True, slots=True)
 class RunOnMember:
     """The statement needs a member.
--- a/limedyke/messages/control.py
+++ b/limedyke/messages/control.py
@@ -60,6 +60,7 @@
     """A proxy known to the controllers; ``address`` takes forwarded requests (``ip:port``).
 
     :param folder_id: see ``ProxyHello``
+    :param region: empty when not known: zones are then all equally far
     """
 
     name: str
@@ -68,6 +69,7 @@
     zone: str
     state: ProxyState
     folder_id: str = ""
+    region: str = ""
 
 
 @message(22)
@@ -89,6 +91,7 @@
     control_index: int
     revision: int
     folder_id: str = ""
+    region: str = ""
 
 
 @message(23)
--- a/limedyke/messages/statements.py
+++ b/limedyke/messages/statements.py
@@ -5,8 +5,9 @@
 import enum
 from dataclasses import dataclass
 
+from limedyke.messages.databases import Database
 from limedyke.messages.registry import message
-from limedyke.messages.work import LogPosition, TransactionStatus
+from limedyke.messages.work import LogPosition, SessionSetting, TransactionStatus
 
 
 class StatementKind(enum.StrEnum):
@@ -132,3 +133,56 @@
     lag_ms: int
     busy: int
     connections: int
+
+
+@message(214)
+@dataclass(frozen=True, slots=True)
+class PreparedShape:
+    """What a prepared name stands for."""
+
+    shape: str
+    writes: bool
+
+
+@message(215)
+@dataclass(frozen=True, slots=True)
+class StatementUnit:
+    """A statement that another proxy, a home proxy of the group, is to run.
+
+    :param stream: identifies the unit on its link; unique per link
+    :param transaction: number of the client's open transaction among those of the sending proxy;
+        0 outside one
+    :param database: as the sending proxy knows it, which took the statement from the client
+    :param begin: the statement that began the transaction, with its first statement only
+    :param writes: it must run at the primary
+    :param prepared: what an execution runs
+    :param settings: the session's settings
+    :param written: up to where the session has written; None before its first commit
+    :param deadline_ms: time left for waiting and running
+    """
+
+    stream: int
+    transaction: int
+    database: Database
+    statement: Statement
+    begin: Statement | None
+    writes: bool
+    prepared: PreparedShape | None
+    settings: tuple[SessionSetting, ...]
+    written: LogPosition | None
+    deadline_ms: int
+
+
+@message(216)
+@dataclass(frozen=True, slots=True)
+class StatementUnitEnd:
+    """The whole answer to a forwarded statement.
+
+    :param status: of the client's transaction afterwards
+    :param written: up to where the session has written
+    """
+
+    stream: int
+    answer: StatementAnswer
+    status: TransactionStatus
+    written: LogPosition | None = None
--- a/limedyke/proxy/back_ends.py
+++ b/limedyke/proxy/back_ends.py
@@ -20,7 +20,7 @@
 from limedyke.proxy.forwarding import ForwardingExecutor
 from limedyke.proxy.forwarding_server import ForwardingServer
 from limedyke.proxy.local_executor import LocalExecutor
-from limedyke.proxy.open_transactions import LOCAL_ORIGIN, WorkKey
+from limedyke.proxy.work_key import LOCAL_ORIGIN, WorkKey
 from limedyke.result_codes import ResultCode
 from limedyke.settings import ProxySettings, Secrets
 from limedyke.transport.link import Link
--- a/limedyke/proxy/control_announcements.py
+++ b/limedyke/proxy/control_announcements.py
@@ -39,6 +39,7 @@
             control_index=view.control_index if view else 0,
             revision=view.revision if view else 0,
             folder_id=stored.folder_id,
+            region=self._settings.region,
         )
 
     def next_heartbeat(
--- a/limedyke/proxy/forwarding_link.py
+++ b/limedyke/proxy/forwarding_link.py
@@ -10,6 +10,7 @@
 
 import curio
 
+from limedyke.messages.statements import StatementUnit, StatementUnitEnd
 from limedyke.messages.work import (
     AbandonWork,
     AnswerChunk,
@@ -24,17 +25,27 @@
 
 SILENCE_BEFORE_PROBE_S = 0.5
 SILENCE_LIMIT_S = 1.5
+DOUBT_AFTER_S = 0.7
+"""A link with work on it that has told nothing for so long, probes included, is doubtful."""
 LOOK_INTERVAL_S = 0.1
 RECENT_USE_S = 1.0
 """A link used this lately stays open above the limit of links too: its caller may not have got
 to use it yet, and closing it would only have it dialled again."""
 
 
+ForwardedUnit = WorkUnit | StatementUnit
+ForwardedEnd = AnswerEnd | StatementUnitEnd
+
+
+async def no_relay(chunk: AnswerChunk) -> None:
+    """Take no part of an answer: a statement's answer comes whole in its end."""
+
+
 class _Stream:
     """A unit under way at the other end."""
 
     def __init__(self) -> None:
-        self.received: deque[AnswerChunk | AnswerEnd] = deque()
+        self.received: deque[AnswerChunk | ForwardedEnd] = deque()
         self.wake = curio.Event()
 
 
@@ -46,12 +57,14 @@
     :param idle_limit_s: the link closes when nothing was on it for so long
     :ivar transactions: open transactions that are on the home proxy, by this proxy's numbers
     :ivar used_at: when a unit or transaction was last on it (``time.monotonic()`` seconds)
+    :ivar is_draining: the home proxy has said that it takes no new work
     """
 
     def __init__(self, home: str, link: Link, idle_limit_s: float) -> None:
         self.home = home
         self.transactions: set[int] = set()
         self.closed = False
+        self.is_draining = False
         self.used_at = time.monotonic()
         self._idle_limit_s = idle_limit_s
         self._work_began = curio.Event()
@@ -62,6 +75,12 @@
         self._numbers = itertools.count(1)
         self._heard_at = time.monotonic()
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether new work belongs here: the other end neither drains nor owes a sign of life."""
+        is_silent = bool(self._streams) and time.monotonic() - self._heard_at > DOUBT_AFTER_S
+        return not is_silent and not self.is_draining
+
     @property
     def is_busy(self) -> bool:
         """Whether a unit or an open transaction is on the link."""
@@ -97,7 +116,7 @@
             return
 
     async def _take(self, message: object) -> None:
-        if not isinstance(message, AnswerChunk | AnswerEnd):
+        if not isinstance(message, AnswerChunk | AnswerEnd | StatementUnitEnd):
             return
         stream = self._streams.get(message.stream)
         if stream is not None:
@@ -145,10 +164,12 @@
         except LinkClosedError:
             return
 
-    async def run_unit(self, unit: WorkUnit, relay: Relay) -> AnswerEnd | None:
+    async def run_unit(self, unit: ForwardedUnit, relay: Relay = no_relay) -> ForwardedEnd | None:
         """Run a unit at the home proxy; None when the link closed before its end."""
         number = next(self._numbers)
         stream = _Stream()
+        if not self._streams:
+            self._heard_at = time.monotonic()
         self._streams[number] = stream
         self._number_of[unit.stream] = number
         self.used_at = time.monotonic()
@@ -171,12 +192,12 @@
                 await self._put_quietly(AbandonWork(number, unit.transaction, False))
 
     async def _follow(
-        self, number: int, stream: _Stream, unit: WorkUnit, relay: Relay
-    ) -> AnswerEnd | None:
+        self, number: int, stream: _Stream, unit: ForwardedUnit, relay: Relay
+    ) -> ForwardedEnd | None:
         while True:
             while stream.received:
                 message = stream.received.popleft()
-                if isinstance(message, AnswerEnd):
+                if not isinstance(message, AnswerChunk):
                     return dataclasses.replace(message, stream=unit.stream)
                 await relay(AnswerChunk(unit.stream, message.data))
                 await self._outbox.put(AnswerCredit(number, len(message.data)))
--- a/limedyke/proxy/forwarding_server.py
+++ b/limedyke/proxy/forwarding_server.py
@@ -5,6 +5,7 @@
 import itertools
 import time
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import curio
 
@@ -13,14 +14,13 @@
     AbandonWork,
     AnswerChunk,
     AnswerCredit,
-    AnswerEnd,
     LinkProbe,
     WorkUnit,
 )
-from limedyke.proxy.executor import refusal
+from limedyke.proxy.executor import Relay, refusal
+from limedyke.proxy.forwarding_link import ForwardedEnd, ForwardedUnit
 from limedyke.proxy.forwarding_outbox import Outbox
-from limedyke.proxy.local_executor import LocalExecutor
-from limedyke.proxy.open_transactions import WorkKey
+from limedyke.proxy.work_key import WorkKey
 from limedyke.result_codes import ResultCode
 from limedyke.transport.link import Link, LinkClosedError
 
@@ -32,6 +32,25 @@
 _log = EventLog("forwarding")
 
 
+class HomeExecutor(Protocol):
+    """Runs the units that other proxies forward; ``origin`` names the link they came over."""
+
+    def has_transaction(self, key: WorkKey) -> bool:
+        """Tell whether a transaction is open here."""
+
+    def has_transactions_of(self, origin: str) -> bool:
+        """Tell whether a transaction that came over a link is open here."""
+
+    async def run(self, unit: ForwardedUnit, relay: Relay, origin: str) -> ForwardedEnd:
+        """Run a unit and return the end of its answer; never raises for expected failures."""
+
+    async def abandon(self, work: AbandonWork, origin: str) -> None:
+        """Stop a unit or roll a transaction back."""
+
+    async def abandon_origin(self, origin: str) -> None:
+        """Roll back what is open of a link that has ended."""
+
+
 class _Stream:
     """The answer of one unit on its way to the proxy that sent the unit."""
 
@@ -70,10 +89,19 @@
     """Serves links of other proxies.
 
     :param executor: runs the units
+    :param unit_kind: class of the units it runs
+    :param refuse: makes the end of a unit that is refused with a code
     """
 
-    def __init__(self, executor: LocalExecutor) -> None:
+    def __init__(
+        self,
+        executor: HomeExecutor,
+        unit_kind: type = WorkUnit,
+        refuse: Callable[[ForwardedUnit, ResultCode], ForwardedEnd] = refusal,
+    ) -> None:
         self._executor = executor
+        self.unit_kind = unit_kind
+        self.refuse = refuse
         self._serial = itertools.count(1)
         self.draining = False
 
@@ -87,7 +115,7 @@
     """One link of another proxy."""
 
     def __init__(
-        self, server: ForwardingServer, executor: LocalExecutor, link: Link, origin: str
+        self, server: ForwardingServer, executor: HomeExecutor, link: Link, origin: str
     ) -> None:
         self._server = server
         self._executor = executor
@@ -165,7 +193,7 @@
             self._tasks.discard(await curio.current_task())
 
     async def _take(self, message: object) -> None:
-        if isinstance(message, WorkUnit):
+        if isinstance(message, self._server.unit_kind):
             stream = _Stream(message.stream, self._outbox)
             self._streams[message.stream] = stream
             if not self._work_began.is_set():
@@ -182,7 +210,7 @@
         else:
             raise LinkClosedError(f"unexpected message {type(message).__name__}")
 
-    async def _run_unit(self, unit: WorkUnit, stream: _Stream) -> None:
+    async def _run_unit(self, unit: ForwardedUnit, stream: _Stream) -> None:
         try:
             await self._outbox.put(await self._end_of(unit, stream))
         except LinkClosedError:
@@ -190,10 +218,10 @@
         finally:
             self._streams.pop(unit.stream, None)
 
-    async def _end_of(self, unit: WorkUnit, stream: _Stream) -> AnswerEnd:
+    async def _end_of(self, unit: ForwardedUnit, stream: _Stream) -> ForwardedEnd:
         key = WorkKey(self._origin, unit.transaction)
         if self._server.draining and not self._executor.has_transaction(key):
-            return refusal(unit, ResultCode.DRAINING)
+            return self._server.refuse(unit, ResultCode.DRAINING)
         return await self._executor.run(unit, stream.relay, self._origin)
 
     async def _abandon(self, work: AbandonWork) -> None:
--- /dev/null
+++ b/limedyke/proxy/home_links.py
@@ -0,0 +1,191 @@
+"""Links to home proxies: which home proxy is chosen, and the dialling of links when wanted."""
+
+from __future__ import annotations
+
+import random
+import time
+from hashlib import blake2b
+from typing import Protocol
+
+import curio
+from result import Err, Result
+
+from limedyke.core.backoff import Backoff
+from limedyke.event_log import EventLog
+from limedyke.messages.control import ProxyRecord, ProxyState
+from limedyke.messages.handshake import PeerRole
+from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.forwarding_link import HomeLink, surplus_links
+from limedyke.result_codes import Failure, ResultCode
+from limedyke.settings import Secrets
+from limedyke.transport.link import Link, LinkIdentity, dial
+
+MS_PER_S = 1_000.0
+DIAL_TIMEOUT_S = 0.5
+DIAL_BACKOFF_BASE_S = 0.1
+DIAL_BACKOFF_LIMIT_S = 2.0
+DIALS_AT_ONCE = 2
+"""For one unit; the others are dialled only when these fail, as many proxies want few links."""
+
+_log = EventLog("forwarding")
+
+
+class HomeLinkSettings(Protocol):
+    """The settings of a proxy that concern its links to home proxies."""
+
+    name: str
+    zone: str
+    region: str
+    source_ip: str
+    cluster_key: str
+    home_link_idle_ms: int
+    maximum_home_links: int
+
+
+class HomeLinks:
+    """The links of one proxy to home proxies, by name; shared by all work for them."""
+
+    def __init__(self, settings: HomeLinkSettings, secrets: Secrets) -> None:
+        key = (secrets.get(settings.cluster_key) or "").encode()
+        self._settings = settings
+        self._identity = LinkIdentity(PeerRole.PROXY, settings.name, key)
+        self._view: ControlView | None = None
+        self._candidates: dict[str, tuple[ProxyRecord, ...]] = {}
+        self._links: dict[str, HomeLink] = {}
+        self._dialing: dict[str, curio.Event] = {}
+        self._backoffs: dict[str, Backoff] = {}
+
+    def control_changed(self, view: ControlView) -> None:
+        """Take a new view into force."""
+        self._view = view
+        self._candidates.clear()
+
+    def get(self, home: str) -> HomeLink | None:
+        """Return the link to a home proxy, open or closing; None when there is none."""
+        return self._links.get(home)
+
+    def links(self) -> list[HomeLink]:
+        """Return all links."""
+        return list(self._links.values())
+
+    def has_home(self, group: str) -> bool:
+        """Tell whether another proxy is known that serves a group as its home proxy."""
+        return bool(self._candidates_of(group))
+
+    async def choose(self, group: str, tried: set[str]) -> HomeLink | None:
+        """Return a link to a home proxy not tried yet, the nearest first; or None.
+
+        An open link goes before a nearer home proxy that has yet to be dialled: that one may
+        be frozen, and is dialled in the background.  A link whose other end owes a sign of life
+        or takes no new work is taken only when no other is left.
+        """
+        records = [record for record in self._candidates_of(group) if record.name not in tried]
+        dialling = 0
+        doubtful = None
+        for record in records:
+            link = self._open_link(record.name)
+            if link is not None and link.takes_work:
+                return link
+            doubtful = doubtful or link
+            if link is None and dialling < DIALS_AT_ONCE:
+                await self._start_dial(record)
+                dialling += record.name in self._dialing
+        for record in records:
+            event = self._dialing.get(record.name)
+            if event is not None:
+                await event.wait()
+            link = self._open_link(record.name)
+            if link is not None and link.takes_work:
+                return link
+        return doubtful
+
+    def _open_link(self, home: str) -> HomeLink | None:
+        link = self._links.get(home)
+        return link if link is not None and not link.closed else None
+
+    def _candidates_of(self, group: str) -> tuple[ProxyRecord, ...]:
+        """Return the other home proxies of a group that serve, the nearest first.
+
+        Those equally near are ordered by a hash with this proxy's name, which spreads the work.
+        """
+        found = self._candidates.get(group)
+        if found is not None:
+            return found
+        view = self._view
+        if view is None:
+            return ()
+        records = [view.proxies.get(name) for name in view.home_proxies(group)]
+        homes = [
+            record
+            for record in records
+            if record is not None
+            and record.name != self._settings.name
+            and record.state is ProxyState.SERVING
+        ]
+        found = self._candidates[group] = tuple(sorted(homes, key=self._distance))
+        return found
+
+    def _distance(self, record: ProxyRecord) -> tuple[bool, bool, bytes]:
+        settings = self._settings
+        pair = f"{settings.name} {record.name}".encode()
+        return (
+            record.zone != settings.zone,
+            record.region != settings.region,
+            blake2b(pair, digest_size=8).digest(),
+        )
+
+    async def _start_dial(self, record: ProxyRecord) -> None:
+        """Dial in a task of its own, so that cancelling one caller doesn't disturb others."""
+        backoff = self._backoffs.setdefault(
+            record.name, Backoff(DIAL_BACKOFF_BASE_S, DIAL_BACKOFF_LIMIT_S)
+        )
+        if record.name in self._dialing or not backoff.ready(time.monotonic()):
+            return
+        event = curio.Event()
+        self._dialing[record.name] = event
+        await curio.spawn(self._dial_in_task, record, backoff, event, daemon=True)
+
+    async def _dial_in_task(
+        self, record: ProxyRecord, backoff: Backoff, event: curio.Event
+    ) -> None:
+        try:
+            dialed = await self._dial(record)
+            if isinstance(dialed, Err):
+                backoff.failed(time.monotonic(), random.random())
+                _log.warning("dial-failed", home=record.name, detail=dialed.err_value.detail)
+                return
+            backoff.succeeded()
+            await self._make_room()
+            idle_limit_s = self._settings.home_link_idle_ms / MS_PER_S
+            link = HomeLink(record.name, dialed.ok_value, idle_limit_s)
+            self._links[record.name] = link
+            await curio.spawn(self._serve, link, daemon=True)
+        finally:
+            del self._dialing[record.name]
+            await event.set()
+
+    async def _make_room(self) -> None:
+        """Close what is idle too long ago, so that one more link keeps to the limit."""
+        for link in surplus_links(self._links.values(), self._settings.maximum_home_links - 1):
+            await link.close_if_idle()
+
+    async def _dial(self, record: ProxyRecord) -> Result[Link, Failure]:
+        """Connect and prove both identities, within one limit for all of it."""
+        try:
+            async with curio.timeout_after(DIAL_TIMEOUT_S):
+                return await dial(
+                    record.address, self._identity, self._key_of, self._settings.source_ip
+                )
+        except curio.TaskTimeout:
+            return Err(Failure(ResultCode.NO_MEMBER, f"{record.address}: no answer"))
+
+    async def _serve(self, link: HomeLink) -> None:
+        await link.run()
+        if self._links.get(link.home) is link:
+            del self._links[link.home]
+        _log.info("link-closed", home=link.home)
+
+    def _key_of(self, role: PeerRole, name: str) -> bytes | None:
+        """Return the cluster key for proxies; others don't belong on these links."""
+        del name
+        return self._identity.key if role is PeerRole.PROXY else None
--- a/limedyke/proxy/local_executor.py
+++ b/limedyke/proxy/local_executor.py
@@ -11,17 +11,13 @@
 from limedyke.proxy.backend_connection import MemberEndpoint
 from limedyke.proxy.backend_group import BackendGroup
 from limedyke.proxy.executor import Relay, refusal
-from limedyke.proxy.open_transactions import (
-    LOCAL_ORIGIN,
-    OpenTransactions,
-    RunningUnit,
-    WorkKey,
-)
+from limedyke.proxy.open_transactions import OpenTransactions, RunningUnit
 from limedyke.proxy.unit_context import UnitContext
 from limedyke.proxy.unit_once_write import UnitOnceWrite
 from limedyke.proxy.unit_read import UnitRead
 from limedyke.proxy.unit_transaction import UnitInTransaction, roll_back
 from limedyke.proxy.unit_write import UnitWrite
+from limedyke.proxy.work_key import LOCAL_ORIGIN, WorkKey
 from limedyke.result_codes import Outcome, ResultCode
 from limedyke.settings import ProxySettings
 
--- a/limedyke/proxy/open_transactions.py
+++ b/limedyke/proxy/open_transactions.py
@@ -7,20 +7,7 @@
 from limedyke.messages.work import Access, TransactionStatus, WorkUnit
 from limedyke.proxy.backend_connection import BackendConnection
 from limedyke.proxy.member_gate import MemberGate
-
-LOCAL_ORIGIN = ""
-
-
-@dataclass(frozen=True, slots=True)
-class WorkKey:
-    """Names a unit or a transaction.
-
-    :param origin: the link it came over, or ``LOCAL_ORIGIN``
-    :param number: stream of the unit, or number of the transaction
-    """
-
-    origin: str
-    number: int
+from limedyke.proxy.work_key import WorkKey
 
 
 @dataclass(slots=True, eq=False)
--- a/limedyke/proxy/statements/client.py
+++ b/limedyke/proxy/statements/client.py
@@ -26,8 +26,8 @@
     SessionRequested,
     StatementReceived,
 )
+from limedyke.proxy.statements.executor import StatementExecutor, TransactionPlace
 from limedyke.proxy.statements.groups import StatementGroups
-from limedyke.proxy.statements.runner import PinnedConnection, StatementRunner
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.result_codes import ResultCode
 
@@ -58,7 +58,7 @@
     """
 
     groups: StatementGroups
-    runner: StatementRunner
+    executor: StatementExecutor
     log: StatementLog
     is_leaving: bool = False
     transactions_end_at: float = float("inf")
@@ -75,7 +75,7 @@
         self._codec = codec
         self._services = services
         self._session: StatementSession | None = None
-        self._pinned: PinnedConnection | None = None
+        self._place: TransactionPlace | None = None
         self._events: deque[ClientEvent] = deque()
         self.is_idle = False
         self._idle_since = 0.0
@@ -93,9 +93,9 @@
                 await self._clean_up()
 
     async def _clean_up(self) -> None:
-        if self._pinned is not None:
-            pinned, self._pinned = self._pinned, None
-            await self._services.runner.abandon(pinned)
+        if self._place is not None:
+            place, self._place = self._place, None
+            await self._services.executor.abandon(place)
         try:
             await self._socket.close()
         except OSError:
@@ -179,9 +179,9 @@
         if not is_limited and not is_stopping:
             return
         self._session.fail_transaction()
-        if self._pinned is not None:
-            pinned, self._pinned = self._pinned, None
-            await self._services.runner.roll_back(pinned)
+        if self._place is not None:
+            place, self._place = self._place, None
+            await self._services.executor.roll_back(place)
 
     async def _open_session(self, event: SessionRequested) -> bool:
         view = await self._services.groups.wait_for_view(FIRST_VIEW_WAIT_S)
@@ -236,18 +236,14 @@
         plan = session.plan(statement)
         match plan:
             case EndTransaction():
-                if self._pinned is not None:
-                    pinned, self._pinned = self._pinned, None
-                    await curio.spawn(self._services.runner.roll_back, pinned, daemon=True)
+                if self._place is not None:
+                    place, self._place = self._place, None
+                    await curio.spawn(self._services.executor.roll_back, place, daemon=True)
                 return plan.answer
             case RunOnMember():
                 return await self._run(session, plan)
         return plan
 
     async def _run(self, session: StatementSession, run: RunOnMember) -> StatementAnswer:
-        group = self._services.groups.groups.get(session.database.group)
-        if group is None:
-            session.fail_transaction()
-            return refusal(ResultCode.NO_MEMBER, "the group is not declared any more", 200)
-        answer, self._pinned = await self._services.runner.run(session, run, group, self._pinned)
+        answer, self._place = await self._services.executor.run(session, run, self._place)
         return answer
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -108,17 +108,13 @@
             await curio.ignore_after(limit_s, self._first_view.wait)
         return self.view
 
-    def has_leases(self) -> bool:
-        """Tell whether connections may be opened to the members of all groups."""
-        return all(group.limit > 0 for group in self.groups.values())
-
     async def watch(self) -> None:
         """Watch the members until cancelled: probe silent primaries, report changes."""
         next_housekeeping = time.monotonic() + HOUSEKEEPING_S
         while True:
             await curio.sleep(WATCH_INTERVAL_S)
             now = time.monotonic()
-            for group in list(self.groups.values()):
+            for group in [group for group in self.groups.values() if group.limit > 0]:
                 await self._watch_group(group, now)
             await self._return_leases()
             if now >= next_housekeeping:
--- /dev/null
+++ b/limedyke/proxy/statements/home_service.py
@@ -0,0 +1,140 @@
+"""Runs statements that other proxies forward to this one as a home proxy of their group."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+
+import curio
+
+from limedyke.core.statements.session import (
+    OpenTransaction,
+    RunOnMember,
+    StatementSession,
+    refusal,
+)
+from limedyke.messages.statements import StatementUnit, StatementUnitEnd
+from limedyke.messages.work import AbandonWork, TransactionStatus
+from limedyke.proxy.executor import Relay
+from limedyke.proxy.statements.groups import StatementGroups
+from limedyke.proxy.statements.runner import PinnedConnection, StatementRunner
+from limedyke.proxy.statements.statement_log import StatementLog
+from limedyke.proxy.statements.statement_metrics import StatementMetrics
+from limedyke.proxy.work_key import WorkKey
+from limedyke.result_codes import ResultCode
+
+
+@dataclass(slots=True)
+class _HeldTransaction:
+    """A transaction of another proxy's client, between two of its statements."""
+
+    session: StatementSession
+    pinned: PinnedConnection
+
+
+def refuse_unit(
+    unit: StatementUnit, code: ResultCode, detail: str = "", retry_after_ms: int = 0
+) -> StatementUnitEnd:
+    """Return the end of a unit that did not run; its transaction is not open here."""
+    status = TransactionStatus.FAILED if unit.transaction else TransactionStatus.IDLE
+    return StatementUnitEnd(unit.stream, refusal(code, detail, retry_after_ms), status)
+
+
+class StatementHomeService:
+    """Executor of forwarded statements (see ``HomeExecutor``).
+
+    :param groups: with the members' pools
+    :param runner: runs statements on members
+    :param log: gets a line for each statement that is not served
+    """
+
+    def __init__(
+        self,
+        groups: StatementGroups,
+        runner: StatementRunner,
+        log: StatementLog,
+        metrics: StatementMetrics,
+    ) -> None:
+        self._groups = groups
+        self._runner = runner
+        self._log = log
+        self._metrics = metrics
+        self._held: dict[WorkKey, _HeldTransaction] = {}
+        self._running: dict[WorkKey, curio.Task] = {}
+
+    @property
+    def has_work(self) -> bool:
+        """Whether a unit runs or a transaction is open here."""
+        return bool(self._held or self._running)
+
+    def has_transaction(self, key: WorkKey) -> bool:
+        """Tell whether a transaction is open here."""
+        return key in self._held
+
+    def has_transactions_of(self, origin: str) -> bool:
+        """Tell whether a transaction that came over a link is open here."""
+        return any(key.origin == origin for key in self._held)
+
+    async def run(self, unit: StatementUnit, relay: Relay, origin: str) -> StatementUnitEnd:
+        """Run a unit; return the end of its answer."""
+        del relay
+        self._metrics.forwarded_in.inc()
+        key = WorkKey(origin, unit.stream)
+        self._running[key] = await curio.current_task()
+        try:
+            end = await self._run(unit, WorkKey(origin, unit.transaction))
+        finally:
+            del self._running[key]
+        self._log.forwarded(unit, end.answer, origin)
+        return end
+
+    async def _run(self, unit: StatementUnit, key: WorkKey) -> StatementUnitEnd:
+        group = self._groups.groups.get(unit.database.group)
+        held = self._held.pop(key, None)
+        if held is None and unit.transaction and unit.begin is None:
+            return refuse_unit(unit, ResultCode.TRANSACTION_LOST, "it is not open here")
+        if held is None and (group is None or group.limit == 0):
+            return refuse_unit(unit, ResultCode.NO_LEASE)
+        session = held.session if held is not None else _new_session(unit)
+        _renew(session, unit)
+        run = RunOnMember(unit.statement, unit.begin, unit.writes, unit.prepared)
+        pinned = held.pinned if held is not None else None
+        try:
+            answer, pinned = await self._runner.run(session, run, group, pinned)
+        except curio.CancelledError:
+            if held is not None:
+                await self._runner.abandon(held.pinned)
+            raise
+        if pinned is not None:
+            self._held[key] = _HeldTransaction(session, pinned)
+        return StatementUnitEnd(unit.stream, answer, session.status, session.written)
+
+    async def abandon(self, work: AbandonWork, origin: str) -> None:
+        """Stop a unit, or roll a transaction back."""
+        task = self._running.get(WorkKey(origin, work.stream))
+        if task is not None:
+            await task.cancel(blocking=False)
+        held = self._held.pop(WorkKey(origin, work.transaction), None)
+        if held is not None:
+            await self._runner.roll_back(held.pinned)
+
+    async def abandon_origin(self, origin: str) -> None:
+        """Roll back all transactions that came over a link that has ended."""
+        for key in [key for key in self._held if key.origin == origin]:
+            held = self._held.pop(key, None)
+            if held is not None:
+                await self._runner.roll_back(held.pinned)
+
+
+def _new_session(unit: StatementUnit) -> StatementSession:
+    session = StatementSession(unit.database, written=unit.written)
+    if unit.begin is not None:
+        session.transaction = OpenTransaction(unit.begin)
+        session.status = TransactionStatus.IN_TRANSACTION
+    return session
+
+
+def _renew(session: StatementSession, unit: StatementUnit) -> None:
+    """Take what the unit says of its session; its time left is the statement's whole time."""
+    session.database = dataclasses.replace(unit.database, statement_timeout_ms=unit.deadline_ms)
+    session.settings = {setting.name: setting.value for setting in unit.settings}
--- a/limedyke/proxy/statements/member_connection.py
+++ b/limedyke/proxy/statements/member_connection.py
@@ -9,8 +9,13 @@
 import curio
 from curio import socket
 
-from limedyke.core.statements.session import PreparedShape
-from limedyke.messages.statements import AnswerKind, MemberAnswer, MemberStatus, Statement
+from limedyke.messages.statements import (
+    AnswerKind,
+    MemberAnswer,
+    MemberStatus,
+    PreparedShape,
+    Statement,
+)
 from limedyke.messages.work import LogPosition, TransactionStatus
 from limedyke.proxy.statements.member_codec import MemberCodec
 from limedyke.settings import split_address
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -43,8 +43,6 @@
 """A statement that no member can run is held for so much of its target latency at most."""
 SILENCE_S = 0.35
 """A member that answers nothing at all for so long while a statement waits is silent."""
-LEASE_WAIT_SHARE = 0.7
-"""While this proxy holds no lease yet, a statement waits so much of its time for one."""
 READ_ATTEMPT_SHARE = 0.5
 """A first attempt to read gets so much of the time, so that another member can be tried."""
 LEAST_ATTEMPT_S = 0.05
@@ -53,10 +51,17 @@
 
 @dataclass(slots=True)
 class PinnedConnection:
-    """The connection on which a client's transaction is open."""
+    """The connection on which a client's transaction is open; given back to its pool once."""
 
     pool: MemberPool
     connection: MemberConnection
+    is_given_back: bool = False
+
+    async def give_back(self) -> None:
+        """Give the connection back to its pool; further calls do nothing."""
+        if not self.is_given_back:
+            self.is_given_back = True
+            await self.pool.putconn(self.connection)
 
 
 class StatementRunner:
@@ -85,8 +90,6 @@
             deadline=now + database.statement_timeout_ms / MS_PER_S,
             hold_until=now + HELD_SHARE_OF_TARGET * database.target_latency_ms / MS_PER_S,
         )
-        if group.limit == 0:
-            await curio.ignore_after(LEASE_WAIT_SHARE * attempt.time_left(), group.leased.wait)
         if pinned is not None:
             return await self._run_pinned(session, run, group, pinned, attempt)
         if session.needs_primary(run) and not _reads_only(run):
@@ -100,12 +103,12 @@
                 await pinned.connection.roll_back()
         except curio.TaskTimeout:
             await pinned.connection.close()
-        await pinned.pool.putconn(pinned.connection)
+        await pinned.give_back()
 
     async def abandon(self, pinned: PinnedConnection) -> None:
         """Close a transaction's connection: the member rolls it back."""
         await pinned.connection.close()
-        await pinned.pool.putconn(pinned.connection)
+        await pinned.give_back()
 
     async def _run_pinned(
         self,
@@ -125,7 +128,7 @@
             session.ran(run)
             if is_commit:
                 session.wrote_up_to(answer.position if run.writes else None)
-                await pinned.pool.putconn(pinned.connection)
+                await pinned.give_back()
                 return _done(answer), None
             return _done(answer), pinned
         return await self._transaction_failed(session, run, pinned, answer)
@@ -313,6 +316,9 @@
             self._metrics.member_answered(AnswerKind.TIMED_OUT, False, limit_s)
             detail = f"no answer of {belief.record.identity} in {limit_s:.3f} s"
             return MemberAnswer(AnswerKind.TIMED_OUT, detail=detail)
+        except curio.CancelledError:
+            await self.abandon(pinned)
+            raise
         now = time.monotonic()
         is_replica = belief.record.identity != group.primary
         self._metrics.member_answered(answer.kind, is_replica, now - started_at)
@@ -352,7 +358,7 @@
             session.ran(run)
             if run.statement.kind is not StatementKind.COMMIT:
                 return _done(answer), pinned
-            await pinned.pool.putconn(pinned.connection)
+            await pinned.give_back()
             return _done(answer), None
         if answer.kind in (AnswerKind.LOST, AnswerKind.TIMED_OUT):
             await self.abandon(pinned)
@@ -368,7 +374,7 @@
         """Give a connection back that is in no transaction; one that is gets closed."""
         if pinned.connection.status is not TransactionStatus.IDLE:
             await pinned.connection.close()
-        await pinned.pool.putconn(pinned.connection)
+        await pinned.give_back()
 
 
 def _reads_only(run: RunOnMember) -> bool:
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -12,11 +12,18 @@
 
 from limedyke.event_log import EventLog
 from limedyke.messages.handshake import PeerRole
+from limedyke.messages.statements import StatementUnit
 from limedyke.metrics import new_registry
 from limedyke.proxy.control_client import ControlClient
+from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.forwarding_server import ForwardingServer
+from limedyke.proxy.home_links import HomeLinks
 from limedyke.proxy.statements.client import ClientServices, StatementClient
 from limedyke.proxy.statements.client_codec import ClientCodec
+from limedyke.proxy.statements.executor import StatementExecutor
+from limedyke.proxy.statements.forwarding import StatementForwarding
 from limedyke.proxy.statements.groups import StatementGroups
+from limedyke.proxy.statements.home_service import StatementHomeService, refuse_unit
 from limedyke.proxy.statements.member_codec import MemberCodec
 from limedyke.proxy.statements.memory_store import MemoryControlStore
 from limedyke.proxy.statements.runner import StatementRunner
@@ -28,7 +35,7 @@
 from limedyke.stop_signal import StopSignal
 from limedyke.transport.http_server import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 from limedyke.transport.http_status import ReadyState, serve_status
-from limedyke.transport.link import LinkIdentity, listen, serve_links
+from limedyke.transport.link import Link, LinkIdentity, listen, serve_links
 
 EXIT_FAILED = 1
 ACCEPT_PAUSE_S = 0.05
@@ -75,7 +82,14 @@
         store = MemoryControlStore(settings.link_advertise)
         self._control = ControlClient(settings, secrets, store, self._groups)
         self._groups.reporter = self._control
-        self._services = ClientServices(self._groups, runner, StatementLog(metrics))
+        self._groups.on_view = self._take_view
+        log = StatementLog(metrics)
+        self._links = HomeLinks(settings, secrets)
+        forwarding = StatementForwarding(self._links, metrics)
+        self._executor = StatementExecutor(self._groups, runner, forwarding)
+        self._home = StatementHomeService(self._groups, runner, log, metrics)
+        self._home_server = ForwardingServer(self._home, StatementUnit, refuse_unit)
+        self._services = ClientServices(self._groups, self._executor, log)
         self._clients: set[StatementClient] = set()
         metrics.sessions.set_function(lambda: len(self._clients))
 
@@ -122,8 +136,12 @@
     def _link_key(self, role: PeerRole, name: str) -> bytes | None:
         return self._key
 
-    async def _serve_link(self, link: object) -> None:
-        """Take no links yet: every proxy is a home proxy of every group."""
+    async def _serve_link(self, link: Link) -> None:
+        """Run the statements that another proxy forwards over a link."""
+        await self._home_server.serve(link)
+
+    async def _take_view(self, view: ControlView) -> None:
+        self._links.control_changed(view)
 
     async def _accept(self, listener: socket.socket) -> None:
         while True:
@@ -152,8 +170,8 @@
             return ReadyState(False, "stopping")
         if not self._control.view_confirmed:
             return ReadyState(False, "no leader has confirmed the state yet")
-        if not self._groups.has_leases():
-            return ReadyState(False, "no connection leases yet")
+        if not all(self._executor.can_serve(group) for group in self._groups.groups):
+            return ReadyState(False, "a group has neither a lease here nor a home proxy yet")
         return ReadyState(True, "serving")
 
     async def _answer_ready(self, request: HttpRequest) -> HttpAnswer:
@@ -161,6 +179,10 @@
         status = STATUS_OK if state.ready else STATUS_UNAVAILABLE
         return HttpAnswer(status, f"{state.reason}\n".encode(), "text/plain")
 
+    def _has_work(self) -> bool:
+        """Tell whether a client is connected or a forwarded statement or transaction is here."""
+        return bool(self._clients) or self._home.has_work
+
     async def _stop_when_asked(self, stop: StopSignal) -> None:
         """Leave service: no longer ready, then idle sessions, then transactions."""
         await stop.wait()
@@ -168,9 +190,10 @@
         whole_s = self._settings.drain_deadline_ms / 1_000
         EVENTS.info("stopping", clients=len(self._clients))
         self._services.is_leaving = True
+        self._home_server.draining = True
         self._services.transactions_end_at = began_at + TRANSACTIONS_UNTIL * whole_s
         await curio.sleep(IDLE_CLOSE_FROM * whole_s)
-        while self._clients and time.monotonic() < began_at + STOP_UNTIL * whole_s:
+        while self._has_work() and time.monotonic() < began_at + STOP_UNTIL * whole_s:
             for client in list(self._clients):
                 await client.leave()
             await curio.sleep(ACCEPT_PAUSE_S)
--- a/limedyke/proxy/statements/settings.py
+++ b/limedyke/proxy/statements/settings.py
@@ -33,4 +33,6 @@
     probe_interval_ms: int = Field(default=1_000, ge=50)
     probe_timeout_ms: int = Field(default=400, ge=50)
     maximum_clients: int = Field(default=3_000, ge=1)
+    home_link_idle_ms: int = Field(default=300_000, ge=100)
+    maximum_home_links: int = Field(default=256, ge=1)
     drain_deadline_ms: int = Field(default=6_000, ge=100)
--- a/limedyke/proxy/statements/statement_log.py
+++ b/limedyke/proxy/statements/statement_log.py
@@ -6,7 +6,7 @@
 
 from limedyke.event_log import EventLog
 from limedyke.messages.databases import Database
-from limedyke.messages.statements import Statement, StatementAnswer
+from limedyke.messages.statements import Statement, StatementAnswer, StatementUnit
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from limedyke.result_codes import CODE_BY_NUMBER
 
@@ -54,6 +54,25 @@
             held_ms=int((time.monotonic() - started_at) * 1_000),
         )
 
+    def forwarded(self, unit: StatementUnit, answer: StatementAnswer, origin: str) -> None:
+        """Take the answer to a statement that another proxy forwarded.
+
+        :param origin: the link that it came over
+        """
+        code = CODE_BY_NUMBER.get(answer.code)
+        if code is None or not self._may_write():
+            return
+        EVENTS.warning(
+            "forwarded-not-served",
+            request=unit.statement.request_id,
+            origin=origin,
+            group=unit.database.group,
+            kind=unit.statement.kind,
+            code=code.label,
+            outcome=code.outcome,
+            detail=answer.detail,
+        )
+
     def session_refused(self, database: str, answer: StatementAnswer) -> None:
         """Take a session that was not opened."""
         label = CODE_BY_NUMBER[answer.code].label
--- a/limedyke/proxy/statements/statement_metrics.py
+++ b/limedyke/proxy/statements/statement_metrics.py
@@ -47,6 +47,12 @@
         self._refused_sessions = Counter(
             f"{PREFIX}sessions_refused", "Sessions not opened.", ("code",), registry=registry
         )
+        self.forwarded_out = Counter(
+            f"{PREFIX}forwarded_out", "Statements sent to a home proxy.", registry=registry
+        )
+        self.forwarded_in = Counter(
+            f"{PREFIX}forwarded_in", "Statements run for other proxies.", registry=registry
+        )
         self.lines_left_out = Counter(
             f"{PREFIX}log_lines_left_out", "Log lines beyond the budget.", registry=registry
         )
--- a/limedyke/result_codes.py
+++ b/limedyke/result_codes.py
@@ -135,6 +135,12 @@
         Outcome.DID_NOT_RUN,
         "No member can be proved to hold what the read must see; try again later.",
     )
+    NO_LEASE = CodeEntry(
+        3015,
+        "57P03",
+        Outcome.DID_NOT_RUN,
+        "The proxy holds no lease of connections to the group; try again later.",
+    )
     # 4xxx: control
     NOT_LEADER = CodeEntry(
         4001, "57P03", Outcome.DID_NOT_RUN, "This controller does not hold the leader lease."
