Give a group only as many home proxies as have six connections each

Cause: 12 home proxies before members of 40 connections hold 3 each; while replicas lag and all work goes to the primary, statements waited for one of 3 connections while others lay idle (refusals "PoolTimeoutError" in the logs of two home proxies, 35 in 12 s).

Ruled out: slots (members said BUSY 211 times of 6,799, and those were run again at once); processor (0.042 cores at most).

Change: homes_wanted() bounds the home proxies of a group by connections // 6, three at least; the directory takes a new limit of connections as a change of duty.

--- a/features/control_homes.feature
+++ b/features/control_homes.feature
@@ -34,3 +34,16 @@
   Scenario: homes: each change costs a leader at the size aimed for a short moment
     Given homes: 850 proxies in 6 zones, and 1800 groups with 3 home proxies
     Then homes: a joining proxy is weighed with at most one score for a group, and few rankings
+
+  Scenario Outline: homes: few connections make few home proxies
+    Given homes: 60 proxies in 6 zones, and 1 groups with <count> home proxies
+    When homes: the group's members take <connections> connections each
+    Then homes: each group has <homes> home proxies in <spread> zones
+
+    Examples:
+      | count | connections | homes | spread |
+      | 12    | 0           | 12    | 6      |
+      | 12    | 100         | 12    | 6      |
+      | 12    | 40          | 6     | 6      |
+      | 12    | 10          | 3     | 3      |
+      | 2     | 10          | 2     | 2      |
--- a/features/steps/control_homes_steps.py
+++ b/features/steps/control_homes_steps.py
@@ -10,7 +10,7 @@
 
 from features.support.control_builders import a_group
 from limedyke.core import home
-from limedyke.core.home import HomeDirectory, home_proxies
+from limedyke.core.home import HomeDirectory, connection_limits, home_proxies
 from limedyke.messages.control import ControlSnapshot, ControlUpdate, ProxyRecord, ProxyState
 from limedyke.messages.declaration import Declaration
 from limedyke.proxy.control_view import ControlViewBuilder
@@ -69,11 +69,14 @@
         base_index=index,
         control_index=index + 1,
         revision=index,
-        groups=tuple(a_group(f"g{n}") for n in generator.sample(range(5), 1)),
+        groups=tuple(
+            a_group(f"g{n}", limit=generator.choice([6, 12, 40]))
+            for n in generator.sample(range(5), 1)
+        ),
         removed_groups=tuple(f"g{n}" for n in generator.sample(range(5), 1)),
         proxies=proxies,
         removed_proxies=tuple(f"p{n}" for n in generator.sample(range(9), 1)),
-        home_proxies_per_group=generator.choice([None, None, None, 2, 3]),
+        home_proxies_per_group=generator.choice([None, None, None, 2, 3, 7]),
     )
 
 
@@ -89,7 +92,9 @@
         changed = followed.apply(update)
         state = view.take_update(update)
         whole = HomeDirectory.of(
-            state.home_proxies_per_group, state.proxies.values(), list(state.groups)
+            state.home_proxies_per_group,
+            state.proxies.values(),
+            connection_limits(state.groups.values()),
         )
         after = followed.snapshot()
         assert after == whole.snapshot() == state.homes, index
@@ -111,6 +116,13 @@
         context.directory.add_group(name)
 
 
+@when("homes: the group's members take {connections:d} connections each")
+def _(context, connections):
+    before = context.directory.homes(context.groups[0])
+    changed = context.directory.add_group(context.groups[0], connections)
+    assert changed is (context.directory.homes(context.groups[0]) != before)
+
+
 def _duties(context) -> set[tuple[str, str]]:
     directory = context.directory
     return {(name, proxy) for name in context.groups for proxy in directory.homes(name)}
--- a/features/steps/scale_steps.py
+++ b/features/steps/scale_steps.py
@@ -113,7 +113,7 @@
         for n in range(context.size.nodes)
     ]
     names = [group_name(number) for number in range(context.size.groups)]
-    directory = HomeDirectory.of(HOME_PROXIES, records, names)
+    directory = HomeDirectory.of(HOME_PROXIES, records, dict.fromkeys(names, 0))
     expected = {name for name in names if context.names & set(directory.homes(name))}
     assert {group_name(number) for number in context.real_groups} == expected
 
--- a/limedyke/controller/replica.py
+++ b/limedyke/controller/replica.py
@@ -48,7 +48,7 @@
 from limedyke.core.agreement.voter_policy import WaitingController
 from limedyke.core.control.state import ControlState
 from limedyke.core.control.update_ring import UpdateRing
-from limedyke.core.home import HomeDirectory
+from limedyke.core.home import HomeDirectory, connection_limits
 from limedyke.event_log import EventLog
 from limedyke.messages.agreement import (
     ControllerIdentity,
@@ -334,7 +334,7 @@
         self.homes = HomeDirectory.of(
             self.state.home_proxies_per_group,
             self.state.proxies.values(),
-            self.state.declared.groups,
+            connection_limits(self.state.declared.groups.values()),
         )
         self.updates.clear()
         self._snapshot = snapshot
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -35,7 +35,7 @@
 from limedyke.core.control.membership import ProxyMembership, has_ended, may_connect
 from limedyke.core.control.state import ControlState
 from limedyke.core.control.timing import ControlTiming
-from limedyke.core.home import HomeDirectory
+from limedyke.core.home import HomeDirectory, connection_limits
 from limedyke.messages.control import (
     ConnectionLease,
     LeaseUpdate,
@@ -76,7 +76,9 @@
         self._now = now
         self._next_membership_at = now
         self.homes = homes or HomeDirectory.of(
-            state.home_proxies_per_group, state.proxies.values(), state.declared.groups
+            state.home_proxies_per_group,
+            state.proxies.values(),
+            connection_limits(state.declared.groups.values()),
         )
         self.membership = ProxyMembership(state.proxies, timing, now)
         self.leases = LeaseTable(
--- a/limedyke/core/home.py
+++ b/limedyke/core/home.py
@@ -10,6 +10,7 @@
 from functools import lru_cache
 
 from limedyke.messages.control import ControlUpdate, ProxyRecord, ProxyState
+from limedyke.messages.declaration import Group
 
 _HASH_BYTES = 8
 _HASH_MASK = 2 ** (8 * _HASH_BYTES) - 1
@@ -22,6 +23,11 @@
 """Weighing one proxy for a group costs about as much as ranking so many: beyond that share of
 all proxies in one update, every group is ranked once instead."""
 
+CONNECTIONS_PER_HOME = 6
+"""A home proxy with fewer connections to a member makes statements wait while another one's lie
+idle: beyond ``LEAST_HOMES`` a group gets only as many home proxies as have so many each."""
+LEAST_HOMES = 3
+
 ZoneHashes = Mapping[str, Mapping[str, int]]
 """Hashes of the serving proxies' names, by zone and name."""
 
@@ -47,6 +53,22 @@
     return _score(_name_hash(group), _name_hash(proxy))
 
 
+def homes_wanted(count: int, connections: int) -> int:
+    """Return how many home proxies a group gets at most.
+
+    :param count: wanted for each group
+    :param connections: that the group's members take each; 0 when not known
+    """
+    if connections == 0:
+        return count
+    return min(count, max(LEAST_HOMES, connections // CONNECTIONS_PER_HOME))
+
+
+def connection_limits(groups: Iterable[Group]) -> dict[str, int]:
+    """Return the connections that the members of each group take, by its name."""
+    return {group.name: group.connection_limit for group in groups}
+
+
 def home_proxies(group: str, proxies: Iterable[ProxyRecord], count: int) -> tuple[str, ...]:
     """Return the names of the group's home proxies, the heaviest first.
 
@@ -106,19 +128,23 @@
         self._zones: dict[str, dict[str, int]] = {}
         self._homes: dict[str, tuple[str, ...]] = {}
         self._lightest: dict[str, int] = {}
+        self._connections: dict[str, int] = {}
 
     @classmethod
-    def of(cls, count: int, proxies: Iterable[ProxyRecord], groups: Iterable[str]) -> HomeDirectory:
+    def of(
+        cls, count: int, proxies: Iterable[ProxyRecord], groups: Mapping[str, int]
+    ) -> HomeDirectory:
         """Return the directory of a whole state.
 
+        :param groups: the connections that the members of each group take, by its name
         Every group is weighed against every proxy: 0.6 s of processor time for 1,800 groups and
         850 proxies, longer than a leader's heartbeats may fail to come.
         """
         directory = cls(count)
         for proxy in proxies:
             directory.put_proxy(proxy)
-        for group in groups:
-            directory.add_group(group)
+        for group, connections in groups.items():
+            directory.add_group(group, connections)
         return directory
 
     @property
@@ -143,7 +169,8 @@
             self.remove_group(name)
         changed |= self._change_proxies(update.removed_proxies, update.proxies)
         for group in update.groups:
-            self.add_group(group.name)
+            if self.add_group(group.name, group.connection_limit):
+                changed.add(group.name)
         return changed.intersection(self._homes)
 
     def _change_proxies(self, removed: tuple[str, ...], put: tuple[ProxyRecord, ...]) -> set[str]:
@@ -165,15 +192,27 @@
         self._count = count
         return self._rank(list(self._homes))
 
-    def add_group(self, group: str) -> None:
-        """Start keeping the home proxies of a group."""
-        if group not in self._homes:
-            self._set_homes(group, _choose(group, self._zones, self._count))
+    def add_group(self, group: str, connections: int = 0) -> bool:
+        """Start keeping the home proxies of a group, or take its new limit of connections.
+
+        :returns: whether the home proxies of a group known before changed
+        """
+        before = self._homes.get(group)
+        if before is not None and self._connections[group] == connections:
+            return False
+        self._connections[group] = connections
+        homes = _choose(group, self._zones, self._wanted(group))
+        self._set_homes(group, homes)
+        return before is not None and homes != before
+
+    def _wanted(self, group: str) -> int:
+        return homes_wanted(self._count, self._connections[group])
 
     def remove_group(self, group: str) -> None:
         """Stop keeping the home proxies of a group."""
         self._homes.pop(group, None)
         self._lightest.pop(group, None)
+        self._connections.pop(group, None)
 
     def put_proxy(self, proxy: ProxyRecord) -> set[str]:
         """Add or replace a proxy; return the groups whose home proxies changed."""
@@ -217,7 +256,7 @@
     def _rank(self, groups: list[str]) -> set[str]:
         changed = set()
         for group in groups:
-            homes = _choose(group, self._zones, self._count)
+            homes = _choose(group, self._zones, self._wanted(group))
             if homes != self._homes[group]:
                 self._set_homes(group, homes)
                 changed.add(group)
@@ -230,7 +269,7 @@
             if self._is_outweighed(group, homes, proxy, proxy_hash):
                 continue
             candidates = [self._proxies[name] for name in homes]
-            chosen = home_proxies(group, [*candidates, proxy], self._count)
+            chosen = home_proxies(group, [*candidates, proxy], self._wanted(group))
             if chosen != homes:
                 self._set_homes(group, chosen)
                 changed.add(group)
@@ -243,7 +282,7 @@
 
         It may yet be chosen for its zone, while two home proxies share one.
         """
-        if len(homes) < self._count:
+        if len(homes) < self._wanted(group):
             return False
         if _score(_name_hash(group), proxy_hash) >= self._lightest[group]:
             return False
--- a/limedyke/proxy/control_view.py
+++ b/limedyke/proxy/control_view.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
-from limedyke.core.home import HomeDirectory
+from limedyke.core.home import HomeDirectory, connection_limits
 from limedyke.messages.control import ControlSnapshot, ControlUpdate, GroupPrimary, ProxyRecord
 from limedyke.messages.databases import (
     NO_SESSION_LIMITS,
@@ -73,9 +73,9 @@
     def take_snapshot(self, snapshot: ControlSnapshot) -> ControlView:
         """Replace everything by a snapshot."""
         declaration = snapshot.declaration
-        names = (group.name for group in declaration.groups)
+        limits = connection_limits(declaration.groups)
         count = snapshot.home_proxies_per_group
-        self._homes = HomeDirectory.of(count, snapshot.proxies, names)
+        self._homes = HomeDirectory.of(count, snapshot.proxies, limits)
         self.view = ControlView(
             control_index=snapshot.control_index,
             revision=snapshot.revision,
