Let the last leader lead again without a wait for its own lease

Ruled out: shorter election timeouts (slow disks and far regions would make leaders flap); reading the unsynced note of the last contact (it does not survive a loss of power).

Change: each controller notes on disk the last leader it vouched for, before it answers that leader. A voter is not bound by the lease of a leader that asks for votes itself: that one has started anew or stepped down, and can't lead its old term again. The last leader stands first after a restart.

Tests: three scripts and three mutants: all lose power at once; a former leader asks the only voter that confirms its successor's lease; the same after that voter's restart. The script "all processes restart at once" has the leader stay down now, else its mutant would no longer show: the bound that it asks for is the same.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -28,6 +28,9 @@
       | the only confirming voter restarts                 | gives votes right after a restart                       |
       | the only confirming voter restarts                 | notes only its first contact with a leader              |
       | all processes restart at once                      | forgets at a restart when it heard a leader             |
+      | all lose power at once                             | waits for the lease of a leader that asks for votes itself |
+      | a former leader asks for votes                     | takes the first leader it vouched for as the last       |
+      | a former leader asks a restarted voter             | notes only the first leader on disk                     |
       | a cut-off leader is read at                        | reads without the lease                                 |
       | a new leader is read at                            | reads before an entry of its own term is applied        |
       | slow leader, fast followers                        | does not allow for the drift of clocks                  |
--- a/features/support/agreement_election_scripts.py
+++ b/features/support/agreement_election_scripts.py
@@ -65,12 +65,15 @@
 
 
 def all_processes_restart(cluster: ScriptedCluster) -> None:
-    """All processes end and start again a little later; the machines keep their power."""
-    cluster.lead("a")
+    """All processes end and start again a little later; the machines keep their power.
+
+    The leader stays down: with it, no voter would have to know when its lease ends.
+    """
+    leader = cluster.lead("a")
     for machine in cluster.machines.values():
         machine.kill_process()
     cluster.run(RESTART_S)
-    for machine in cluster.machines.values():
+    for machine in cluster.others(leader):
         machine.start()
     timing = cluster.world.options.timing
     bound_s = timing.election_timeout_minimum_s - RESTART_S
@@ -78,6 +81,19 @@
     require(cluster.run_until(cluster.leader, patience_s), "no leader in time")
 
 
+def all_lose_power(cluster: ScriptedCluster) -> None:
+    """All machines lose power and start again: the last leader leads without a wait for leases."""
+    cluster.lead("a")
+    for machine in cluster.machines.values():
+        machine.power_loss()
+    cluster.run(RESTART_S)
+    for machine in cluster.machines.values():
+        machine.start()
+    timing = cluster.world.options.timing
+    patience_s = timing.election_timeout_minimum_s / 2
+    require(cluster.run_until(cluster.leader, patience_s), "no leader in time")
+
+
 def pending_proposal(cluster: ScriptedCluster) -> None:
     """A leader is cut off right after its followers took a proposal, and steps down."""
     leader = cluster.lead("a")
--- a/features/support/agreement_lease_scripts.py
+++ b/features/support/agreement_lease_scripts.py
@@ -68,6 +68,29 @@
     read_stale(cluster, leader)
 
 
+def former_leader_asks(cluster: ScriptedCluster, restarts: bool = False) -> None:
+    """A leader of before, blind now, asks the only voter that confirms the lease of its successor.
+
+    :param restarts: that voter restarts first
+    """
+    blind = cluster.lead("a")
+    leader = cluster.lead("b")
+    hearing = cluster.machines["c"]
+    cluster.cut(leader, blind)
+    cluster.run_until(lambda: _stands_within(blind, 0.05) and _heard_within(hearing, 0.01))
+    cluster.run(0.003)
+    cluster.cut(leader, hearing)
+    if restarts:
+        hearing.kill_process()
+        hearing.start()
+    read_stale(cluster, leader)
+
+
+def former_leader_asks_after_restart(cluster: ScriptedCluster) -> None:
+    """The same, the voter having restarted: it must know whom it vouched for last."""
+    former_leader_asks(cluster, restarts=True)
+
+
 def cut_off_leader_reads(cluster: ScriptedCluster) -> None:
     """A leader is silently cut off, and read at until it steps down."""
     leader = cluster.lead("a")
--- a/features/support/agreement_mutants.py
+++ b/features/support/agreement_mutants.py
@@ -127,7 +127,23 @@
     ]
 
 
+def _bound_to_any(self: Election, sender: ControllerIdentity) -> bool:
+    return self._leads() or self._state.heard_leader_recently()
+
+
+def _vouch_for_the_first_only(self: AgreementState, leader: ControllerIdentity) -> None:
+    if self.vouched_for is None:
+        _VOUCH_FOR(self, leader)
+
+
+def _note_the_first_only(self: AgreementState, leader: ControllerIdentity) -> None:
+    if self.vouched_for is None:
+        _VOUCH_FOR(self, leader)
+    self.vouched_for = leader
+
+
 _CONFIRM = LeaderLease.confirm
+_VOUCH_FOR = AgreementState.vouch_for
 _CONTINUE_TRANSFER = Leader._continue_transfer
 _NOTE = DurableLog.note_leader_heard
 _READ = Leader.read
@@ -172,6 +188,15 @@
     "forgets at a restart when it heard a leader": Mutant(
         ((AgreementState, "__init__", _forget_leader_contact),)
     ),
+    "waits for the lease of a leader that asks for votes itself": Mutant(
+        ((Election, "_bound_to_another", _bound_to_any),)
+    ),
+    "takes the first leader it vouched for as the last": Mutant(
+        ((AgreementState, "vouch_for", _vouch_for_the_first_only),)
+    ),
+    "notes only the first leader on disk": Mutant(
+        ((AgreementState, "vouch_for", _note_the_first_only),)
+    ),
     "reads without the lease": Mutant(((Leader, "read", _read_without_checks),)),
     "reads before an entry of its own term is applied": Mutant(
         ((Leader, "read", _read_before_own_entry),)
--- a/limedyke/controller/peer_network.py
+++ b/limedyke/controller/peer_network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Awaitable, Callable
 from random import Random
 
@@ -10,6 +11,7 @@
 
 from limedyke.controller.mailbox import Mailbox
 from limedyke.core.agreement.envelope import open_envelope, seal
+from limedyke.core.backoff import Backoff
 from limedyke.event_log import EventLog
 from limedyke.messages.agreement import (
     AgreementEnvelope,
@@ -21,7 +23,7 @@
 
 QUEUE_LIMIT = 1_024
 DIAL_TIMEOUT_S = 1.0
-SHORTEST_PAUSE_S = 0.05
+FIRST_PAUSE_S = 0.05
 LONGEST_PAUSE_S = 0.5
 EVENTS = EventLog("peer_network")
 
@@ -109,14 +111,17 @@
             await self._receive(envelope.sender, opened.ok_value)
 
     async def _keep_link(self, outgoing: _Outgoing) -> None:
+        """Dial again soon at first: peers that restart together miss each other by little."""
+        backoff = Backoff(FIRST_PAUSE_S, LONGEST_PAUSE_S)
         while True:
             dialled = await dial(
                 outgoing.address, self._link_identity, self._keys, self._source_ip, DIAL_TIMEOUT_S
             )
             if not isinstance(dialled, Err):
+                backoff.succeeded()
                 await self._use_link(dialled.ok_value, outgoing)
             outgoing.mailbox.clear()
-            await curio.sleep(self._generator.uniform(SHORTEST_PAUSE_S, LONGEST_PAUSE_S))
+            await curio.sleep(backoff.failed(time.monotonic(), self._generator.random()))
 
     async def _use_link(self, link: Link, outgoing: _Outgoing) -> None:
         address = outgoing.address
--- a/limedyke/core/agreement/election.py
+++ b/limedyke/core/agreement/election.py
@@ -102,7 +102,7 @@
             return
         granted = (
             request.term > state.term
-            and not self._bound_to_a_leader()
+            and not self._bound_to_another(sender)
             and self._is_up_to_date(request.last_index, request.last_term)
         )
         if granted:
@@ -136,7 +136,7 @@
         state = self._state
         if not state.is_member(sender):
             return
-        if not request.leadership_transfer and self._bound_to_a_leader():
+        if not request.leadership_transfer and self._bound_to_another(sender):
             return
         if request.term > state.term:
             self._become_follower(request.term, None)
@@ -173,8 +173,16 @@
         if is_current and state.is_voter and state.role is Role.FOLLOWER:
             self._start_candidacy(leadership_transfer=True)
 
-    def _bound_to_a_leader(self) -> bool:
-        return self._leads() or self._state.heard_leader_recently()
+    def _bound_to_another(self, sender: ControllerIdentity) -> bool:
+        """Tell whether the lease of a leader other than the candidate may still run.
+
+        The leader that this voter vouched for last leads no more when it asks for votes: its
+        process has started anew, or it has stepped down.
+        """
+        state = self._state
+        if self._leads():
+            return True
+        return state.heard_leader_recently() and sender != state.vouched_for
 
     def _is_up_to_date(self, last_index: int, last_term: int) -> bool:
         log = self._state.log
--- a/limedyke/core/agreement/records.py
+++ b/limedyke/core/agreement/records.py
@@ -11,10 +11,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HardState:
-    """The current term and the vote given in it."""
+    """The current term and the vote given in it.
+
+    :param vouched_for: the last leader that this controller answered, or was itself
+    """
 
     term: int = 0
     vote: ControllerIdentity | None = None
+    vouched_for: ControllerIdentity | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,14 +97,20 @@
 
 
 def encode_hard_state(hard_state: HardState) -> bytes:
-    """Return the stored form of a term and vote."""
-    return ormsgpack.packb([hard_state.term, _pack_identity(hard_state.vote)])
+    """Return the stored form of a term and vote.
+
+    The leader vouched for follows only where there is one, as an earlier version had none.
+    """
+    packed = [hard_state.term, _pack_identity(hard_state.vote)]
+    if hard_state.vouched_for is not None:
+        packed.append(_pack_identity(hard_state.vouched_for))
+    return ormsgpack.packb(packed)
 
 
 def decode_hard_state(data: bytes) -> HardState:
     """Return the term and vote from their stored form."""
-    term, vote = ormsgpack.unpackb(data)
-    return HardState(term, _unpack_identity(vote))
+    term, vote, *rest = ormsgpack.unpackb(data)
+    return HardState(term, _unpack_identity(vote), _unpack_identity(rest[0]) if rest else None)
 
 
 def encode_snapshot(snapshot: Snapshot) -> bytes:
--- a/limedyke/core/agreement/state.py
+++ b/limedyke/core/agreement/state.py
@@ -68,6 +68,7 @@
         self.log = EntryLog(stored.snapshot, stored.entries)
         self.term = stored.hard_state.term
         self.vote = stored.hard_state.vote
+        self.vouched_for = stored.hard_state.vouched_for
         if self.log.last_term > self.term:
             self.term = self.log.last_term
             self.vote = None
@@ -157,7 +158,12 @@
 
         Voters that restart together are all bound for the shortest timeout; beyond it, only
         a little chance is needed to keep them apart.  A leader gets some time to be heard.
+        The last leader itself is bound by no lease but its own, which ended with its process:
+        it stands first.
         """
+        if self.vouched_for == self.identity:
+            self.election_deadline = self.now + self.timing.pre_vote_retry_minimum_s / 2
+            return
         spread = self.rng.uniform(0.0, self.timing.pre_vote_retry_minimum_s)
         bound_until = self.leader_heard_at + self.timing.election_timeout_minimum_s
         links_are_up_at = self.now + self.timing.pre_vote_retry_minimum_s
@@ -221,8 +227,21 @@
         """Change the term and vote; return the write number to wait for."""
         self.term = term
         self.vote = vote
+        return self._write_hard_state()
+
+    def vouch_for(self, leader: ControllerIdentity) -> None:
+        """Note on disk which leader is answered from now on, or is this controller itself.
+
+        Its lease may rest on that until it asks for votes itself: by then it leads no more.
+        """
+        if self.vouched_for != leader:
+            self.vouched_for = leader
+            self._write_hard_state()
+
+    def _write_hard_state(self) -> int:
         write_number = self.next_write_number()
-        self.emit(PersistHardState(write_number, HardState(term, vote)))
+        hard_state = HardState(self.term, self.vote, self.vouched_for)
+        self.emit(PersistHardState(write_number, hard_state))
         return write_number
 
     def append(self, entries: tuple[LogEntry, ...]) -> None:
