Use half of a lease without a wait, so that members have room when proxies come back

Change: a pool opens connections beyond half of its lease only for a request that has waited 30 ms, and closes them again after 1 s idle.

Test: "half of a lease is used without a wait".

--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -69,6 +69,15 @@
       | says so           |
       | resets any others |
 
+  Scenario: statement path: half of a lease is used without a wait
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    When statement path: 2 clients hold transactions open, each with a write
+    And statement path: the client asks "WRITE y 1" and is told "done I"
+    Then statement path: that took at least 30 ms, and a has 3 connections
+    When statement path: 1100 ms pass
+    And statement path: pools are looked after
+    Then statement path: a has 2 connections
+
   Scenario: statement path: connections taken back while in use are given back afterwards
     Given statement path: a session database on primary a and replicas b c, the proxy beside b
     When statement path: the client asks "BEGIN" and is told "done T"
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -140,6 +140,34 @@
     assert belief.health is MemberHealth.REACHABLE, belief
 
 
+@when("statement path: {count:d} clients hold transactions open, each with a write")
+def step_hold(context, count):
+    async def hold():
+        for _ in range(count):
+            client, _ = await context.path.connect()
+            assert await client.ask("BEGIN") == "done T"
+            assert await client.ask("WRITE x 1") == "done T"
+
+    run(context, hold)
+
+
+@then("statement path: that took at least {limit:d} ms, and a has {count:d} connections")
+def step_took_at_least(context, limit, count):
+    assert context.took_ms >= limit, context.took_ms
+    step_connections(context, count)
+
+
+@then("statement path: a has {count:d} connections")
+def step_connections(context, count):
+    assert context.path.groups.groups[GROUP].pools["a"].opened == count
+
+
+@when("statement path: pools are looked after")
+def step_look_after(context):
+    for pool in context.path.groups.groups[GROUP].pools.values():
+        run(context, pool.close_idle, time.monotonic())
+
+
 @step("statement path: {name:w} drains")
 def step_drains(context, name):
     context.path.draining.add(name)
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/member_pool.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+import math
 import time
 from collections.abc import Callable
 
@@ -24,6 +25,12 @@
 IDLE_CLOSE_S = 6.0
 """Idle connections are few, so that members have room when proxies come back: a member holds a
 connection of a lost machine for some seconds."""
+USUAL_SHARE = 0.5
+"""So much of a lease is used without a wait: a member holds the connections of machines that lost
+power for some seconds, and those that come back need room beside them."""
+GROWTH_WAIT_S = 0.03
+"""A request that has waited so long may have a connection opened beyond the usual share."""
+SURPLUS_IDLE_CLOSE_S = 1.0
 FULL_PAUSE_S = 0.2
 """A member that took no further connection is not asked for one for so long."""
 
@@ -70,7 +77,7 @@
         self._source_ip = source_ip
         self._connect_timeout_s = connect_timeout_s
         self._idle: list[MemberConnection] = []
-        self._waiters: list[tuple[int, int, _Waiter]] = []
+        self._waiters: list[tuple[int, int, int, _Waiter]] = []
         self._numbers = itertools.count()
 
     @property
@@ -78,11 +85,6 @@
         """Connections open or being opened."""
         return self.opened
 
-    @property
-    def waiting(self) -> int:
-        """Requests that wait for a connection."""
-        return sum(not waiter.is_over for _, _, waiter in self._waiters)
-
     async def getconn(
         self, values: dict[str, str], priority: int, timeout_s: float
     ) -> MemberConnection:
@@ -93,15 +95,18 @@
         :raises ConnectionLostError: when a new one could not be opened
         :raises ConnectionRefusedByMemberError: when the member takes no further one
         """
-        give_up_at = time.monotonic() + timeout_s
+        began_at = time.monotonic()
+        give_up_at = began_at + timeout_s
+        place = (priority, next(self._numbers))
         while True:
             if self.is_closed or self.limit == 0:
                 raise PoolClosedError(self.belief.record.identity)
             connection = await self._take_idle(values)
-            if connection is None and self._may_open():
+            waited_s = time.monotonic() - began_at
+            if connection is None and self._may_open(waited_s):
                 connection = await self._open(give_up_at - time.monotonic())
             if connection is None:
-                connection = await self._wait(priority, give_up_at - time.monotonic())
+                connection = await self._wait(place, began_at, give_up_at)
             if connection is not None:
                 self.belief.outstanding += 1
                 return connection
@@ -111,13 +116,21 @@
         """Whether a connection can be had at once."""
         return bool(self._idle) or self._may_open()
 
-    def _may_open(self) -> bool:
+    @property
+    def usual_limit(self) -> int:
+        """Connections that are opened without a wait."""
+        return math.ceil(self.limit * USUAL_SHARE)
+
+    def _may_open(self, waited_s: float = GROWTH_WAIT_S) -> bool:
         """Tell whether a further connection should be tried: the lease and the member allow it.
 
         With none open there is none to wait for, so one is tried whatever the member said.
+
+        :param waited_s: how long the request has waited
         """
         is_full = self.opened > 0 and time.monotonic() < self._full_until
-        return self.opened < self.limit and not is_full
+        limit = self.limit if waited_s >= GROWTH_WAIT_S else self.usual_limit
+        return self.opened < limit and not is_full
 
     async def check_address(self, timeout_s: float) -> None:
         """See whether anything answers at the member's address, when no connection is free."""
@@ -165,11 +178,13 @@
             await waiter.event.set()
 
     async def close_idle(self, now: float) -> None:
-        """Close connections that have been idle for long."""
-        old = [found for found in self._idle if now - found.idle_since > IDLE_CLOSE_S]
-        for connection in old:
-            self._idle.remove(connection)
-            await self._give_up(connection)
+        """Close connections that have been idle for long, those beyond the usual share sooner."""
+        for connection in sorted(self._idle, key=lambda idle: idle.idle_since):
+            is_surplus = self.opened > self.usual_limit
+            limit_s = SURPLUS_IDLE_CLOSE_S if is_surplus else IDLE_CLOSE_S
+            if now - connection.idle_since > limit_s and connection in self._idle:
+                self._idle.remove(connection)
+                await self._give_up(connection)
 
     async def _take_idle(self, values: dict[str, str]) -> MemberConnection | None:
         """Return the idle connection whose values fit best, dropping those that died."""
@@ -253,20 +268,32 @@
 
     def _next_waiter(self) -> _Waiter | None:
         while self._waiters:
-            _, _, waiter = heapq.heappop(self._waiters)
+            *_, waiter = heapq.heappop(self._waiters)
             if not waiter.is_over:
                 waiter.is_over = True
                 return waiter
         return None
 
-    async def _wait(self, priority: int, time_left_s: float) -> MemberConnection | None:
+    async def _wait(
+        self, place: tuple[int, int], began_at: float, give_up_at: float
+    ) -> MemberConnection | None:
+        """Wait for a connection; None when another try is worth it.
+
+        :param place: priority and number of the request, its place in the queue
+        :raises PoolTimeoutError: when its time is over
+        """
+        now = time.monotonic()
+        grows_at = began_at + GROWTH_WAIT_S
+        until = min(grows_at, give_up_at) if now < grows_at else give_up_at
         waiter = _Waiter()
-        heapq.heappush(self._waiters, (priority, next(self._numbers), waiter))
+        heapq.heappush(self._waiters, (*place, next(self._numbers), waiter))
         try:
-            async with curio.timeout_after(max(0.0, time_left_s)):
+            async with curio.timeout_after(max(0.0, until - now)):
                 await waiter.event.wait()
         except curio.TaskTimeout:
             await self._abandon(waiter)
+            if until < give_up_at:
+                return None
             raise PoolTimeoutError(self.belief.record.identity) from None
         except curio.CancelledError:
             await self._abandon(waiter)
