End a controller whose storage failed once its disk takes writes again

Ruled out: ending at once (a full disk lasts seconds: the new process would fail at its first write and end again); going on in the same process (what was being written is not known).

Change: a controller whose storage failed writes, syncs and removes a small file every 0.25 s, and ends once that succeeds; whoever runs it starts it anew, and it reads its state from the disk. The simulator no longer restarts such controllers itself.

--- a/features/steps/agreement_controllers_steps.py
+++ b/features/steps/agreement_controllers_steps.py
@@ -257,6 +257,32 @@
     assert "role=stopped" in log, log
 
 
+@then("agreement controllers: the full one goes on running for {seconds:d} s")
+def step_goes_on(context, seconds):
+    time.sleep(seconds)
+    assert context.trio.process(context.full).running
+
+
+@when("agreement controllers: the full one has room again")
+def step_room(context):
+    pid = context.trio.process(context.full).pid
+    unlimited = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+    resource.prlimit(pid, resource.RLIMIT_FSIZE, unlimited)
+
+
+@then("agreement controllers: the full one ends by itself within {limit:d} s")
+def step_ends(context, limit):
+    deadline = time.monotonic() + limit
+    while context.trio.process(context.full).running:
+        assert time.monotonic() < deadline, "it still runs"
+        time.sleep(0.05)
+
+
+@when("agreement controllers: whoever runs it starts it anew")
+def step_starts_anew(context):
+    context.trio.process(context.full).start()
+
+
 @when("agreement controllers: the full one has room again and restarts")
 def step_room_again(context):
     process = context.trio.process(context.full)
--- a/limedyke/controller/replica.py
+++ b/limedyke/controller/replica.py
@@ -64,6 +64,7 @@
 from limedyke.result_codes import Failure
 from limedyke.storage.agreement_storage import AgreementStorage
 
+DISK_PROBE_INTERVAL_S = 0.25
 ANNOUNCEMENT_INTERVAL_S = 0.3
 EVENTS = EventLog("controller")
 
@@ -106,6 +107,7 @@
         self.updates = UpdateRing()
         self.homes = HomeDirectory(self.state.home_proxies_per_group)
         self.storage_failure = ""
+        self._storage_failed = curio.Event()
         self.strangers: dict[str, ControllerIdentity] = {}
         self.waiting: dict[str, WaitingController] = {}
         self._advertise = advertise
@@ -140,11 +142,22 @@
         return self._network.addresses.get(leader.name, "")
 
     async def run(self) -> None:
-        """Run until cancelled; returns when the storage failed for good."""
+        """Run until cancelled; returns when the storage has failed and the disk works again.
+
+        What was being written is not known then: the state has to be read from the disk anew.
+        """
         await self._events.put(Started())
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._run_events)
             await tasks.spawn(self._run_writes)
+            await tasks.spawn(self._wait_for_disk_after_failure)
+
+    async def _wait_for_disk_after_failure(self) -> None:
+        """Return once the storage has failed and the disk takes writes again."""
+        await self._storage_failed.wait()
+        while not await curio.run_in_thread(self._storage.disk_takes_writes):
+            await curio.sleep(DISK_PROBE_INTERVAL_S)
+        EVENTS.warning("disk-works-again")
 
     @property
     def known_addresses(self) -> dict[str, str]:
@@ -220,13 +233,13 @@
                 events.append(Tick())
                 next_tick_at = now + self._tick_interval_s
             commands = self.agreement.handle_batch(events, now)
-            for command in self._note_leader_contact(commands, now):
+            for command in await self._note_leader_contact(commands, now):
                 await self._execute(command)
             self._answers.clear()
             await self._save_snapshot_when_due()
             await self._announce_when_due(now)
 
-    def _note_leader_contact(self, commands: list[Command], now: float) -> list[Command]:
+    async def _note_leader_contact(self, commands: list[Command], now: float) -> list[Command]:
         """Note that a leader was heard before it is answered, for the next process.
 
         :returns: the commands to carry out; without messages when it could not be noted
@@ -238,7 +251,7 @@
         failed = self._storage.note_leader_heard(heard_at)
         if failed is None:
             return commands
-        self._note_storage_failure(failed)
+        await self._note_storage_failure(failed)
         kept = [command for command in commands if not isinstance(command, SendMessage)]
         return kept + self.agreement.handle(failed, now)
 
@@ -262,13 +275,15 @@
             outcome = await curio.run_in_thread(self._storage.execute, commands)
             self._metrics.sync_seconds.observe(boot_seconds() - started_at)
             if isinstance(outcome, StorageFailed):
-                self._note_storage_failure(outcome)
+                await self._note_storage_failure(outcome)
             if outcome is not None:
                 await self._events.put(outcome)
 
-    def _note_storage_failure(self, failed: StorageFailed) -> None:
+    async def _note_storage_failure(self, failed: StorageFailed) -> None:
+        if not self.storage_failure:
+            EVENTS.error("storage-failed", reason=failed.reason)
         self.storage_failure = failed.reason
-        EVENTS.error("storage-failed", reason=failed.reason)
+        await self._storage_failed.set()
 
     async def _execute(self, command: Command) -> None:
         match command:
--- a/limedyke/storage/agreement_storage.py
+++ b/limedyke/storage/agreement_storage.py
@@ -56,6 +56,10 @@
         noted = self._log.note_leader_heard(heard_at)
         return StorageFailed(str(noted.unwrap_err())) if noted.is_err() else None
 
+    def disk_takes_writes(self) -> bool:
+        """Tell whether the disk would take writes again."""
+        return self._log.disk_takes_writes()
+
     def _take(self, command: StorageCommand, pending: list[LogRecord]) -> Result[None, Failure]:
         match command:
             case PersistHardState():
--- a/limedyke/storage/durable_log.py
+++ b/limedyke/storage/durable_log.py
@@ -21,6 +21,7 @@
 from limedyke.messages.agreement import ControllerIdentity, LogEntry
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.storage.crash_safe_file import CrashSafeFile
+from limedyke.storage.disk_probe import takes_writes
 from limedyke.storage.file_system import FileSystem, WritableFile
 from limedyke.storage.frame import encode_frame
 from limedyke.storage.leader_contact import LeaderContact
@@ -145,6 +146,10 @@
             return Err(Failure(ResultCode.DISK_FULL, detail))
         return Ok(None)
 
+    def disk_takes_writes(self) -> bool:
+        """Tell whether the disk would take writes now; the log itself stays failed."""
+        return takes_writes(self._folder, self._file_system)
+
     def close(self) -> None:
         """Release the files and the folder."""
         if self._active is not None:
--- a/limedyke_lab/simulator/command.py
+++ b/limedyke_lab/simulator/command.py
@@ -9,10 +9,12 @@
 import os
 import sys
 from collections import Counter
+from collections.abc import Iterable
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 
+from limedyke_lab.simulator.checkers.record import Violation
 from limedyke_lab.simulator.coverage import report
 from limedyke_lab.simulator.run import DEFAULT_FAULTS_S, RunOptions, run_seed
 
@@ -25,6 +27,13 @@
 SHOWN_DIGITS = 16
 
 
+def _one_of_each_rule_first(violations: Iterable[Violation]) -> list[Violation]:
+    """Return the violations so that those shown name every rule that is broken."""
+    first = {violation.checker: violation for violation in reversed(list(violations))}
+    others = [violation for violation in violations if first[violation.checker] is not violation]
+    return [*first.values(), *others]
+
+
 @dataclass(frozen=True, slots=True)
 class Outcome:
     """What a worker hands back of a run; the trace only when a rule was broken.
@@ -74,7 +83,9 @@
     return Outcome(
         seed=result.seed,
         events=result.events,
-        violations=tuple(str(violation) for violation in result.violations),
+        violations=tuple(
+            str(violation) for violation in _one_of_each_rule_first(result.violations)
+        ),
         rules=tuple(dict.fromkeys(violation.checker for violation in result.violations)),
         faults=tuple(fault.number for fault in result.faults),
         trace=result.trace if broken else (),
--- a/limedyke_lab/simulator/controllers.py
+++ b/limedyke_lab/simulator/controllers.py
@@ -77,7 +77,7 @@
 
     @property
     def storage_failed(self) -> bool:
-        """Whether it stopped writing after a failure of its disk, and waits to be restarted."""
+        """Whether it stopped writing after a failure of its disk."""
         controller = self._controller
         replica = None if controller is None else controller._replica
         return replica is not None and bool(replica.storage_failure)
@@ -103,6 +103,8 @@
         """Start again after an unexpected end, as a service manager would."""
         detail = type(error).__name__ if error is not None else "returned"
         self._history.add("controller-exited", controller=self.name, detail=detail)
+        if self.storage_failed:
+            self._history.add("storage-failed", controller=self.name)
         if error is not None and not isinstance(error, SystemExit):
             self._history.add("process-failed", process=self.name, detail=repr(error))
         self._on_exit(self)
--- a/limedyke_lab/simulator/strikes.py
+++ b/limedyke_lab/simulator/strikes.py
@@ -10,7 +10,7 @@
 from limedyke_lab.simulator.faults import Fault
 from limedyke_lab.simulator.layout import OPERATORS
 from limedyke_lab.simulator.operators import Operator, set_client_limit, set_leaving
-from limedyke_lab.simulator.world import RESTART_S, World
+from limedyke_lab.simulator.world import World
 
 SLOW_EXECUTE_S = 0.12
 HIGHEST_LAG_S = 2.5
@@ -18,7 +18,7 @@
 WATCH_S = 0.005
 CRASH_WITHIN_S = 0.15
 NOTICED_AFTER_S = 2.0
-"""Time until a controller whose disk failed is restarted."""
+"""Time until a disk whose sync failed has been seen to."""
 
 
 class Strikes:
@@ -204,12 +204,8 @@
         self._world.kernel.call_later(self._seconds(fault), self._mend_disk, fault.target)
 
     def _mend_disk(self, name: str) -> None:
-        """Give a disk room again, and restart a controller that stopped writing."""
-        controller = self._world.controllers[name]
-        controller.empty_disk()
-        if controller.storage_failed:
-            self._world.history.add("storage-failed", controller=name)
-            self._world.crash(name, RESTART_S)
+        """Give a disk room again; a controller that stopped writing ends by itself then."""
+        self._world.controllers[name].empty_disk()
 
     def _lag(self, fault: Fault) -> None:
         member = self._world.members[fault.target]
