Add a randomized soak of the real processes, with faults from outside

Change: features/soak plays a seed: three controllers and two proxies as processes, restarted when they end; a relay before each stand-in member; kills, stops, pauses, lost and full disks, crashes, lag, lost answers, delayed, reset, cut and silenced links; clients, members and the operator judge seven promises.

--- a/Makefile
+++ b/Makefile
@@ -5,8 +5,9 @@
 RUN := $(VENV)/bin/python
 INSTALLED := $(VENV)/installed
 SEEDS ?= 1-200
+SECONDS ?= 20
 
-.PHONY: setup test lint format demo bench simulate mutants scale data-path result-codes
+.PHONY: setup test lint format demo bench simulate soak mutants scale data-path result-codes
 
 setup: $(INSTALLED)
 
@@ -41,6 +42,10 @@
 simulate: $(INSTALLED)
 	@$(VENV)/bin/limedyke-lab simulate --seeds $(SEEDS)
 
+soak: SEEDS = 1-5
+soak: $(INSTALLED)
+	@$(RUN) -m features.soak.run $(SEEDS) $(SECONDS)
+
 mutants: $(INSTALLED)
 	@$(VENV)/bin/limedyke-lab mutants
 
--- /dev/null
+++ b/features/soak/checks.py
@@ -0,0 +1,101 @@
+"""What must hold whatever strikes, judged by what clients and members have seen."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from features.soak.load import NOTHING_KEPT, ClientRecord
+from features.support.line_platform.group import StandInGroup
+
+SHOWN = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A promise that was broken."""
+
+    promise: str
+    detail: str
+
+    def __str__(self) -> str:
+        return f"{self.promise}: {self.detail}"
+
+
+def check(
+    records: Iterable[ClientRecord], group: StandInGroup, healed_at: float
+) -> list[Violation]:
+    """Return all broken promises.
+
+    :param healed_at: when all faults had ended for long enough; each client must be served later
+    """
+    records = list(records)
+    commits = [commit for member in group.members.values() for commit in member.log.commits]
+    kept = {commit.request_id for commit in commits} - group.rolled_back
+    return [
+        *_asked_only(records, group),
+        *_once(group),
+        *_refused_is_not_kept(records, kept),
+        *_acknowledged_is_kept(records, group, kept),
+        *_own_work_is_seen(records, group),
+        *_recovered(records, healed_at),
+    ]
+
+
+def _asked_only(records: list[ClientRecord], group: StandInGroup) -> list[Violation]:
+    asked = set().union(*(record.asked for record in records))
+    foreign = {run.request_id for run in group.runs} - asked
+    return [Violation("members run only what was asked", name) for name in sorted(foreign)[:SHOWN]]
+
+
+def _once(group: StandInGroup) -> list[Violation]:
+    found = []
+    for member in group.members.values():
+        times = Counter(commit.request_id for commit in member.log.commits)
+        found += [name for name, count in times.items() if count > 1]
+    return [Violation("a write takes effect once", name) for name in sorted(set(found))[:SHOWN]]
+
+
+def _refused_is_not_kept(records: list[ClientRecord], kept: set[str]) -> list[Violation]:
+    found = [
+        f"{write.request_id} {write.word}"
+        for record in records
+        for write in record.writes
+        if write.word in NOTHING_KEPT and write.request_id in kept
+    ]
+    return [Violation("what was refused is not kept", text) for text in found[:SHOWN]]
+
+
+def _acknowledged_is_kept(
+    records: list[ClientRecord], group: StandInGroup, kept: set[str]
+) -> list[Violation]:
+    found = [
+        write.request_id
+        for record in records
+        for write in record.writes
+        if write.word == "done" and write.request_id not in kept | group.rolled_back
+    ]
+    return [Violation("what was acknowledged was committed", name) for name in found[:SHOWN]]
+
+
+def _own_work_is_seen(records: list[ClientRecord], group: StandInGroup) -> list[Violation]:
+    """Check reads of clients none of whose commits a promotion rolled back."""
+    found = []
+    for record in records:
+        if any(write.request_id in group.rolled_back for write in record.writes):
+            continue
+        found += [
+            f"{read.request_id} read {read.value}, not of {sorted(read.allowed)}"
+            for read in record.reads
+            if read.value not in read.allowed
+        ]
+    return [Violation("a session sees its own work", text) for text in found[:SHOWN]]
+
+
+def _recovered(records: list[ClientRecord], healed_at: float) -> list[Violation]:
+    return [
+        Violation("service comes back", f"{record.name} was not served after the faults")
+        for record in records
+        if not record.served or record.served[-1] < healed_at
+    ]
--- /dev/null
+++ b/features/soak/load.py
@@ -0,0 +1,170 @@
+"""Clients that write, read and commit, and keep what they were told."""
+
+from __future__ import annotations
+
+import random
+import time
+from dataclasses import dataclass, field
+
+import curio
+from curio import socket
+
+from features.support.line_platform.deployment import FRONT_PORT
+from features.support.statement_path import LineClient, summary
+
+DATABASE = "db1"
+NOTHING_KEPT = frozenset({"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "MAXCONN"})
+"""Words by which a client is promised that nothing of its attempt is kept."""
+PAUSE_S = 0.03
+CONNECT_LIMIT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class WriteTold:
+    """What a client was told of a write, or of the commit of a transaction.
+
+    :param request_id: under which a member commits it
+    """
+
+    request_id: str
+    value: str
+    word: str
+    at: float
+
+
+@dataclass(frozen=True, slots=True)
+class ReadTold:
+    """What a client read of its own thing, and what it may have read."""
+
+    request_id: str
+    value: str
+    allowed: frozenset[str]
+    at: float
+
+
+@dataclass(slots=True)
+class ClientRecord:
+    """All that one client knows."""
+
+    name: str
+    asked: set[str] = field(default_factory=set)
+    writes: list[WriteTold] = field(default_factory=list)
+    reads: list[ReadTold] = field(default_factory=list)
+    served: list[float] = field(default_factory=list)
+
+    def allowed_values(self) -> frozenset[str]:
+        """Return what a read may give now: the last acknowledged value, or one of unknown fate."""
+        allowed = {"-"}
+        for write in self.writes:
+            if write.word == "done":
+                allowed = {write.value}
+            elif write.word not in NOTHING_KEPT:
+                allowed.add(write.value)
+        return frozenset(allowed)
+
+
+class SoakClient:
+    """One client with a session at a time, at one proxy after the other.
+
+    :param proxies: addresses of the machines of the proxies
+    """
+
+    def __init__(self, name: str, proxies: tuple[str, ...], seed: int) -> None:
+        self.record = ClientRecord(name)
+        self._proxies = proxies
+        self._generator = random.Random(f"{seed}/{name}")
+        self._thing = name
+        self._number = 0
+        self._sessions = 0
+        self._client: LineClient | None = None
+
+    async def run(self) -> None:
+        """Ask one thing after the other until cancelled."""
+        while True:
+            await curio.sleep(self._generator.uniform(0.0, 2 * PAUSE_S))
+            try:
+                await self._operate()
+            except (OSError, curio.TaskTimeout):
+                await self._drop()
+
+    async def _operate(self) -> None:
+        if self._client is None:
+            await self._connect()
+            return
+        operation = self._generator.choice(
+            (self._write, self._read, self._read, self._transact, self._roll_back)
+        )
+        await operation()
+
+    async def _connect(self) -> None:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        async with curio.timeout_after(CONNECT_LIMIT_S):
+            await sock.connect((self._generator.choice(self._proxies), FRONT_PORT))
+        self._sessions += 1
+        client = LineClient(sock, f"{self.record.name}-{self._sessions}-")
+        await client.send(f"START {DATABASE} u1\r\n")
+        if summary([await client.receive()]) == "I":
+            self._client = client
+        else:
+            await client.close()
+
+    async def _drop(self) -> None:
+        client, self._client = self._client, None
+        if client is not None:
+            await client.close()
+
+    async def _ask(self, text: str) -> list[str]:
+        """Ask a statement; return its answer in words, ``["closed"]`` when there was none."""
+        client = self._client
+        try:
+            words = (await client.ask(text)).split(" ")
+        except (OSError, curio.TaskTimeout):
+            words = ["closed"]
+        finally:
+            self.record.asked.add(client.request_id)
+        if words[0] == "closed":
+            await self._drop()
+        elif "done" in words:
+            self.record.served.append(time.monotonic())
+        return words
+
+    def _next_value(self) -> str:
+        self._number += 1
+        return f"{self.record.name}v{self._number}"
+
+    async def _write(self) -> None:
+        await self._note_write(self._next_value(), f"WRITE {self._thing} ", "")
+
+    async def _note_write(self, value: str, before: str, commit: str) -> None:
+        """Ask what commits a value; keep what was told of it."""
+        client = self._client
+        words = await self._ask(commit or f"{before}{value}")
+        word = "done" if "done" in words else words[0]
+        self.record.writes.append(WriteTold(client.request_id, value, word, time.monotonic()))
+
+    async def _read(self) -> None:
+        client = self._client
+        allowed = self.record.allowed_values()
+        words = await self._ask(f"READ {self._thing}")
+        if "done" in words:
+            told = ReadTold(client.request_id, words[0], allowed, time.monotonic())
+            self.record.reads.append(told)
+
+    async def _begin_and_write(self) -> str | None:
+        """Open a transaction with a write; return the value, or None when it failed."""
+        value = self._next_value()
+        for text in ("BEGIN", f"WRITE {self._thing} {value}"):
+            words = await self._ask(text)
+            if "done" not in words:
+                await self._drop()
+                return None
+        return value
+
+    async def _transact(self) -> None:
+        value = await self._begin_and_write()
+        if value is not None:
+            await self._note_write(value, "", "COMMIT")
+
+    async def _roll_back(self) -> None:
+        if await self._begin_and_write() is not None:
+            await self._ask("ROLLBACK")
--- /dev/null
+++ b/features/soak/plan.py
@@ -0,0 +1,72 @@
+"""Which faults strike when: drawn from a seed."""
+
+from __future__ import annotations
+
+import enum
+import random
+from dataclasses import dataclass
+
+SHORTEST_GAP_S, LONGEST_GAP_S = 0.4, 1.8
+WIPE_SPACING_S = 8.0
+"""One lost disk is borne at a time; its controller has to be repaired before the next."""
+
+
+class FaultKind(enum.StrEnum):
+    """What may go wrong, always brought about from outside the programs."""
+
+    KILL_CONTROLLER = "kill-controller"
+    KILL_ALL_CONTROLLERS = "kill-all-controllers"
+    PAUSE_CONTROLLER = "pause-controller"
+    STOP_CONTROLLER = "stop-controller"
+    WIPE_CONTROLLER = "wipe-controller"
+    FILL_DISK = "fill-disk"
+    KILL_PROXY = "kill-proxy"
+    PAUSE_PROXY = "pause-proxy"
+    STOP_PROXY = "stop-proxy"
+    CRASH_PRIMARY = "crash-primary"
+    CRASH_REPLICA = "crash-replica"
+    LOSE_ANSWERS = "lose-answers"
+    BUSY_PRIMARY = "busy-primary"
+    LAG = "lag"
+    DELAY_LINK = "delay-link"
+    RESET_LINK = "reset-link"
+    CUT_TO_MEMBER = "cut-to-member"
+    CUT_FROM_MEMBER = "cut-from-member"
+    SILENCE_LINK = "silence-link"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault.
+
+    :param at_s: when it strikes, from the start of the load
+    :param for_s: how long it lasts
+    :param target: index of the controller, proxy or member that it strikes
+    """
+
+    kind: FaultKind
+    at_s: float
+    for_s: float
+    target: int
+
+    def __str__(self) -> str:
+        return f"{self.kind}/{self.target}@{self.at_s:.2f}+{self.for_s:.2f}"
+
+
+def draw_plan(seed: int, seconds: float) -> tuple[Fault, ...]:
+    """Return the faults of a seed within so many seconds."""
+    generator = random.Random(seed)
+    faults: list[Fault] = []
+    at_s = generator.uniform(SHORTEST_GAP_S, LONGEST_GAP_S)
+    last_wipe_s = -WIPE_SPACING_S
+    while at_s < seconds:
+        kind = generator.choice(list(FaultKind))
+        if kind is FaultKind.WIPE_CONTROLLER:
+            if at_s < last_wipe_s + WIPE_SPACING_S:
+                kind = FaultKind.KILL_CONTROLLER
+            else:
+                last_wipe_s = at_s
+        for_s = generator.uniform(0.3, 3.0)
+        faults.append(Fault(kind, at_s, for_s, generator.randrange(6)))
+        at_s += generator.uniform(SHORTEST_GAP_S, LONGEST_GAP_S)
+    return tuple(faults)
--- /dev/null
+++ b/features/soak/run.py
@@ -0,0 +1,153 @@
+"""Runs the soak: ``python -m features.soak.run SEEDS [SECONDS]``, such as ``1-5 20``.
+
+Each seed prints one line; one that breaks a promise prints the faults, what is broken and the
+folder of its logs, and the exit status is 1.
+"""
+
+from __future__ import annotations
+
+import shutil
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import curio
+
+from features.soak.checks import Violation, check
+from features.soak.load import DATABASE, SoakClient
+from features.soak.plan import Fault, draw_plan
+from features.soak.world import SoakDeployment, Striker
+from features.support.line_platform.deployment import CONTROLLERS, PROXIES
+
+DEFAULT_SECONDS = 15.0
+CLIENTS = 8
+START_LIMIT_S = 15.0
+RECOVERY_S = 10.0
+SETTLE_S = 3.0
+CHANGE_INTERVAL_S = 2.5
+CHANGE_LIMIT_S = 12.0
+HTTP_OK = 200
+
+
+@dataclass(frozen=True, slots=True)
+class SoakResult:
+    """What one seed gave."""
+
+    seed: int
+    plan: tuple[Fault, ...]
+    violations: tuple[Violation, ...]
+    served: int
+    writes: int
+    promotions: int
+    folder: Path
+
+
+class Operator:
+    """Sends configurations, each until it is acknowledged."""
+
+    def __init__(self, deployment: SoakDeployment) -> None:
+        self._deployment = deployment
+        self.unacknowledged: list[int] = []
+
+    async def change(self) -> None:
+        """Send the next version to one controller after the other until one takes it."""
+        deployment = self._deployment
+        deployment.version += 1
+        version = deployment.version
+        databases = (DATABASE, f"extra{version}")
+        end = time.monotonic() + CHANGE_LIMIT_S
+        while time.monotonic() < end:
+            for ip in CONTROLLERS:
+                if await deployment.send_configuration(version, databases, ip) == HTTP_OK:
+                    return
+            await curio.sleep(0.1)
+        self.unacknowledged.append(version)
+
+    async def run(self) -> None:
+        """Change the configuration again and again until cancelled."""
+        while True:
+            await curio.sleep(CHANGE_INTERVAL_S)
+            await self.change()
+
+
+async def _play(seed: int, seconds: float, folder: Path) -> SoakResult:
+    deployment = SoakDeployment(folder)
+    clients = [SoakClient(f"c{number}", PROXIES, seed) for number in range(CLIENTS)]
+    plan = draw_plan(seed, seconds)
+    operator = Operator(deployment)
+    try:
+        await deployment.start()
+        await operator.change()
+        await deployment.wait_until(
+            lambda: _all_ready(deployment), START_LIMIT_S, "all proxies ready"
+        )
+        tasks = [await curio.spawn(client.run) for client in clients]
+        tasks.append(await curio.spawn(operator.run))
+        await Striker(deployment, seed).run(plan)
+        await curio.sleep(RECOVERY_S)
+        healed_at = time.monotonic()
+        await curio.sleep(SETTLE_S)
+        for task in tasks:
+            await task.cancel()
+        await operator.change()
+    finally:
+        await deployment.stop()
+    records = [client.record for client in clients]
+    violations = check(records, deployment.group, healed_at)
+    violations += [
+        Violation("a change is acknowledged", f"version {version}")
+        for version in operator.unacknowledged
+    ]
+    return SoakResult(
+        seed,
+        plan,
+        tuple(violations),
+        sum(len(record.served) for record in records),
+        sum(len(record.writes) for record in records),
+        len(deployment.promotions),
+        folder,
+    )
+
+
+async def _all_ready(deployment: SoakDeployment) -> bool:
+    return all([await deployment.is_ready(ip) for ip in PROXIES])
+
+
+def run_soak(seed: int, seconds: float) -> SoakResult:
+    """Play one seed; its folder of logs stays only when a promise was broken."""
+    folder = Path(tempfile.mkdtemp(prefix=f"limedyke-soak-{seed}-"))
+    result = curio.run(_play, seed, seconds, folder)
+    if not result.violations:
+        shutil.rmtree(folder, ignore_errors=True)
+    return result
+
+
+def report(result: SoakResult) -> str:
+    """Return what a seed gave, as text."""
+    head = (
+        f"seed={result.seed} faults={len(result.plan)} served={result.served} "
+        f"writes={result.writes} promotions={result.promotions} "
+        f"violations={len(result.violations)}"
+    )
+    if not result.violations:
+        return head
+    lines = [head, f"  faults: {' '.join(map(str, result.plan))}", f"  logs: {result.folder}"]
+    return "\n".join([*lines, *(f"  {violation}" for violation in result.violations)])
+
+
+def main(arguments: list[str]) -> int:
+    """Play the seeds; return 1 when a promise was broken."""
+    first, _, last = (arguments[0] if arguments else "1").partition("-")
+    seconds = float(arguments[1]) if len(arguments) > 1 else DEFAULT_SECONDS
+    is_broken = False
+    for seed in range(int(first), int(last or first) + 1):
+        result = run_soak(seed, seconds)
+        print(report(result), flush=True)
+        is_broken = is_broken or bool(result.violations)
+    return int(is_broken)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/features/soak/world.py
@@ -0,0 +1,186 @@
+"""A deployment that restarts its processes, and the faults that strike it."""
+
+from __future__ import annotations
+
+import random
+import resource
+import shutil
+import signal
+import time
+from pathlib import Path
+
+import curio
+
+from features.soak.plan import Fault, FaultKind
+from features.soak.relay import MemberRelay
+from features.support.line_platform.deployment import CONTROLLERS, PROXIES, Deployment
+from features.support.line_platform.group import StandInMember
+
+RESTART_S = 0.3
+LOOK_S = 0.05
+BUSY_ANSWERS, LOST_ANSWERS = 40, 3
+LAG_S, DELAY_S = 0.6, 0.15
+CONTROLLER_PROGRAM, PROXY_PROGRAM = "run_controller.py", "run_proxy.py"
+
+
+class SoakDeployment(Deployment):
+    """Members stand behind relays; processes that end are started again, as on the platform."""
+
+    def __init__(self, folder: Path) -> None:
+        super().__init__(folder)
+        self.relays: dict[str, MemberRelay] = {}
+        self._is_over = False
+
+    async def start(self) -> None:
+        """Start everything."""
+        for name, member in self.group.members.items():
+            self.relays[name] = MemberRelay(member)
+            await self.relays[name].start()
+        await super().start()
+        await curio.spawn(self._supervise, daemon=True)
+
+    def address_of(self, member: StandInMember) -> str:
+        """Return the address of the member's relay."""
+        return self.relays[member.identity].address
+
+    async def stop(self) -> None:
+        """End everything that was started."""
+        self._is_over = True
+        await super().stop()
+
+    async def _supervise(self) -> None:
+        while not self._is_over:
+            for ip in (*CONTROLLERS, *PROXIES):
+                if self.process(ip).poll() is not None:
+                    await curio.spawn(self._restart, ip, daemon=True)
+            await curio.sleep(RESTART_S)
+
+    async def _restart(self, ip: str) -> None:
+        if self.process(ip).poll() is not None and not self._is_over:
+            program = CONTROLLER_PROGRAM if ip in CONTROLLERS else PROXY_PROGRAM
+            self.start_process(ip, program)
+
+
+class Striker:
+    """Brings faults about, and ends them.
+
+    :param seed: draws what a plan leaves open
+    """
+
+    def __init__(self, deployment: SoakDeployment, seed: int) -> None:
+        self._deployment = deployment
+        self._generator = random.Random(seed)
+
+    async def run(self, plan: tuple[Fault, ...]) -> None:
+        """Strike by a plan; return when the last fault has ended."""
+        began_at = time.monotonic()
+        async with curio.TaskGroup() as tasks:
+            for fault in plan:
+                await curio.sleep(max(0.0, began_at + fault.at_s - time.monotonic()))
+                await tasks.spawn(self._strike, fault)
+
+    async def _strike(self, fault: Fault) -> None:
+        controller = CONTROLLERS[fault.target % len(CONTROLLERS)]
+        proxy = PROXIES[fault.target % len(PROXIES)]
+        match fault.kind:
+            case FaultKind.KILL_CONTROLLER:
+                self._signal(controller, signal.SIGKILL)
+            case FaultKind.KILL_ALL_CONTROLLERS:
+                for ip in CONTROLLERS:
+                    self._signal(ip, signal.SIGKILL)
+            case FaultKind.STOP_CONTROLLER:
+                self._signal(controller, signal.SIGTERM)
+            case FaultKind.PAUSE_CONTROLLER:
+                await self._pause(controller, fault.for_s)
+            case FaultKind.WIPE_CONTROLLER:
+                await self._wipe(controller)
+            case FaultKind.FILL_DISK:
+                await self._fill_disk(controller, fault.for_s)
+            case FaultKind.KILL_PROXY:
+                self._signal(proxy, signal.SIGKILL)
+            case FaultKind.STOP_PROXY:
+                self._signal(proxy, signal.SIGTERM)
+            case FaultKind.PAUSE_PROXY:
+                await self._pause(proxy, fault.for_s)
+            case _:
+                await self._strike_members(fault)
+
+    def _signal(self, ip: str, number: signal.Signals) -> None:
+        process = self._deployment.process(ip)
+        if process.poll() is None:
+            process.send_signal(number)
+
+    async def _pause(self, ip: str, seconds: float) -> None:
+        process = self._deployment.process(ip)
+        self._signal(ip, signal.SIGSTOP)
+        await curio.sleep(seconds)
+        if process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+
+    async def _wipe(self, ip: str) -> None:
+        self._signal(ip, signal.SIGKILL)
+        while self._deployment.process(ip).poll() is None:
+            await curio.sleep(LOOK_S)
+        shutil.rmtree(self._deployment.data_folder(ip), ignore_errors=True)
+
+    async def _fill_disk(self, ip: str, seconds: float) -> None:
+        """Let no file of a controller grow, as on a full disk."""
+        process = self._deployment.process(ip)
+        if process.poll() is not None:
+            return
+        try:
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
+            await curio.sleep(seconds)
+            unlimited = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+            if process.poll() is None:
+                resource.prlimit(process.pid, resource.RLIMIT_FSIZE, unlimited)
+        except ProcessLookupError:
+            return
+
+    async def _strike_members(self, fault: Fault) -> None:
+        group = self._deployment.group
+        names = sorted(group.members)
+        member = group.members[names[fault.target % len(names)]]
+        match fault.kind:
+            case FaultKind.CRASH_PRIMARY:
+                await self._crash(group.primary, fault.for_s)
+            case FaultKind.CRASH_REPLICA:
+                if not member.is_primary:
+                    await self._crash(member, fault.for_s)
+            case FaultKind.LOSE_ANSWERS:
+                member.faults.lose_answers = LOST_ANSWERS
+            case FaultKind.BUSY_PRIMARY:
+                if group.primary is not None:
+                    group.primary.faults.busy = BUSY_ANSWERS
+            case FaultKind.LAG:
+                member.faults.lag_s = LAG_S
+                await curio.sleep(fault.for_s)
+                member.faults.lag_s = 0.0
+            case _:
+                await self._strike_link(fault, self._deployment.relays[member.identity])
+
+    async def _crash(self, member: StandInMember | None, seconds: float) -> None:
+        if member is None or member.task.terminated:
+            return
+        await self._deployment.group.crash(member.identity)
+        await curio.sleep(seconds)
+        if member.task.terminated:
+            await self._deployment.group.restart(member.identity)
+
+    async def _strike_link(self, fault: Fault, relay: MemberRelay) -> None:
+        trouble = relay.trouble
+        match fault.kind:
+            case FaultKind.RESET_LINK:
+                await relay.reset_all()
+                return
+            case FaultKind.DELAY_LINK:
+                trouble.delay_s = DELAY_S
+            case FaultKind.CUT_TO_MEMBER:
+                trouble.cut_to_member = True
+            case FaultKind.CUT_FROM_MEMBER:
+                trouble.cut_from_member = True
+            case FaultKind.SILENCE_LINK:
+                trouble.cut_to_member = trouble.cut_from_member = True
+        await curio.sleep(fault.for_s)
+        trouble.delay_s = 0.0
+        trouble.cut_to_member = trouble.cut_from_member = False
--- /dev/null
+++ b/features/steps/soak_steps.py
@@ -0,0 +1,99 @@
+"""Steps on the soak."""
+
+from __future__ import annotations
+
+from behave import given, step, then, when
+
+from features.soak.checks import check
+from features.soak.load import ClientRecord, ReadTold, WriteTold
+from features.soak.plan import draw_plan
+from features.soak.run import report, run_soak
+from features.support.line_platform.group import StandInGroup
+from features.support.line_platform.member_log import Commit, Run
+
+HEALED_AT = 10.0
+LAST_SERVED_AT = 11.0
+PLAN_S = 60.0
+
+
+def _commit(number, request_id):
+    return Commit(3, number, request_id, (("c0", f"v{number}"),))
+
+
+@given("soak: a sound history")
+def step_sound(context):
+    group = context.group = StandInGroup("g", ("a", "b"))
+    commits = [_commit(1, "w1"), _commit(2, "w2")]
+    for member in group.members.values():
+        member.log.commits = list(commits)
+    group.runs = [Run("a", "w1", "WRITE c0 v1", {}, False, 1.0)]
+    record = context.record = ClientRecord("c0", {"w1", "w2", "w3", "r1"})
+    record.writes = [
+        WriteTold("w1", "v1", "done", 1.0),
+        WriteTold("w2", "v2", "closed", 2.0),
+        WriteTold("w3", "v3", "BUSY", 3.0),
+    ]
+    record.reads = [ReadTold("r1", "v2", record.allowed_values(), 4.0)]
+    record.served = [LAST_SERVED_AT]
+
+
+@when("soak: a member ran what nobody asked")
+def step_foreign(context):
+    context.group.runs.append(Run("b", "x9", "READ c0", {}, False, 5.0))
+
+
+@when("soak: a write was committed twice")
+def step_twice(context):
+    context.group.members["a"].log.commits.append(_commit(3, "w1"))
+
+
+@when("soak: a refused write was committed")
+def step_refused(context):
+    context.group.members["a"].log.commits.append(_commit(3, "w3"))
+
+
+@when("soak: an acknowledged write is nowhere")
+def step_nowhere(context):
+    for member in context.group.members.values():
+        del member.log.commits[0]
+
+
+@when("soak: a session read an older value")
+def step_older(context):
+    allowed = context.record.allowed_values()
+    context.record.reads.append(ReadTold("r2", "v0", allowed, 5.0))
+
+
+@when("soak: a client was not served at the end")
+def step_unserved(context):
+    context.record.served = [HEALED_AT - 1]
+
+
+def _violations(context):
+    return check([context.record], context.group, HEALED_AT)
+
+
+@then('soak: the promise "{promise}" is broken')
+def step_broken(context, promise):
+    assert {violation.promise for violation in _violations(context)} == {promise}
+
+
+@then("soak: no promise is broken")
+def step_unbroken(context):
+    assert not _violations(context), _violations(context)
+
+
+@then("soak: seed {one:d} draws the same faults twice, and seed {other:d} others")
+def step_same(context, one, other):
+    assert draw_plan(one, PLAN_S) == draw_plan(one, PLAN_S) != draw_plan(other, PLAN_S)
+
+
+@when("soak: seed {seed:d} is played for {seconds:d} s")
+def step_played(context, seed, seconds):
+    context.result = run_soak(seed, seconds)
+
+
+@step("soak: it broke no promise, and served {count:d} statements")
+def step_result(context, count):
+    assert not context.result.violations, report(context.result)
+    assert context.result.served >= count, report(context.result)
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -80,17 +80,25 @@
             "internalPortRange": [FIRST_INTERNAL_PORT, FIRST_INTERNAL_PORT + 15],
             "seedNodes": [f"{seed}:{CONTROL_PORT}" for seed in CONTROLLERS],
             "bootstrap": bootstrap,
-            "dataDir": str(self._folder / ip) if is_controller else None,
+            "dataDir": str(self.data_folder(ip)) if is_controller else None,
             "heartbeatIntervalMs": int(HEARTBEAT_S * 1_000),
             "faultTolerance": {"machines": 1},
             "cloudApi": {"address": CLOUD_ADDRESS},
         }
 
+    def process(self, ip: str) -> subprocess.Popen:
+        """Return the newest process of a machine."""
+        return self._processes[ip]
+
     def kill(self, ip: str) -> None:
         """Kill a process."""
         self._processes[ip].kill()
         self._processes[ip].wait()
 
+    def data_folder(self, ip: str) -> Path:
+        """Return the data folder of a controller."""
+        return self._folder / ip
+
     async def stop(self) -> None:
         """End everything that was started."""
         for process in self._processes.values():
@@ -172,11 +180,15 @@
                     await self._announce(member)
             await curio.sleep(HEARTBEAT_S)
 
+    def address_of(self, member: StandInMember) -> str:
+        """Return where a member says that it is reached."""
+        return member.address
+
     async def _announce(self, member: StandInMember) -> None:
         """Announce a member at the first controller that acknowledges it."""
         body = {
             "service": GROUP,
-            "address": member.address,
+            "address": self.address_of(member),
             "zone": "z1",
             "version": "v1",
             "capacity": 3,
--- a/features/support/line_platform/group.py
+++ b/features/support/line_platform/group.py
@@ -59,6 +59,7 @@
         self.members[identities[0]].is_primary = True
         self.runs: list[Run] = []
         self.acknowledged: list[tuple[float, Commit]] = []
+        self.rolled_back: set[str] = set()
         self._numbers = itertools.count(1)
         self._signatures = itertools.count(1)
 
@@ -91,6 +92,16 @@
         for session in list(member.sessions):
             await session.abort()
 
+    async def restart(self, identity: str) -> None:
+        """Start a crashed member with its log: as primary, if no other was promoted meanwhile."""
+        member = self.members[identity]
+        member.is_primary = self.primary is None
+        lead = self.primary
+        if lead is not member:
+            member.log.commits = list(lead.log.commits)
+            member.log.applied = len(member.log.commits)
+        await self.start_member(member)
+
     async def stop(self) -> None:
         """End all members that still listen."""
         for name, member in self.members.items():
@@ -108,6 +119,7 @@
             log = member.log
             keep = len(lead.commits)
             if log.commits[keep:]:
+                self.rolled_back |= {commit.request_id for commit in log.commits[keep:]}
                 del log.commits[keep:]
                 log.applied = min(log.applied, keep)
 
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -39,12 +39,18 @@
 
 
 class LineClient:
-    """A client of the line protocol, on one end of a pair of sockets."""
+    """A client of the line protocol, on one end of a connection.
 
-    def __init__(self, sock: socket.socket) -> None:
+    :param prefix: begins the ids of its requests
+    :ivar request_id: of the last request
+    """
+
+    def __init__(self, sock: socket.socket, prefix: str = "q") -> None:
         self._socket = sock
         self._stream = sock.as_stream()
+        self._prefix = prefix
         self._next = 0
+        self.request_id = ""
 
     async def send(self, text: str) -> None:
         """Send lines as they are."""
@@ -68,7 +74,8 @@
     async def ask(self, text: str) -> str:
         """Ask a statement; return rows and outcome in few words."""
         self._next += 1
-        await self.send(f"QUERY q{self._next} {text}\r\n")
+        self.request_id = f"{self._prefix}{self._next}"
+        await self.send(f"QUERY {self.request_id} {text}\r\n")
         return summary(await self.answer())
 
     async def close(self) -> None:
