--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -4,7 +4,8 @@
 
   Scenario: platform: from the first configuration through the loss of the primary and a controller
     Given platform: all processes started empty
-    Then platform: a configuration with the database "db1" is acknowledged within 8 s
+    Then platform: no proxy is ready for 3 s, as nothing is declared
+    And platform: a configuration with the database "db1" is acknowledged within 8 s
     And platform: every proxy is ready within 5 s
     When platform: a client at the first proxy opens "db1"
     Then platform: it asks "WRITE x 1" and is told "done I" within 5 s
--- a/features/steps/platform_processes_steps.py
+++ b/features/steps/platform_processes_steps.py
@@ -69,6 +69,15 @@
     run(context, context.deployment.wait_until, ready, limit, "proxies ready")
 
 
+@then("platform: no proxy is ready for {seconds:d} s, as nothing is declared")
+def step_not_ready(context, seconds):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        for ip in PROXIES:
+            assert not run(context, context.deployment.is_ready, ip), ip
+        run(context, curio.sleep, RETRY_S)
+
+
 @when('platform: a client at the first proxy opens "{database}"')
 def step_client(context, database):
     context.client, told = run(context, open_session, PROXIES[0], database)
--- a/limedyke/proxy/forwarding_link.py
+++ b/limedyke/proxy/forwarding_link.py
@@ -155,7 +155,6 @@
             if silence > SILENCE_BEFORE_PROBE_S:
                 sequence += 1
                 await self._put_quietly(LinkProbe(sequence, False))
-        self.used_at = time.monotonic()
         return False
 
     async def _put_quietly(self, message: object) -> None:
