Wait for connections being opened before a member of the test refuses them

The step switched b to refuse and broke the connections that the pool had; one of the two warm connections that was being opened at that moment was taken by b (it checks at its start packet) and served reads. Ruled out: the product sending a read to a member that refuses (a connection opened after the switch is closed at once and counted as failed). Change: the step waits until the pools open nothing before it breaks what they hold. The assertion is as before.

--- a/features/steps/routing_outcomes_steps.py
+++ b/features/steps/routing_outcomes_steps.py
@@ -257,8 +257,14 @@
 
 
 def _refuse(context, member):
+    """Have a member refuse connections, and break those it has taken.
+
+    One that was being opened before the member refused is taken yet: it is waited for.
+    """
     set_switch(context, member, "refuse_connections", "on", "off")
-    gate_of(context, member).shut_all()
+    gate = gate_of(context, member)
+    context.lab.wait(lambda: not any(pool.get_stats().opening for pool in gate.pools.values()))
+    gate.shut_all()
 
 
 @when("outcomes: a read is refused in the end")
