Split the runner of statements; log and count each failed try, under a budget that is a setting

Each failed try is counted by reason and has a line (event=try-failed) with the recorded primary, its term and what is left of its lease, unless the try before failed alike; the budget of lines is the setting log_lines_per_second. The time spent waiting for a connection is a histogram. Removed: AnnouncementBook.was_heard, PrimaryPositions.newest_asked_at, StatementGroup.fence and MemberPool.open_connections, which nothing used or which stood twice. Ruled out: one line for every try (a busy primary brings one each 30 ms of each waiting statement).

--- /dev/null
+++ b/features/steps/statement_log_steps.py
@@ -0,0 +1,104 @@
+"""Steps on what a proxy logs and counts of statements."""
+
+from __future__ import annotations
+
+import time
+
+import logbook
+from behave import given, then, when
+
+from features.steps.statement_path_steps import step_write_at_once
+from limedyke.proxy.statements.line_budget import LineBudget
+from limedyke.proxy.statements.statement_log import StatementLog
+
+METRIC = "limedyke_statements_"
+
+
+@given("statement log: lines are kept")
+def step_keep(context):
+    handler = logbook.TestHandler()
+    handler.push_application()
+    context.add_cleanup(handler.pop_application)
+    context.lines = handler
+
+
+@given("statement log: lines are kept, {limit:d} a second at most")
+def step_keep_few(context, limit):
+    step_keep(context)
+    log: StatementLog = context.path.services.log
+    context.began_at = time.monotonic()
+    log._outcomes = LineBudget(limit, context.began_at)
+    log._tries = LineBudget(limit // 2, context.began_at)
+
+
+@when("statement log: {count:d} clients write at once")
+def step_write(context, count):
+    step_write_at_once(context, count)
+
+
+def _lines(context, event: str) -> list[str]:
+    messages = [record.message for record in context.lines.records]
+    return [message for message in messages if message.startswith(f"event={event} ")]
+
+
+def _lines_of_last(context, event: str) -> list[str]:
+    wanted = f" request={context.client.request_id} "
+    return [line for line in _lines(context, event) if wanted in line]
+
+
+@then('statement log: "{event}" of the last request says "{fields}"')
+def step_says(context, event, fields):
+    lines = _lines_of_last(context, event)
+    assert any(fields in line for line in lines), lines
+
+
+@then("statement log: nothing says that the last request was not served")
+def step_served(context):
+    assert not _lines_of_last(context, "not-served"), _lines(context, "not-served")
+
+
+@then('statement log: the last request has {count:d} lines "{event}"')
+def step_lines_of_last(context, count, event):
+    lines = _lines_of_last(context, event)
+    assert len(lines) == count, lines
+
+
+@then('statement log: {count:d} lines "{event}" were written, and {rate:d} a second more at most')
+def step_lines(context, count, event, rate):
+    lines = _lines(context, event)
+    most = count + rate * (time.monotonic() - context.began_at)
+    assert count <= len(lines) <= most, lines
+
+
+@given("statement log: a budget of {rate:d} lines a second")
+def step_budget(context, rate):
+    context.budget = LineBudget(rate, 0.0)
+
+
+@then("statement log: {asked:d} lines asked for at {seconds:f} s get {taken:d}")
+def step_taken(context, asked, seconds, taken):
+    assert sum(context.budget.take(seconds) for _ in range(asked)) == taken
+
+
+def _metric(context, name: str, labels: dict[str, str]) -> float:
+    value = context.path.registry.get_sample_value(METRIC + name, labels)
+    return value or 0.0
+
+
+@then('statement log: metrics count {count:d} failed tries for "{reason}"')
+def step_failed_tries(context, count, reason):
+    counted = _metric(context, "failed_tries_total", {"reason": reason})
+    assert counted == count, counted
+
+
+@then("statement log: metrics count what was left out")
+def step_left_out(context):
+    written = len(_lines(context, "not-served")) + len(_lines(context, "try-failed"))
+    answers = sum(
+        sample.value
+        for metric in context.path.registry.collect()
+        for sample in metric.samples
+        if sample.name == METRIC + "answers_total" and sample.labels["code"] != "done"
+    )
+    left_out = _metric(context, "log_lines_left_out_total", {})
+    assert left_out >= answers - written > 0, (left_out, answers, written)
--- a/features/support/statement_homes.py
+++ b/features/support/statement_homes.py
@@ -36,13 +36,12 @@
         self.zone = zone
         self.region = region
         self.metrics = StatementMetrics(new_registry())
-        runner = StatementRunner(zone, self.metrics)
+        log = StatementLog(self.metrics)
+        runner = StatementRunner(zone, self.metrics, log)
         self.groups = StatementGroups(
             path.settings, runner, LineMemberCodec, lambda: path.lease_ends_at
         )
-        self.service = StatementHomeService(
-            self.groups, runner, StatementLog(self.metrics), self.metrics
-        )
+        self.service = StatementHomeService(self.groups, runner, log, self.metrics)
         self.server = ForwardingServer(self.service, StatementUnit, refuse_unit)
         self.links: set[Link] = set()
         self.is_frozen = False
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -131,11 +131,12 @@
         self.registry = new_registry()
         metrics = StatementMetrics(self.registry)
         self.settings = settings
-        runner = StatementRunner("z2", metrics)
+        log = StatementLog(metrics)
+        runner = StatementRunner("z2", metrics, log)
         self.groups = StatementGroups(settings, runner, LineMemberCodec, lambda: self.lease_ends_at)
         self.links = HomeLinks(settings, Secrets({settings.cluster_key: "key"}))
         executor = StatementExecutor(self.groups, runner, StatementForwarding(self.links, metrics))
-        self.services = ClientServices(self.groups, executor, StatementLog(metrics))
+        self.services = ClientServices(self.groups, executor, log)
 
     async def start(self, connections: int = 4) -> None:
         """Start the members, and give the proxy its view and a lease."""
--- a/limedyke/core/control/announcements.py
+++ b/limedyke/core/control/announcements.py
@@ -44,10 +44,6 @@
         heard = self._heard.get(identity)
         return heard.at if heard is not None else self._started_at
 
-    def was_heard(self, identity: str) -> bool:
-        """Tell whether this leader has heard a member at all."""
-        return identity in self._heard
-
     def announced(self, member: AnnouncedMember, sequence: int, now: float) -> RecordMembers | None:
         """Take an announcement; return the entry that records it, or None when nothing is new.
 
--- a/limedyke/core/statements/primary_positions.py
+++ b/limedyke/core/statements/primary_positions.py
@@ -44,7 +44,3 @@
             if sample.asked_at >= since:
                 return sample.position
         return None
-
-    def newest_asked_at(self) -> float:
-        """Return when the newest sample was asked for; minus infinity when there is none."""
-        return self._samples[-1].asked_at if self._samples else float("-inf")
--- a/limedyke/proxy/statements/attempt.py
+++ b/limedyke/proxy/statements/attempt.py
@@ -1,4 +1,4 @@
-"""One statement on its way to a member: its time, and the pauses between its tries."""
+"""One statement on its way to a member: its time, its tries and the pauses between them."""
 
 from __future__ import annotations
 
@@ -7,58 +7,90 @@
 
 import curio
 
-from limedyke.core.statements.session import StatementSession, refusal
-from limedyke.messages.statements import StatementAnswer
+from limedyke.core.statements.session import RunOnMember, StatementSession, refusal
+from limedyke.messages.statements import AnswerKind, StatementAnswer
 from limedyke.proxy.statements.group import StatementGroup
+from limedyke.proxy.statements.statement_log import NotSent, StatementLog, Try
 from limedyke.result_codes import ResultCode
 
+MS_PER_S = 1_000.0
 RETRY_PAUSE_S = 0.03
 RETRY_AFTER_MS = 200
+HELD_SHARE_OF_TARGET = 0.2
+"""A statement that no member can run is held for so much of its target latency at most."""
 
 
 @dataclass(slots=True)
 class Attempt:
-    """One statement on its way: how long it has, and what was tried.
+    """One statement on its way: whose it is, how long it has, and what was tried.
 
+    :param log: gets a line for each try that failed
     :param deadline: when its time is over, seconds of the monotonic clock
     :param hold_until: how long it is held while no member can run it
     :param tried: identities of members that did not run it
     :param runs: how often a member may have run it
+    :param tries: how many tries failed
     :param last: why the last try failed, for the refusal
     """
 
+    session: StatementSession
+    run: RunOnMember
+    group: StatementGroup
+    log: StatementLog
     deadline: float
     hold_until: float
     tried: set[str] = field(default_factory=set)
     runs: int = 0
+    tries: int = 0
     last: str = "no member is known"
 
+    @classmethod
+    def begin(
+        cls, session: StatementSession, run: RunOnMember, group: StatementGroup, log: StatementLog
+    ) -> Attempt:
+        """Begin an attempt: its time counts from now."""
+        now = time.monotonic()
+        database = session.database
+        deadline = now + database.statement_timeout_ms / MS_PER_S
+        hold_until = now + HELD_SHARE_OF_TARGET * database.target_latency_ms / MS_PER_S
+        return cls(session, run, group, log, deadline, hold_until)
+
     def time_left(self) -> float:
         """Return the seconds left to the statement."""
         return self.deadline - time.monotonic()
 
-
-def give_up(code: ResultCode, attempt: Attempt, session: StatementSession) -> StatementAnswer:
-    """Refuse a statement that did not run; an open transaction fails with it."""
-    if session.transaction is not None:
-        session.fail_transaction()
-        return refusal(ResultCode.TRANSACTION_LOST, attempt.last, RETRY_AFTER_MS)
-    return refusal(code, attempt.last, RETRY_AFTER_MS)
-
-
-async def wait_for_primary(group: StatementGroup, attempt: Attempt) -> bool:
-    """Wait for a change of the primary while the statement may be held."""
-    left_s = min(attempt.hold_until, attempt.deadline) - time.monotonic()
-    if left_s <= 0.0:
-        return False
-    await curio.ignore_after(left_s, group.primary_changed.wait)
-    return time.monotonic() < attempt.hold_until
-
-
-async def pause(attempt: Attempt, until: float | None = None) -> bool:
-    """Pause before another attempt; False when the statement may not be held that long."""
-    limit = min(attempt.hold_until if until is None else until, attempt.deadline)
-    if time.monotonic() + RETRY_PAUSE_S >= limit:
-        return False
-    await curio.sleep(RETRY_PAUSE_S)
-    return True
+    def failed(self, reason: AnswerKind | NotSent, member: str = "") -> None:
+        """Note why a try failed; the log tells it when it is news.
+
+        :param member: the member that was tried, if one was
+        """
+        self.tries += 1
+        last = f"{reason} at {member}" if member else str(reason)
+        is_news = last != self.last
+        self.last = last
+        group = self.group
+        seen = Try(reason, member, group.primary, group.term, group.primary_lease_left_s(), is_news)
+        self.log.tried(self.run.statement, group.name, seen)
+
+    def give_up(self, code: ResultCode) -> StatementAnswer:
+        """Refuse the statement, which did not run; an open transaction fails with it."""
+        if self.session.transaction is not None:
+            self.session.fail_transaction()
+            return refusal(ResultCode.TRANSACTION_LOST, self.last, RETRY_AFTER_MS)
+        return refusal(code, self.last, RETRY_AFTER_MS)
+
+    async def wait_for_primary(self) -> bool:
+        """Wait for a change of the primary while the statement may be held."""
+        left_s = min(self.hold_until, self.deadline) - time.monotonic()
+        if left_s <= 0.0:
+            return False
+        await curio.ignore_after(left_s, self.group.primary_changed.wait)
+        return time.monotonic() < self.hold_until
+
+    async def pause(self, until: float | None = None) -> bool:
+        """Pause before another try; False when the statement may not be held that long."""
+        limit = min(self.hold_until if until is None else until, self.deadline)
+        if time.monotonic() + RETRY_PAUSE_S >= limit:
+            return False
+        await curio.sleep(RETRY_PAUSE_S)
+        return True
--- a/limedyke/proxy/statements/client.py
+++ b/limedyke/proxy/statements/client.py
@@ -26,8 +26,9 @@
     SessionRequested,
     StatementReceived,
 )
-from limedyke.proxy.statements.executor import StatementExecutor, TransactionPlace
+from limedyke.proxy.statements.executor import StatementExecutor
 from limedyke.proxy.statements.groups import StatementGroups
+from limedyke.proxy.statements.placed_answer import TransactionPlace
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.result_codes import ResultCode
 
@@ -245,5 +246,6 @@
         return plan
 
     async def _run(self, session: StatementSession, run: RunOnMember) -> StatementAnswer:
-        answer, self._place = await self._services.executor.run(session, run, self._place)
-        return answer
+        placed = await self._services.executor.run(session, run, self._place)
+        self._place = placed.place
+        return placed.answer
--- a/limedyke/proxy/statements/executor.py
+++ b/limedyke/proxy/statements/executor.py
@@ -3,17 +3,18 @@
 from __future__ import annotations
 
 from limedyke.core.statements.session import RunOnMember, StatementSession, refusal
-from limedyke.messages.statements import StatementAnswer
-from limedyke.proxy.statements.forwarding import ForwardedTransaction, StatementForwarding
+from limedyke.proxy.statements.forwarding import StatementForwarding
 from limedyke.proxy.statements.groups import StatementGroups
-from limedyke.proxy.statements.runner import PinnedConnection, StatementRunner
+from limedyke.proxy.statements.placed_answer import (
+    ForwardedTransaction,
+    PlacedAnswer,
+    TransactionPlace,
+)
+from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.result_codes import ResultCode
 
 UNDECLARED_RETRY_AFTER_MS = 200
 
-TransactionPlace = PinnedConnection | ForwardedTransaction
-"""Where a client's transaction is open: on a connection of this proxy, or at a home proxy."""
-
 
 class StatementExecutor:
     """Runs statements wherever connections of their group are leased."""
@@ -34,22 +35,24 @@
 
     async def run(
         self, session: StatementSession, run: RunOnMember, place: TransactionPlace | None
-    ) -> tuple[StatementAnswer, TransactionPlace | None]:
-        """Run a statement; return its answer, and where its transaction is open."""
+    ) -> PlacedAnswer:
+        """Run a statement.
+
+        :param place: where the client's transaction is open; None when none is
+        """
         if isinstance(place, ForwardedTransaction):
-            forwarded = await self._forwarding.run_in_transaction(session, run, place)
-            return forwarded.answer, forwarded.transaction
+            return await self._forwarding.run_in_transaction(session, run, place)
         group = self._groups.groups.get(session.database.group)
         if group is None:
             if place is not None:
                 await self.roll_back(place)
             session.fail_transaction()
             detail = "the group is not declared any more"
-            return refusal(ResultCode.NO_MEMBER, detail, UNDECLARED_RETRY_AFTER_MS), None
+            return PlacedAnswer(refusal(ResultCode.NO_MEMBER, detail, UNDECLARED_RETRY_AFTER_MS))
         if place is None and group.limit == 0:
             forwarded = await self._forwarding.run(session, run, group)
             if forwarded is not None:
-                return forwarded.answer, forwarded.transaction
+                return forwarded
         return await self._runner.run(session, run, group, place)
 
     async def roll_back(self, place: TransactionPlace) -> None:
@@ -57,11 +60,11 @@
         if isinstance(place, ForwardedTransaction):
             await self._forwarding.roll_back(place)
         else:
-            await self._runner.roll_back(place)
+            await place.roll_back()
 
     async def abandon(self, place: TransactionPlace) -> None:
         """End the transaction of a client that is gone; a statement may be under way."""
         if isinstance(place, ForwardedTransaction):
             await self._forwarding.roll_back(place)
         else:
-            await self._runner.abandon(place)
+            await place.abandon()
--- a/limedyke/proxy/statements/forwarding.py
+++ b/limedyke/proxy/statements/forwarding.py
@@ -5,13 +5,11 @@
 import dataclasses
 import itertools
 import time
-from dataclasses import dataclass
 
 import curio
 
 from limedyke.core.statements.session import RunOnMember, StatementSession, refusal
 from limedyke.messages.statements import (
-    StatementAnswer,
     StatementKind,
     StatementUnit,
     StatementUnitEnd,
@@ -21,6 +19,7 @@
 from limedyke.proxy.home_links import HomeLinks
 from limedyke.proxy.statements.attempt import RETRY_AFTER_MS, RETRY_PAUSE_S
 from limedyke.proxy.statements.group import StatementGroup
+from limedyke.proxy.statements.placed_answer import ForwardedTransaction, PlacedAnswer
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from limedyke.result_codes import ResultCode
 
@@ -37,25 +36,6 @@
 _TRY_ANOTHER = frozenset({ResultCode.DRAINING.value.number, ResultCode.NO_LEASE.value.number})
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardedTransaction:
-    """A client's transaction that is open at a home proxy.
-
-    :param number: among those of this proxy
-    """
-
-    link: HomeLink
-    number: int
-
-
-@dataclass(frozen=True, slots=True)
-class ForwardedAnswer:
-    """The answer to a forwarded statement, and where its transaction is open."""
-
-    answer: StatementAnswer
-    transaction: ForwardedTransaction | None = None
-
-
 class StatementForwarding:
     """Sends statements to home proxies; a transaction stays on one of them.
 
@@ -70,7 +50,7 @@
 
     async def run(
         self, session: StatementSession, run: RunOnMember, group: StatementGroup
-    ) -> ForwardedAnswer | None:
+    ) -> PlacedAnswer | None:
         """Run a statement that is in no open transaction yet.
 
         :returns: None when this proxy holds a lease by now and can run it itself
@@ -115,7 +95,7 @@
 
     async def run_in_transaction(
         self, session: StatementSession, run: RunOnMember, place: ForwardedTransaction
-    ) -> ForwardedAnswer:
+    ) -> PlacedAnswer:
         """Run a further statement of a transaction that is open at a home proxy."""
         unit = self._unit(session, run, place.number)
         limit_s = session.database.statement_timeout_ms / MS_PER_S
@@ -172,7 +152,7 @@
         end: StatementUnitEnd,
         link: HomeLink,
         transaction: int,
-    ) -> ForwardedAnswer:
+    ) -> PlacedAnswer:
         """Follow what the home proxy says of the session."""
         if end.answer.code == 0:
             session.ran(run)
@@ -183,11 +163,11 @@
         session.wrote_up_to(end.written)
         if end.status is not TransactionStatus.IN_TRANSACTION:
             link.transactions.discard(transaction)
-            return ForwardedAnswer(end.answer)
+            return PlacedAnswer(end.answer)
         link.transactions.add(transaction)
-        return ForwardedAnswer(end.answer, ForwardedTransaction(link, transaction))
+        return PlacedAnswer(end.answer, ForwardedTransaction(link, transaction))
 
-    def _lost(self, session: StatementSession, run: RunOnMember, detail: str) -> ForwardedAnswer:
+    def _lost(self, session: StatementSession, run: RunOnMember, detail: str) -> PlacedAnswer:
         """Say what is known of a statement whose home proxy gave no answer.
 
         An open transaction can't be committed any more: the home proxy rolls it back.
@@ -199,14 +179,14 @@
         else:
             session.fail_transaction()
         if run.writes and (is_commit or not is_in_transaction):
-            return ForwardedAnswer(refusal(ResultCode.OUTCOME_UNKNOWN, detail))
+            return PlacedAnswer(refusal(ResultCode.OUTCOME_UNKNOWN, detail))
         if is_in_transaction:
-            return ForwardedAnswer(refusal(ResultCode.TRANSACTION_LOST, detail, RETRY_AFTER_MS))
-        return ForwardedAnswer(refusal(ResultCode.READ_UNANSWERED, detail))
+            return PlacedAnswer(refusal(ResultCode.TRANSACTION_LOST, detail, RETRY_AFTER_MS))
+        return PlacedAnswer(refusal(ResultCode.READ_UNANSWERED, detail))
 
-    def _give_up(self, session: StatementSession, detail: str) -> ForwardedAnswer:
+    def _give_up(self, session: StatementSession, detail: str) -> PlacedAnswer:
         """Refuse a statement that did not run."""
         if session.transaction is not None:
             session.fail_transaction()
-            return ForwardedAnswer(refusal(ResultCode.TRANSACTION_LOST, detail, RETRY_AFTER_MS))
-        return ForwardedAnswer(refusal(ResultCode.NO_LEASE, detail, RETRY_AFTER_MS))
+            return PlacedAnswer(refusal(ResultCode.TRANSACTION_LOST, detail, RETRY_AFTER_MS))
+        return PlacedAnswer(refusal(ResultCode.NO_LEASE, detail, RETRY_AFTER_MS))
--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -31,7 +31,6 @@
         self.pools: dict[str, MemberPool] = {}
         self.positions = PrimaryPositions()
         self.primary = ""
-        self.fence = 0
         self.term = 0
         self.limit = 0
         self.exposed = ""
@@ -75,13 +74,16 @@
             self.exposed = identity
             await self._wake_waiting()
 
+    def primary_lease_left_s(self) -> float:
+        """Return for how long the recorded primary is surely the only one; negative when not."""
+        return self._lease_ends_at() - LEASE_MARGIN_S - time.monotonic()
+
     def is_surely_primary(self, identity: str) -> bool:
         """Tell whether a member is the recorded primary, and no other can be for a while.
 
         A statement that is sent now runs a little later: the lease must hold until then.
         """
-        surely_until = self._lease_ends_at() - LEASE_MARGIN_S
-        return identity == self.primary and time.monotonic() < surely_until
+        return identity == self.primary and self.primary_lease_left_s() > 0.0
 
     async def take_members(self, members: Mapping[str, AnnouncedMember]) -> None:
         """Take the recorded members of this group, by identity."""
@@ -128,7 +130,7 @@
 
     def most_open(self) -> int:
         """Return the connections held to the member with the most of them."""
-        return max((pool.open_connections for pool in self.pools.values()), default=0)
+        return max((pool.opened for pool in self.pools.values()), default=0)
 
     def learn_position(
         self, identity: str, asked_at: float, position: LogPosition | None, proven: bool
--- a/limedyke/proxy/statements/home_service.py
+++ b/limedyke/proxy/statements/home_service.py
@@ -17,7 +17,8 @@
 from limedyke.messages.work import AbandonWork, TransactionStatus
 from limedyke.proxy.executor import Relay
 from limedyke.proxy.statements.groups import StatementGroups
-from limedyke.proxy.statements.runner import PinnedConnection, StatementRunner
+from limedyke.proxy.statements.pinned_connection import PinnedConnection
+from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from limedyke.proxy.work_key import WorkKey
@@ -100,14 +101,14 @@
         run = RunOnMember(unit.statement, unit.begin, unit.writes, unit.prepared)
         pinned = held.pinned if held is not None else None
         try:
-            answer, pinned = await self._runner.run(session, run, group, pinned)
+            placed = await self._runner.run(session, run, group, pinned)
         except curio.CancelledError:
             if held is not None:
-                await self._runner.abandon(held.pinned)
+                await held.pinned.abandon()
             raise
-        if pinned is not None:
-            self._held[key] = _HeldTransaction(session, pinned)
-        return StatementUnitEnd(unit.stream, answer, session.status, session.written)
+        if placed.place is not None:
+            self._held[key] = _HeldTransaction(session, placed.place)
+        return StatementUnitEnd(unit.stream, placed.answer, session.status, session.written)
 
     async def abandon(self, work: AbandonWork, origin: str) -> None:
         """Stop a unit, or roll a transaction back."""
@@ -116,14 +117,14 @@
             await task.cancel(blocking=False)
         held = self._held.pop(WorkKey(origin, work.transaction), None)
         if held is not None:
-            await self._runner.roll_back(held.pinned)
+            await held.pinned.roll_back()
 
     async def abandon_origin(self, origin: str) -> None:
         """Roll back all transactions that came over a link that has ended."""
         for key in [key for key in self._held if key.origin == origin]:
             held = self._held.pop(key, None)
             if held is not None:
-                await self._runner.roll_back(held.pinned)
+                await held.pinned.roll_back()
 
 
 def _new_session(unit: StatementUnit) -> StatementSession:
--- /dev/null
+++ b/limedyke/proxy/statements/member_exchange.py
@@ -0,0 +1,111 @@
+"""One statement on one member connection: connects, sends, and learns from the answer."""
+
+from __future__ import annotations
+
+import time
+
+import curio
+
+from limedyke.messages.statements import AnswerKind, MemberAnswer
+from limedyke.messages.work import LogPosition, TransactionStatus
+from limedyke.proxy.statements.attempt import MS_PER_S, Attempt
+from limedyke.proxy.statements.member_connection import (
+    ConnectionLostError,
+    ConnectionRefusedByMemberError,
+)
+from limedyke.proxy.statements.member_pool import MemberPool, PoolClosedError, PoolTimeoutError
+from limedyke.proxy.statements.pinned_connection import PinnedConnection
+from limedyke.proxy.statements.statement_log import NotSent
+from limedyke.proxy.statements.statement_metrics import StatementMetrics
+
+SILENCE_S = 0.35
+"""A member that answers nothing at all for so long while a statement waits is silent."""
+CONNECTION_WAIT_SHARE = 0.5
+"""A statement waits for a connection for so much of its target latency at most."""
+
+
+class MemberExchange:
+    """Runs single statements on connections of pools.
+
+    :param metrics: counts what members answered
+    """
+
+    def __init__(self, metrics: StatementMetrics) -> None:
+        self._metrics = metrics
+
+    async def connect(self, pool: MemberPool, attempt: Attempt) -> PinnedConnection | None:
+        """Return a connection, or None when the member gives none."""
+        session = attempt.session
+        database = session.database
+        longest_s = CONNECTION_WAIT_SHARE * database.target_latency_ms / MS_PER_S
+        wait_s = min(attempt.time_left(), longest_s)
+        identity = pool.belief.record.identity
+        began_at = time.monotonic()
+        try:
+            connection = await pool.getconn(session.settings, database.priority, wait_s)
+        except ConnectionRefusedByMemberError as error:
+            pool.belief.is_busy(time.monotonic())
+            attempt.failed(error.answer.kind, identity)
+            return None
+        except ConnectionLostError:
+            attempt.failed(NotSent.NOT_CONNECTED, identity)
+            return None
+        except PoolTimeoutError:
+            attempt.failed(NotSent.NO_CONNECTION_FREE, identity)
+            return None
+        except PoolClosedError:
+            attempt.failed(NotSent.NO_LEASE, identity)
+            return None
+        finally:
+            self._metrics.waited_for_connection(time.monotonic() - began_at)
+        return PinnedConnection(pool, connection)
+
+    async def run(
+        self,
+        pinned: PinnedConnection,
+        attempt: Attempt,
+        after: LogPosition | None,
+        limit_s: float,
+    ) -> MemberAnswer:
+        """Run a statement on a connection for a limited time.
+
+        :param after: position that the member's log must hold
+        """
+        belief = pinned.pool.belief
+        run = attempt.run
+        started_at = time.monotonic()
+        try:
+            async with curio.timeout_after(max(0.0, limit_s)):
+                answer = await pinned.connection.run(
+                    run.statement, attempt.session.settings, run.begin, run.prepared, after
+                )
+        except curio.TaskTimeout:
+            if limit_s >= SILENCE_S and belief.contact_at < started_at:
+                belief.was_silent(time.monotonic())
+            self._metrics.member_answered(AnswerKind.TIMED_OUT, False, limit_s)
+            detail = f"no answer of {pinned.identity} in {limit_s:.3f} s"
+            return MemberAnswer(AnswerKind.TIMED_OUT, detail=detail)
+        except curio.CancelledError:
+            await pinned.abandon()
+            raise
+        self._learn(pinned, attempt, answer, started_at)
+        return answer
+
+    def _learn(
+        self, pinned: PinnedConnection, attempt: Attempt, answer: MemberAnswer, started_at: float
+    ) -> None:
+        """Take what an answer says of the member, and of the primary's position."""
+        now = time.monotonic()
+        belief = pinned.pool.belief
+        is_replica = pinned.identity != attempt.group.primary
+        self._metrics.member_answered(answer.kind, is_replica, now - started_at)
+        if answer.kind in (AnswerKind.LOST, AnswerKind.NOT_SENT):
+            belief.broke(now)
+            return
+        belief.answered(now, answer.position)
+        if answer.kind is AnswerKind.DONE:
+            belief.served(now - started_at)
+            is_commit = attempt.run.writes and answer.status is TransactionStatus.IDLE
+            attempt.group.learn_position(pinned.identity, started_at, answer.position, is_commit)
+        elif answer.kind is AnswerKind.BUSY:
+            belief.is_busy(now)
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/member_pool.py
@@ -59,6 +59,8 @@
 
     :param belief: what is known of the member; its load is kept here
     :param make_codec: makes the codec of a connection
+
+    :ivar opened: connections open or being opened
     """
 
     def __init__(
@@ -80,11 +82,6 @@
         self._waiters: list[tuple[int, int, int, _Waiter]] = []
         self._numbers = itertools.count()
 
-    @property
-    def open_connections(self) -> int:
-        """Connections open or being opened."""
-        return self.opened
-
     async def getconn(
         self, values: dict[str, str], priority: int, timeout_s: float
     ) -> MemberConnection:
--- /dev/null
+++ b/limedyke/proxy/statements/pinned_connection.py
@@ -0,0 +1,53 @@
+"""A member connection lent to one statement, or to a client's open transaction."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import curio
+
+from limedyke.messages.work import TransactionStatus
+from limedyke.proxy.statements.member_connection import MemberConnection
+from limedyke.proxy.statements.member_pool import MemberPool
+
+ROLL_BACK_TIMEOUT_S = 1.0
+
+
+@dataclass(slots=True)
+class PinnedConnection:
+    """A connection that is given back to its pool once."""
+
+    pool: MemberPool
+    connection: MemberConnection
+    is_given_back: bool = False
+
+    @property
+    def identity(self) -> str:
+        """The member at its other end."""
+        return self.pool.belief.record.identity
+
+    async def give_back(self) -> None:
+        """Give the connection back to its pool; further calls do nothing."""
+        if not self.is_given_back:
+            self.is_given_back = True
+            await self.pool.putconn(self.connection)
+
+    async def release(self) -> None:
+        """Give back a connection that should be in no transaction; one that is gets closed."""
+        if self.connection.status is not TransactionStatus.IDLE:
+            await self.connection.close()
+        await self.give_back()
+
+    async def abandon(self) -> None:
+        """Close the connection: the member rolls back what is open on it."""
+        await self.connection.close()
+        await self.give_back()
+
+    async def roll_back(self) -> None:
+        """End the transaction on the connection, and give the connection back."""
+        try:
+            async with curio.timeout_after(ROLL_BACK_TIMEOUT_S):
+                await self.connection.roll_back()
+        except curio.TaskTimeout:
+            await self.connection.close()
+        await self.give_back()
--- /dev/null
+++ b/limedyke/proxy/statements/placed_answer.py
@@ -0,0 +1,35 @@
+"""The answer to a client's statement, and where its transaction is open afterwards."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from limedyke.messages.statements import StatementAnswer
+from limedyke.proxy.forwarding_link import HomeLink
+from limedyke.proxy.statements.pinned_connection import PinnedConnection
+
+
+@dataclass(frozen=True, slots=True)
+class ForwardedTransaction:
+    """A client's transaction that is open at a home proxy.
+
+    :param number: among those of this proxy
+    """
+
+    link: HomeLink
+    number: int
+
+
+TransactionPlace = PinnedConnection | ForwardedTransaction
+"""Where a client's transaction is open: on a connection of this proxy, or at a home proxy."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedAnswer:
+    """An answer.
+
+    :param place: where the client's transaction is open now; None when none is
+    """
+
+    answer: StatementAnswer
+    place: TransactionPlace | None = None
--- /dev/null
+++ b/limedyke/proxy/statements/read_runner.py
@@ -0,0 +1,124 @@
+"""Runs reads: at a replica that is proved fresh enough, or at the primary."""
+
+from __future__ import annotations
+
+import time
+
+from limedyke.core.statements.routing import order_for_read
+from limedyke.messages.databases import Consistency
+from limedyke.messages.statements import NOT_RUN, AnswerKind
+from limedyke.messages.work import LogPosition
+from limedyke.proxy.statements.attempt import MS_PER_S, Attempt
+from limedyke.proxy.statements.member_exchange import MemberExchange
+from limedyke.proxy.statements.member_pool import MemberPool
+from limedyke.proxy.statements.member_questions import MemberQuestions
+from limedyke.proxy.statements.placed_answer import PlacedAnswer
+from limedyke.proxy.statements.settlement import settle_first
+from limedyke.proxy.statements.statement_log import NotSent
+from limedyke.result_codes import ResultCode
+
+READ_ATTEMPT_SHARE = 0.5
+"""A first attempt to read gets so much of the time, so that another member can be tried."""
+LEAST_ATTEMPT_S = 0.05
+STALENESS_MARGIN_S = 0.03
+
+
+class ReadRunner:
+    """Runs reads, and the first statements of transactions that only read.
+
+    :param zone: of this proxy
+    """
+
+    def __init__(self, zone: str, exchange: MemberExchange, questions: MemberQuestions) -> None:
+        self._zone = zone
+        self._exchange = exchange
+        self._questions = questions
+
+    async def run(self, attempt: Attempt) -> PlacedAnswer:
+        """Run a read; try member after member while none has run it."""
+        group = attempt.group
+        while True:
+            required = await self._required_position(attempt)
+            if required is None and not group.is_surely_primary(group.primary):
+                attempt.failed(NotSent.POSITION_UNPROVEN)
+                if not await attempt.pause():
+                    return PlacedAnswer(attempt.give_up(ResultCode.FRESHNESS_UNPROVEN))
+                continue
+            pool = self._choose(attempt, required)
+            if pool is None:
+                attempt.tried.clear()
+                if not await attempt.pause():
+                    return PlacedAnswer(attempt.give_up(ResultCode.NO_MEMBER))
+                continue
+            answer = await self._try_at(pool, attempt, required)
+            if answer is not None:
+                return answer
+
+    async def _try_at(
+        self, pool: MemberPool, attempt: Attempt, required: LogPosition | None
+    ) -> PlacedAnswer | None:
+        """Run a read at one member; None when another one should be tried."""
+        identity = pool.belief.record.identity
+        attempt.tried.add(identity)
+        pinned = await self._exchange.connect(pool, attempt)
+        if pinned is None:
+            return None
+        is_primary = attempt.group.is_surely_primary(identity)
+        if required is None and not is_primary:
+            await pinned.release()
+            return None
+        after = None if is_primary else required
+        limit_s = self._limit_s(attempt)
+        answer = await self._exchange.run(pinned, attempt, after, limit_s)
+        if answer.kind is AnswerKind.BEHIND:
+            pool.belief.was_behind(time.monotonic())
+        if answer.kind in NOT_RUN:
+            attempt.failed(answer.kind, identity)
+            await pinned.release()
+            return None
+        if answer.kind in (AnswerKind.LOST, AnswerKind.TIMED_OUT) and self._may_repeat(attempt):
+            attempt.failed(answer.kind, identity)
+            await pinned.abandon()
+            return None
+        return await settle_first(attempt.session, attempt.run, pinned, answer)
+
+    def _may_repeat(self, attempt: Attempt) -> bool:
+        """Count a read that may have run; tell whether it may be run again."""
+        attempt.runs += 1
+        is_time_left = attempt.time_left() > LEAST_ATTEMPT_S
+        return is_time_left and attempt.runs < attempt.session.database.maximum_attempts
+
+    def _choose(self, attempt: Attempt, required: LogPosition | None) -> MemberPool | None:
+        group = attempt.group
+        wants_primary = attempt.session.database.consistency is Consistency.PRIMARY
+        position = None if wants_primary and group.is_surely_primary(group.primary) else required
+        now = time.monotonic()
+        ordered = order_for_read(
+            group.beliefs, group.primary, position, self._zone, attempt.tried, now
+        )
+        return group.pools[ordered[0].record.identity] if ordered else None
+
+    async def _required_position(self, attempt: Attempt) -> LogPosition | None:
+        """Return a position that a replica must hold for this read; None when none is proved."""
+        group = attempt.group
+        session = attempt.session
+        database = session.database
+        if database.consistency is Consistency.PRIMARY:
+            if group.is_surely_primary(group.primary):
+                return None
+            return await self._questions.prove_position(group, attempt.time_left())
+        since = time.monotonic() - database.max_staleness_ms / MS_PER_S + STALENESS_MARGIN_S
+        position = group.positions.not_older_than(since)
+        if position is None and not group.is_surely_primary(group.primary):
+            position = await self._questions.prove_position(group, attempt.time_left())
+        if position is None:
+            return None
+        if database.consistency is Consistency.SESSION and session.written is not None:
+            return max(position, session.written)
+        return position
+
+    def _limit_s(self, attempt: Attempt) -> float:
+        left_s = attempt.time_left()
+        if attempt.runs + 1 >= attempt.session.database.maximum_attempts:
+            return left_s
+        return max(left_s * READ_ATTEMPT_SHARE, LEAST_ATTEMPT_S)
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -75,7 +75,8 @@
         self._make_client_codec = make_client_codec
         self._registry = new_registry()
         metrics = StatementMetrics(self._registry)
-        runner = StatementRunner(settings.zone, metrics)
+        log = StatementLog(metrics, settings.log_lines_per_second)
+        runner = StatementRunner(settings.zone, metrics, log)
         self._groups = StatementGroups(
             settings, runner, make_member_codec, lambda: self._control.primary_lease_ends_at
         )
@@ -83,7 +84,6 @@
         self._control = ControlClient(settings, secrets, store, self._groups)
         self._groups.reporter = self._control
         self._groups.on_view = self._take_view
-        log = StatementLog(metrics)
         self._links = HomeLinks(settings, secrets)
         forwarding = StatementForwarding(self._links, metrics)
         self._executor = StatementExecutor(self._groups, runner, forwarding)
--- a/limedyke/proxy/statements/settings.py
+++ b/limedyke/proxy/statements/settings.py
@@ -20,6 +20,7 @@
     source_ip: str = ""
     cluster_key: str = "cluster"
     log_level: str = "INFO"
+    log_lines_per_second: int = Field(default=50, ge=2)
     client_listen: Address
     ready_listen: Address
     status_listen: Address
--- a/limedyke/proxy/statements/statement_log.py
+++ b/limedyke/proxy/statements/statement_log.py
@@ -1,33 +1,78 @@
-"""Lines on statements: every refusal and failure, and one of many that were served."""
+"""Lines on statements: every refusal, failure and failed try; those served are summed up."""
 
 from __future__ import annotations
 
+import enum
 import time
+from dataclasses import dataclass
 
 from limedyke.event_log import EventLog
 from limedyke.messages.databases import Database
-from limedyke.messages.statements import Statement, StatementAnswer, StatementUnit
+from limedyke.messages.statements import (
+    AnswerKind,
+    Statement,
+    StatementAnswer,
+    StatementUnit,
+)
+from limedyke.proxy.statements.line_budget import LineBudget
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from limedyke.result_codes import CODE_BY_NUMBER, ResultCode
 
-LINES_PER_SECOND = 50
+DEFAULT_LINES_PER_SECOND = 50
+TRIES_SHARE = 0.5
+"""Lines on tries take so much of the budget at most: those on outcomes say more."""
 SUMMARY_INTERVAL_S = 10.0
+MS_PER_S = 1_000
 TRIED_ELSEWHERE = frozenset({ResultCode.NO_LEASE, ResultCode.DRAINING})
 EVENTS = EventLog("statements")
 
 
+class NotSent(enum.StrEnum):
+    """Why a statement was sent to no member."""
+
+    NO_PRIMARY = "no-primary-that-answers"
+    POSITION_UNPROVEN = "no-position-of-the-primary-is-proved"
+    NOT_CONNECTED = "not-connected"
+    NO_CONNECTION_FREE = "no-connection-came-free"
+    NO_LEASE = "no-lease-or-member-gone"
+
+
+@dataclass(frozen=True, slots=True)
+class Try:
+    """A try to run a statement that failed, and what was believed then.
+
+    :param reason: the member's answer, or why none was asked
+    :param member: that was tried; empty when none was
+    :param primary: the recorded primary, empty when there is none
+    :param term: of that record
+    :param lease_left_s: for how long it was surely the only one; negative when it was not
+    :param is_news: the statement's try before failed otherwise
+    """
+
+    reason: AnswerKind | NotSent
+    member: str
+    primary: str
+    term: int
+    lease_left_s: float
+    is_news: bool
+
+
 class StatementLog:
-    """Writes at most ``LINES_PER_SECOND`` lines a second; what is left out is counted.
+    """Writes a limited number of lines a second; what is left out is counted.
 
-    :param metrics: counts all answers
+    :param metrics: counts all answers and tries
+    :param lines_per_second: the limit
     """
 
-    def __init__(self, metrics: StatementMetrics) -> None:
+    def __init__(
+        self, metrics: StatementMetrics, lines_per_second: int = DEFAULT_LINES_PER_SECOND
+    ) -> None:
         self._metrics = metrics
-        self._budget = float(LINES_PER_SECOND)
-        self._filled_at = time.monotonic()
+        now = time.monotonic()
+        self._outcomes = LineBudget(lines_per_second, now)
+        self._tries = LineBudget(int(lines_per_second * TRIES_SHARE), now)
         self._left_out = 0
-        self._summed_at = time.monotonic()
+        self._summed_at = now
         self._served = 0
 
     def answered(
@@ -36,12 +81,13 @@
         """Take the answer to a statement."""
         code = CODE_BY_NUMBER.get(answer.code)
         label = code.label if code is not None else "done"
-        self._metrics.answered(statement.kind, label, time.monotonic() - started_at)
+        held_s = time.monotonic() - started_at
+        self._metrics.answered(statement.kind, label, held_s)
         if code is None:
             self._served += 1
             self._sum_up()
             return
-        if not self._may_write():
+        if not self._may_write(self._outcomes):
             return
         EVENTS.warning(
             "not-served",
@@ -52,7 +98,25 @@
             code=label,
             outcome=code.outcome,
             detail=answer.detail,
-            held_ms=int((time.monotonic() - started_at) * 1_000),
+            held_ms=int(held_s * MS_PER_S),
+            retry_after_ms=answer.retry_after_ms,
+        )
+
+    def tried(self, statement: Statement, group: str, seen: Try) -> None:
+        """Take a try that failed; the statement may be served by a later one."""
+        self._metrics.try_failed(seen.reason)
+        if not seen.is_news or not self._may_write(self._tries):
+            return
+        EVENTS.info(
+            "try-failed",
+            request=statement.request_id,
+            group=group,
+            kind=statement.kind,
+            reason=seen.reason,
+            member=seen.member or "none",
+            primary=seen.primary or "none",
+            term=seen.term,
+            primary_lease_left_s=round(seen.lease_left_s, 3),
         )
 
     def forwarded(self, unit: StatementUnit, answer: StatementAnswer, origin: str) -> None:
@@ -63,7 +127,7 @@
         :param origin: the link that it came over
         """
         code = CODE_BY_NUMBER.get(answer.code)
-        if code is None or code in TRIED_ELSEWHERE or not self._may_write():
+        if code is None or code in TRIED_ELSEWHERE or not self._may_write(self._outcomes):
             return
         EVENTS.warning(
             "forwarded-not-served",
@@ -80,20 +144,15 @@
         """Take a session that was not opened."""
         label = CODE_BY_NUMBER[answer.code].label
         self._metrics.session_refused(label)
-        if self._may_write():
+        if self._may_write(self._outcomes):
             EVENTS.info("session-refused", database=database, code=label)
 
-    def _may_write(self) -> bool:
-        now = time.monotonic()
-        filled = self._budget + (now - self._filled_at) * LINES_PER_SECOND
-        self._budget = min(filled, float(LINES_PER_SECOND))
-        self._filled_at = now
-        if self._budget < 1.0:
-            self._left_out += 1
-            self._metrics.lines_left_out.inc()
-            return False
-        self._budget -= 1.0
-        return True
+    def _may_write(self, budget: LineBudget) -> bool:
+        if budget.take(time.monotonic()):
+            return True
+        self._left_out += 1
+        self._metrics.lines_left_out.inc()
+        return False
 
     def _sum_up(self) -> None:
         now = time.monotonic()
--- a/limedyke/proxy/statements/statement_metrics.py
+++ b/limedyke/proxy/statements/statement_metrics.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 
 from limedyke.messages.statements import AnswerKind, StatementKind
@@ -44,6 +46,18 @@
             buckets=REQUEST_SECONDS_BUCKETS,
             registry=registry,
         )
+        self._failed_tries = Counter(
+            f"{PREFIX}failed_tries",
+            "Tries to run a statement that failed, by reason; a later one may have served it.",
+            ("reason",),
+            registry=registry,
+        )
+        self._connection_wait = Histogram(
+            f"{PREFIX}connection_wait_seconds",
+            "Time that a statement waited for a connection to a member.",
+            buckets=REQUEST_SECONDS_BUCKETS,
+            registry=registry,
+        )
         self._refused_sessions = Counter(
             f"{PREFIX}sessions_refused", "Sessions not opened.", ("code",), registry=registry
         )
@@ -72,6 +86,14 @@
         self._member_answers.labels(answer.value, role).inc()
         self._member_seconds.labels(role).observe(seconds)
 
+    def try_failed(self, reason: enum.StrEnum) -> None:
+        """Count a try that failed."""
+        self._failed_tries.labels(reason.value).inc()
+
+    def waited_for_connection(self, seconds: float) -> None:
+        """Count how long a statement waited for a connection."""
+        self._connection_wait.observe(seconds)
+
     def session_refused(self, code: str) -> None:
         """Count a session that was not opened."""
         self._refused_sessions.labels(code).inc()
