Let home proxies alone decide whether an announced primary is reached

The rule is the one of groups with declared members, now one function (vote_hold_s). Ruled out: counting only those that reported (one of two would do); leaving out home proxies that reach few members (an existing scenario, two of three home proxies that can't reach two members, shows why not). Tests: announced_members, 4 scenarios, failed first (nothing was asked; asked on the word of proxies that are no home proxies); 33 pass.

--- a/features/announced_members.feature
+++ b/features/announced_members.feature
@@ -48,6 +48,31 @@
       | a proxy has not confirmed           | r does not confirm, p q report a unreachable  | 1000 | not asked  |
       | its lease has run out               | r does not confirm, p q report a unreachable  | 3000 | asked of b |
 
+  Scenario: authority: most home proxies decide, however many other proxies there are
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    And authority: 9 more proxies that follow
+    When authority: all but 1 home proxies report a unreachable
+    And authority: 1000 ms pass
+    Then authority: promotion is asked of b
+
+  Scenario Outline: authority: few home proxies are heard: <why>
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    When authority: <event>
+    And authority: <ms> ms pass
+    Then authority: promotion is <outcome>
+
+    Examples:
+      | why                              | event                                    | ms   | outcome    |
+      | one alone, which can't reach it  | only p is heard, p reports a unreachable | 3300 | not asked  |
+      | the same for longer              | only p is heard, p reports a unreachable | 6000 | asked of b |
+
+  Scenario: authority: proxies that are no home proxies don't count
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    And authority: 9 more proxies that follow
+    When authority: all that are no home proxies report a unreachable
+    And authority: 1000 ms pass
+    Then authority: promotion is not asked
+
   Scenario: authority: recorded only when the member leads
     Given authority: primary a, replicas b and c, proxies p q r that follow
     When authority: p q report a unreachable
--- a/features/steps/announced_members_steps.py
+++ b/features/steps/announced_members_steps.py
@@ -84,6 +84,25 @@
     assert context.world.primary == "a", context.world.primary
 
 
+@given("authority: {count:d} more proxies that follow")
+def step_more_proxies(context, count):
+    context.world.add_proxies(f"s{number}" for number in range(count))
+    context.world.run(1.0)
+
+
+@when("authority: all but {count:d} home proxies report {member:w} unreachable")
+def step_homes_report(context, count, member):
+    homes = context.world.home_proxies()
+    context.world.report(" ".join(homes[count:]), member, MemberHealth.UNREACHABLE)
+
+
+@when("authority: all that are no home proxies report {member:w} unreachable")
+def step_others_report(context, member):
+    world = context.world
+    others = [name for name in world.proxies if name not in world.home_proxies()]
+    world.report(" ".join(others), member, MemberHealth.UNREACHABLE)
+
+
 @step("authority: nothing happens")
 def step_nothing(context):
     pass
@@ -95,6 +114,9 @@
     for part in proxies.split(", "):
         if part.endswith("does not confirm"):
             context.world.unconfirming.add(part[0])
+        elif part.endswith("is heard"):
+            others = [name for name in context.world.proxies if f" {name} " not in part]
+            context.world.unconfirming.update(others)
         elif part.endswith("is ahead"):
             context.world.report("p q r", part[0], MemberHealth.REACHABLE, position=900)
         elif " says " in part:
--- a/features/support/announced_world.py
+++ b/features/support/announced_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 from dataclasses import replace
 
 from features.support.control_builders import StateUnderTest
@@ -59,18 +60,33 @@
         self.sequences = dict.fromkeys(members, 1)
         self.calls: list[AskAuthority] = []
         self.heartbeats = 0
+        self.proxies = list(PROXIES)
         self.lead()
 
     def lead(self) -> None:
         """Let a new leader begin."""
         timing = ControlTiming(lease_s=30.0)
         self.leader = LeaderDecisions(self.test.state, timing, 3, random.Random(1), self.now)
-        for name in PROXIES:
-            self.post(ProxyConnected(ProxyHello(name, 1, f"127.1.0.{ord(name)}:1", "z", 0, 0)))
-            self.beat(name, first=True)
+        for name in self.proxies:
+            self._connect(name)
         for name in self.members:
             self.announce(name)
 
+    def add_proxies(self, names: Iterable[str]) -> None:
+        """Let further proxies connect."""
+        for name in names:
+            self.proxies.append(name)
+            self._connect(name)
+
+    def _connect(self, name: str) -> None:
+        address = f"127.1.0.{len(name)}:{ord(name[-1])}"
+        self.post(ProxyConnected(ProxyHello(name, 1, address, "z", 0, 0)))
+        self.beat(name, first=True)
+
+    def home_proxies(self) -> tuple[str, ...]:
+        """Return the home proxies of the group."""
+        return self.leader.homes.homes(GROUP)
+
     def post(self, *events: object) -> None:
         """Hand events in, and carry out what is decided."""
         for event in events:
@@ -132,7 +148,7 @@
         next_beat = self.now + INTERVAL_S
         while self.now < end - 1e-9:
             self.now += STEP_S
-            for name in PROXIES:
+            for name in self.proxies:
                 if name not in self.unconfirming:
                     self.beat(name)
             if self.now >= next_beat:
--- a/limedyke/core/control/authority_failover.py
+++ b/limedyke/core/control/authority_failover.py
@@ -16,8 +16,10 @@
 from limedyke.core.control.events import AskAuthority, AuthorityOutcome, NoteDecision, Propose
 from limedyke.core.control.lease_table import reissue_after_s
 from limedyke.core.control.membership import ProxyMembership
+from limedyke.core.control.primary_doubt import vote_hold_s
 from limedyke.core.control.proposal_batch import ProposalBatch
 from limedyke.core.control.timing import ControlTiming
+from limedyke.core.home import HomeDirectory
 from limedyke.messages.control import (
     GroupPrimary,
     MemberHealth,
@@ -80,6 +82,7 @@
     :param proxies: the recorded proxies by name, read only
     :param book: when members were heard
     :param membership: when proxies were heard, and what they have confirmed
+    :param homes: the home proxies of each group: only they hold connections, and so judge members
     :param now: when this controller began to lead
     """
 
@@ -90,9 +93,11 @@
         proxies: Mapping[str, ProxyRecord],
         book: AnnouncementBook,
         membership: ProxyMembership,
+        homes: HomeDirectory,
         timing: ControlTiming,
         now: float,
     ) -> None:
+        self._homes = homes
         self._primaries = primaries
         self._members = members
         self._proxies = proxies
@@ -255,25 +260,27 @@
             return "", 0.0
         if member.state is MemberState.DRAINING:
             return "it is draining", 0.0
-        live = [name for name in self._proxies if self._membership.is_live(name, now)]
-        votes = [
-            report.health
-            for (proxy, name), report in care.reports.items()
-            if name == primary and proxy in live
-        ]
-        unreachable = votes.count(MemberHealth.UNREACHABLE)
-        if unreachable * 2 > len(live):
-            return (
-                f"{unreachable} of {len(live)} proxies can't reach it",
-                self._timing.report_hold_s,
-            )
+        homes = self._homes.homes(group)
+        live = {name for name in homes if self._membership.is_live(name, now)}
+        votes = {name for name in live if self._cannot_reach(care, name, primary)}
+        majority = len(homes) // 2 + 1
+        hold_s = vote_hold_s(votes, live, majority, self._timing.report_hold_s, self._timing)
+        if hold_s is not None:
+            counted = f"{len(votes)} of {len(homes)} home proxies, {len(live)} of them heard"
+            return f"{counted}, can't reach it", hold_s
         silent_s = now - self._book.heard_at(primary)
-        if silent_s > self._timing.member_silence_s and unreachable:
-            return f"silent for {silent_s:.1f} s, {unreachable} can't reach it", 0.0
-        if silent_s > self._timing.member_silence_s and not votes:
+        if silent_s <= self._timing.member_silence_s:
+            return "", 0.0
+        if votes:
+            return f"silent for {silent_s:.1f} s, {len(votes)} can't reach it", 0.0
+        if not any((name, primary) in care.reports for name in live):
             return f"silent for {silent_s:.1f} s, and nobody reaches it", 0.0
         return "", 0.0
 
+    def _cannot_reach(self, care: _Care, proxy: str, member: str) -> bool:
+        report = care.reports.get((proxy, member))
+        return report is not None and report.health is MemberHealth.UNREACHABLE
+
     def _candidates(
         self, group: str, care: _Care, leaving: str, now: float
     ) -> list[AnnouncedMember]:
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -94,6 +94,7 @@
             state.proxies,
             self.announcements,
             self.membership,
+            self.homes,
             timing,
             now,
         )
--- a/limedyke/core/control/primary_doubt.py
+++ b/limedyke/core/control/primary_doubt.py
@@ -53,10 +53,26 @@
         self, watch: GroupWatch, votes: set[str], live: set[str], majority_hold_s: float
     ) -> float | None:
         """Return how long these votes must last, or None when they are too few."""
-        if not votes:
-            return None
-        if len(votes) >= watch.majority:
-            return majority_hold_s
-        if len(live) < watch.majority and votes.issuperset(live):
-            return max(majority_hold_s, self._timing.few_observers_hold_s)
+        return vote_hold_s(votes, live, watch.majority, majority_hold_s, self._timing)
+
+
+def vote_hold_s(
+    votes: set[str],
+    live: set[str],
+    majority: int,
+    majority_hold_s: float,
+    timing: ControlTiming,
+) -> float | None:
+    """Return how long votes against a primary must last, or None when they are too few.
+
+    :param votes: live home proxies that vote against it
+    :param live: home proxies that are heard
+    :param majority: of all home proxies, heard or not
+    """
+    if not votes:
         return None
+    if len(votes) >= majority:
+        return majority_hold_s
+    if len(live) < majority and votes.issuperset(live):
+        return max(majority_hold_s, timing.few_observers_hold_s)
+    return None
