Load only what a process needs, without looking for garbage meanwhile

A proxy loaded the settings of all processes, YAML, the metrics of PostgreSQL's proxy and with them its routing. Change: settings are a package of one module per process, reading files apart; metrics of proxy and controller lie with them; the platform's node file, proxy and controller settings are three modules; the control client names the settings it uses as a protocol; programs on the platform look for no garbage before they have started, and seldom afterwards (as the PostgreSQL proxy did already).

--- a/features/soak/relay.py
+++ b/features/soak/relay.py
@@ -9,7 +9,7 @@
 from curio import socket
 
 from features.support.line_platform.group import StandInMember
-from limedyke.settings import split_address
+from limedyke.addresses import split_address
 
 RECEIVE_BYTES = 64 * 1024
 LOOK_S = 0.02
--- a/features/steps/foundation_http_status_steps.py
+++ b/features/steps/foundation_http_status_steps.py
@@ -6,7 +6,8 @@
 from behave import given, then, when
 
 from limedyke.core.routing import RoutingReason
-from limedyke.metrics import ProxyMetrics, new_registry
+from limedyke.metrics import new_registry
+from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.result_codes import ResultCode
 from limedyke.transport.http_status import ReadyState, StatusListenError, serve_status
 from limedyke.transport.link import listen
--- a/features/steps/foundation_metrics_steps.py
+++ b/features/steps/foundation_metrics_steps.py
@@ -9,6 +9,7 @@
 from prometheus_client import CollectorRegistry
 
 from limedyke.controller.leader_meter import LeaderMeter
+from limedyke.controller.metrics import ControllerMetrics
 from limedyke.core.control.events import (
     AnswerHeartbeat,
     DisconnectProxy,
@@ -26,8 +27,9 @@
     MemberReport,
     PromoteOrder,
 )
-from limedyke.metrics import ControllerMetrics, ProxyMetrics, new_registry
+from limedyke.metrics import new_registry
 from limedyke.proxy.back_ends import BackEndStats
+from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.proxy.pool_gauges import PoolGauges
 
 ROOT = Path(__file__).resolve().parents[2]
--- a/features/steps/foundation_settings_steps.py
+++ b/features/steps/foundation_settings_steps.py
@@ -11,14 +11,10 @@
 
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.result_codes import ResultCode
-from limedyke.settings import (
-    CommonSettings,
-    ControllerSettings,
-    ProxySettings,
-    Secrets,
-    TlsSettings,
-    load_settings,
-)
+from limedyke.settings.base import CommonSettings
+from limedyke.settings.controller import ControllerSettings
+from limedyke.settings.files import load_secrets, load_settings
+from limedyke.settings.proxy import ProxySettings, TlsSettings
 
 ROOT = Path(__file__).resolve().parents[2]
 COMMON = {
@@ -99,7 +95,7 @@
 def step_secrets(context, name, value):
     path = context.folder / "secrets.yaml"
     path.write_text(yaml.safe_dump({name: value}))
-    context.secrets = Secrets.load(path).unwrap()
+    context.secrets = load_secrets(path).unwrap()
 
 
 @then('settings: the secret "{name}" is "{value}"')
--- a/features/steps/lab_fleet_steps.py
+++ b/features/steps/lab_fleet_steps.py
@@ -8,8 +8,8 @@
 import psycopg
 from behave import given, then, when
 
+from limedyke.addresses import split_address
 from limedyke.postgres.member_batch import DUPLICATE_TEXT
-from limedyke.settings import split_address
 from limedyke_lab.fleet.fleet import Fleet, FleetOptions
 from limedyke_lab.fleet.secrets import client_password
 from limedyke_lab.load import statements
--- a/features/steps/scale_links_steps.py
+++ b/features/steps/scale_links_steps.py
@@ -23,7 +23,8 @@
 from limedyke.proxy import forwarding_link, forwarding_server
 from limedyke.proxy.control_view import ControlView
 from limedyke.proxy.forwarding import ForwardingExecutor
-from limedyke.settings import ProxySettings, Secrets
+from limedyke.settings.proxy import ProxySettings
+from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import LinkClosedError, LinkIdentity, listen, serve_links
 from limedyke_lab.scale.forwarding_links import Direction, fit_line, measure_links
 from limedyke_lab.scale.linked_proxy import make_unit
--- a/features/support/back_end_lab.py
+++ b/features/support/back_end_lab.py
@@ -22,7 +22,8 @@
 from limedyke.messages.work import Access, LogPosition, WorkUnit
 from limedyke.proxy.back_ends import BackEnds
 from limedyke.proxy.control_view import ControlView
-from limedyke.settings import ProxySettings, Secrets
+from limedyke.settings.proxy import ProxySettings
+from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkIdentity, listen, serve_links
 
 PASSWORDS = {"lab_admin": "lab", "limedyke_admin": "admin", "app": "one", "app2": "two"}
--- a/features/support/client_side_process.py
+++ b/features/support/client_side_process.py
@@ -17,6 +17,7 @@
 from prometheus_client import CollectorRegistry
 
 from features.support.scripted_back_end import ScriptedBackEnd
+from limedyke.addresses import split_address
 from limedyke.core.client_exchange import Moment, SessionCommand
 from limedyke.core.session import Session
 from limedyke.core.session_context import SessionContext
@@ -25,7 +26,6 @@
 from limedyke.event_log import start_logging
 from limedyke.messages.declaration import Group, Tenant, TenantAccess, User
 from limedyke.messages.work import AnswerEnd
-from limedyke.metrics import ProxyMetrics
 from limedyke.postgres.frontend import LoginPolicy
 from limedyke.proxy.client_connection import ClientConnection
 from limedyke.proxy.client_registry import ClientRegistry
@@ -35,9 +35,10 @@
 from limedyke.proxy.control_view import ControlView
 from limedyke.proxy.drain import drain_proxy
 from limedyke.proxy.login_directory import LoginDirectory
+from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.scram_verifier import make_verifier
-from limedyke.settings import TlsSettings, split_address
+from limedyke.settings.proxy import TlsSettings
 from limedyke.stop_signal import StopSignal
 from limedyke.transport.link import listen
 
--- a/features/support/operators_lab.py
+++ b/features/support/operators_lab.py
@@ -17,8 +17,8 @@
     SECRETS,
     ControllerLab,
 )
+from limedyke.addresses import split_address
 from limedyke.scram_verifier import make_verifier
-from limedyke.settings import split_address
 from limedyke.transport.link import LinkClosedError, LinkIdentity, dial
 
 SILENCE_S = 0.5
--- a/features/support/scripted_controller.py
+++ b/features/support/scripted_controller.py
@@ -31,7 +31,8 @@
 from limedyke.proxy.control_client import ControlClient
 from limedyke.proxy.control_store import ControlStore
 from limedyke.proxy.control_view import ControlView
-from limedyke.settings import ProxySettings, Secrets
+from limedyke.settings.proxy import ProxySettings
+from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkIdentity, listen, serve_links
 
 KEY = b"cluster-key"
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -29,7 +29,7 @@
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
-from limedyke.settings import Secrets
+from limedyke.settings.secrets import Secrets
 from line_protocol import LineClientCodec, LineMemberCodec
 
 GROUP = "g"
--- a/limedyke/cli.py
+++ b/limedyke/cli.py
@@ -18,14 +18,11 @@
 from limedyke.event_log import start_logging
 from limedyke.log_explanation import as_text as as_explanation
 from limedyke.log_explanation import explain as explain_request
-from limedyke.settings import (
-    EXIT_SETTINGS_INVALID,
-    CommonSettings,
-    ControllerSettings,
-    ProxySettings,
-    Secrets,
-    load_settings,
-)
+from limedyke.settings.base import EXIT_SETTINGS_INVALID, CommonSettings
+from limedyke.settings.controller import ControllerSettings
+from limedyke.settings.files import load_secrets, load_settings
+from limedyke.settings.proxy import ProxySettings
+from limedyke.settings.secrets import Secrets
 
 HELP_FLAGS = ("--help", "-h")
 
@@ -42,7 +39,7 @@
         print(loaded.err_value, file=sys.stderr)
         raise SystemExit(EXIT_SETTINGS_INVALID)
     checked = loaded.ok_value
-    secrets = Secrets.load(checked.secrets_file)
+    secrets = load_secrets(checked.secrets_file)
     if isinstance(secrets, Err):
         print(secrets.err_value, file=sys.stderr)
         raise SystemExit(EXIT_SETTINGS_INVALID)
--- a/limedyke/cli_command.py
+++ b/limedyke/cli_command.py
@@ -20,7 +20,7 @@
 from limedyke.messages.operator import Refused
 from limedyke.operator_client import OperatorClient, failure_of, load_operator
 from limedyke.result_codes import Failure, ResultCode
-from limedyke.settings import EXIT_SETTINGS_INVALID
+from limedyke.settings.base import EXIT_SETTINGS_INVALID
 
 EXIT_REFUSED = 1
 EXIT_UNKNOWN = 3
--- a/limedyke/cli_operator.py
+++ b/limedyke/cli_operator.py
@@ -28,7 +28,7 @@
 from limedyke.operator_client import new_request_id
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.scram_verifier import make_verifier
-from limedyke.settings import EXIT_SETTINGS_INVALID
+from limedyke.settings.base import EXIT_SETTINGS_INVALID
 
 PRESENT_REVISION = "-1"
 DEFAULT_HISTORY = "50"
--- a/limedyke/controller/keys.py
+++ b/limedyke/controller/keys.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from limedyke.messages.handshake import PeerRole
-from limedyke.settings import ControllerSettings, Secrets
+from limedyke.settings.controller import ControllerSettings
+from limedyke.settings.secrets import Secrets
 
 
 class ControllerKeys:
--- a/limedyke/controller/leader_meter.py
+++ b/limedyke/controller/leader_meter.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from limedyke.controller.metrics import ControllerMetrics
 from limedyke.core.control.events import (
     AnswerHeartbeat,
     DisconnectProxy,
@@ -13,7 +14,7 @@
 )
 from limedyke.core.control.leader import LEASES_RUN_OUT
 from limedyke.messages.control import ControlUpdate, LeaseUpdate, PromoteOrder
-from limedyke.metrics import ControllerMetrics, PromotionOutcome
+from limedyke.metrics import PromotionOutcome
 
 GRANTED = "granted"
 TAKEN_BACK = "taken-back"
--- a/limedyke/controller/leader_service.py
+++ b/limedyke/controller/leader_service.py
@@ -10,6 +10,7 @@
 from limedyke.controller.clock import boot_seconds
 from limedyke.controller.leader_meter import LeaderMeter
 from limedyke.controller.mailbox import Mailbox
+from limedyke.controller.metrics import ControllerMetrics
 from limedyke.controller.news import NewsBoard
 from limedyke.controller.platform_list import PlatformListReader
 from limedyke.controller.promotion_authority import PromotionAuthority
@@ -32,7 +33,6 @@
 from limedyke.core.control.timing import ControlTiming
 from limedyke.event_log import EventLog
 from limedyke.messages.control import ControlUpdate, PromoteOrder, ProxyHello, QuorumStamp
-from limedyke.metrics import ControllerMetrics
 
 DECISION_INTERVAL_S = 0.05
 EVENTS_AT_ONCE = 64
--- a/limedyke/controller/operator_requests.py
+++ b/limedyke/controller/operator_requests.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from limedyke.controller.leader_service import LeaderService
+from limedyke.controller.metrics import ControllerMetrics
 from limedyke.controller.operator_changes import ControllerChanges
 from limedyke.controller.refusal import refused
 from limedyke.controller.replica import Replica
@@ -28,7 +29,6 @@
     SwitchoverAnswer,
     SwitchoverRequest,
 )
-from limedyke.metrics import ControllerMetrics
 from limedyke.result_codes import CODE_BY_NUMBER, Failure, ResultCode
 
 PRESENT_REVISION = -1
--- a/limedyke/controller/replica.py
+++ b/limedyke/controller/replica.py
@@ -11,6 +11,7 @@
 
 from limedyke.controller.clock import boot_seconds
 from limedyke.controller.mailbox import Mailbox
+from limedyke.controller.metrics import ControllerMetrics
 from limedyke.controller.peer_network import PeerMessage, PeerNetwork
 from limedyke.controller.pending_requests import PendingRequests
 from limedyke.controller.snapshot_schedule import SnapshotSchedule
@@ -60,7 +61,6 @@
 )
 from limedyke.messages.control import ControlUpdate
 from limedyke.messages.control_entries import ControlEntry, pack_entry, unpack_entry
-from limedyke.metrics import ControllerMetrics
 from limedyke.result_codes import Failure
 from limedyke.storage.agreement_storage import AgreementStorage
 
--- a/limedyke/controller/server.py
+++ b/limedyke/controller/server.py
@@ -31,7 +31,9 @@
 from limedyke.messages.control import ControlUpdate, NotLeader, ProxyHello
 from limedyke.messages.control_entries import recorded_addresses
 from limedyke.messages.handshake import PeerRole
-from limedyke.settings import EXIT_SETTINGS_INVALID, ControllerPeer, ControllerSettings, Secrets
+from limedyke.settings.base import EXIT_SETTINGS_INVALID
+from limedyke.settings.controller import ControllerPeer, ControllerSettings
+from limedyke.settings.secrets import Secrets
 from limedyke.stop_signal import StopSignal
 from limedyke.storage.agreement_storage import AgreementStorage
 from limedyke.storage.durable_log import DurableLog
--- a/limedyke/controller/status_pages.py
+++ b/limedyke/controller/status_pages.py
@@ -9,10 +9,11 @@
 
 from limedyke.controller.clock import boot_seconds
 from limedyke.controller.leader_service import LeaderService
+from limedyke.controller.metrics import ControllerMetrics
 from limedyke.controller.replica import Replica
 from limedyke.core.agreement.commands import Role
 from limedyke.messages.control import ProxyState
-from limedyke.metrics import ControllerMetrics, new_registry
+from limedyke.metrics import new_registry
 from limedyke.transport.http_status import ReadyState, serve_status
 
 REFRESH_S = 1.0
--- a/limedyke/controller/timings.py
+++ b/limedyke/controller/timings.py
@@ -4,7 +4,7 @@
 
 from limedyke.core.agreement import AgreementTiming
 from limedyke.core.control.timing import ControlTiming
-from limedyke.settings import ControllerSettings
+from limedyke.settings.controller import ControllerSettings
 
 MILLISECONDS = 1000
 
--- a/limedyke/declaration_checks.py
+++ b/limedyke/declaration_checks.py
@@ -6,7 +6,7 @@
 
 from limedyke.declaration_models import GroupModel
 from limedyke.declaration_places import Located, Problem, line_at
-from limedyke.settings import Model
+from limedyke.settings.base import Model
 
 PROBE_CONNECTIONS = 3
 
--- a/limedyke/declaration_file.py
+++ b/limedyke/declaration_file.py
@@ -20,7 +20,7 @@
 from limedyke.declaration_places import Located, Problem, child, join_key, line_at
 from limedyke.messages.declaration import Declaration
 from limedyke.result_codes import Failure, ResultCode
-from limedyke.settings import Model
+from limedyke.settings.base import Model
 
 _MODEL_OF_SECTION: dict[str, type[Model]] = {
     "tenants": TenantModel,
--- a/limedyke/declaration_models.py
+++ b/limedyke/declaration_models.py
@@ -10,7 +10,7 @@
 from pydantic import AfterValidator, Field, field_validator
 
 from limedyke.messages.declaration import Priority, PromotionMode
-from limedyke.settings import Address, Model
+from limedyke.settings.base import Address, Model
 
 MAXIMUM_MEMBERS = 7
 MINIMUM_SCRAM_ITERATIONS = 4_096
--- a/limedyke/declaration_places.py
+++ b/limedyke/declaration_places.py
@@ -7,7 +7,7 @@
 
 import yaml
 
-from limedyke.settings import Model
+from limedyke.settings.base import Model
 
 
 @dataclass(frozen=True, slots=True)
--- a/limedyke/operator_client.py
+++ b/limedyke/operator_client.py
@@ -14,7 +14,8 @@
 from limedyke.messages.handshake import PeerRole
 from limedyke.messages.operator import Refused
 from limedyke.result_codes import CODE_BY_NUMBER, Failure, ResultCode
-from limedyke.settings import Address, Model, Secrets, load_settings
+from limedyke.settings.base import Address, Model
+from limedyke.settings.files import load_secrets, load_settings
 from limedyke.transport.link import Link, LinkClosedError, LinkIdentity, dial
 
 DIAL_TIMEOUT_S = 1.0
@@ -53,7 +54,7 @@
     if isinstance(loaded, Err):
         return loaded
     settings = loaded.ok_value
-    secrets = Secrets.load(settings.secrets_file)
+    secrets = load_secrets(settings.secrets_file)
     if isinstance(secrets, Err):
         return secrets
     key = secrets.ok_value.get(settings.secret)
--- a/limedyke/proxy/back_ends.py
+++ b/limedyke/proxy/back_ends.py
@@ -12,7 +12,7 @@
 from limedyke.event_log import EventLog
 from limedyke.messages.control import ConnectionLease, MemberReport, PromoteOrder, PromoteResult
 from limedyke.messages.work import AbandonWork, AnswerEnd, WorkUnit
-from limedyke.metrics import PromotionOutcome, ProxyMetrics
+from limedyke.metrics import PromotionOutcome
 from limedyke.proxy.backend_connection import MemberEndpoint
 from limedyke.proxy.backend_group import BackendGroup
 from limedyke.proxy.control_view import ControlView
@@ -20,9 +20,11 @@
 from limedyke.proxy.forwarding import ForwardingExecutor
 from limedyke.proxy.forwarding_server import ForwardingServer
 from limedyke.proxy.local_executor import LocalExecutor
+from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.proxy.work_key import LOCAL_ORIGIN, WorkKey
 from limedyke.result_codes import ResultCode
-from limedyke.settings import ProxySettings, Secrets
+from limedyke.settings.proxy import ProxySettings
+from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link
 
 DEADLINE_SWEEP_S = 0.05
--- a/limedyke/proxy/backend_connection.py
+++ b/limedyke/proxy/backend_connection.py
@@ -13,6 +13,7 @@
 from postgresql.protocol.buffer import pq_message_stream
 from result import Err, Ok, Result
 
+from limedyke.addresses import split_address
 from limedyke.messages.work import LogPosition, SessionSetting
 from limedyke.postgres import member_frames as frames
 from limedyke.postgres.member_answer import AnswerReader, AnswerViolationError
@@ -21,7 +22,6 @@
 from limedyke.postgres.own_answer import OwnAnswer, OwnAnswerReader
 from limedyke.proxy.backend_state import BackendState
 from limedyke.result_codes import Failure, ResultCode
-from limedyke.settings import split_address
 
 RECEIVE_BYTES = 64 * 1024
 MAXIMUM_FRAME_BYTES = 256 * 1024 * 1024
--- a/limedyke/proxy/backend_group.py
+++ b/limedyke/proxy/backend_group.py
@@ -27,7 +27,8 @@
 from limedyke.proxy.member_probe import MemberProbe
 from limedyke.proxy.promotion_executor import PromotionExecutor
 from limedyke.result_codes import Failure, ResultCode
-from limedyke.settings import ProxySettings, Secrets
+from limedyke.settings.proxy import ProxySettings
+from limedyke.settings.secrets import Secrets
 
 MS_PER_S = 1_000.0
 
--- a/limedyke/proxy/client_services.py
+++ b/limedyke/proxy/client_services.py
@@ -10,11 +10,11 @@
 from limedyke.core.client_exchange import Moment
 from limedyke.core.session_context import SessionContext
 from limedyke.messages.work import Access, AnswerEnd, WorkUnit
-from limedyke.metrics import ProxyMetrics
 from limedyke.postgres.frontend import LoginPolicy
 from limedyke.proxy.client_registry import ClientRegistry
 from limedyke.proxy.client_tls import ClientTls
 from limedyke.proxy.executor import Executor
+from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.result_codes import CODE_BY_NUMBER
 
 
--- a/limedyke/proxy/client_tls.py
+++ b/limedyke/proxy/client_tls.py
@@ -13,7 +13,7 @@
 
 from limedyke.event_log import EventLog
 from limedyke.result_codes import Failure, ResultCode
-from limedyke.settings import TlsSettings
+from limedyke.settings.proxy import TlsSettings
 
 HANGUP_CHECK_S = 0.2
 LOG = EventLog("tls")
--- a/limedyke/proxy/control_announcements.py
+++ b/limedyke/proxy/control_announcements.py
@@ -9,9 +9,9 @@
     ProxyLeaving,
     ProxyState,
 )
+from limedyke.proxy.control_settings import ControlClientSettings
 from limedyke.proxy.control_store import StoredControl
 from limedyke.proxy.control_view import ControlView
-from limedyke.settings import ProxySettings
 
 
 class ControlAnnouncements:
@@ -20,7 +20,7 @@
     :ivar sequence: number of the newest heartbeat of this process
     """
 
-    def __init__(self, settings: ProxySettings) -> None:
+    def __init__(self, settings: ControlClientSettings) -> None:
         self.sequence = 0
         self._settings = settings
         self._state = ProxyState.SERVING
--- a/limedyke/proxy/control_client.py
+++ b/limedyke/proxy/control_client.py
@@ -36,11 +36,12 @@
 from limedyke.proxy.control_intake import ControlIntake
 from limedyke.proxy.control_leases import ControlLeases
 from limedyke.proxy.control_reports import ControlReports
+from limedyke.proxy.control_settings import ControlClientSettings
 from limedyke.proxy.control_store import ControlStore, StoredControl
 from limedyke.proxy.control_view import ControlView
 from limedyke.proxy.controller_choice import ControllerChoice
 from limedyke.proxy.quorum_watch import QuorumWatch
-from limedyke.settings import ProxySettings, Secrets
+from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkClosedError, LinkIdentity, dial
 
 DIAL_TIMEOUT_S = 0.4
@@ -59,7 +60,7 @@
 
     def __init__(
         self,
-        settings: ProxySettings,
+        settings: ControlClientSettings,
         secrets: Secrets,
         store: ControlStore,
         handler: ControlHandler,
--- a/limedyke/proxy/forwarding.py
+++ b/limedyke/proxy/forwarding.py
@@ -12,7 +12,8 @@
 from limedyke.proxy.home_links import HomeLinks
 from limedyke.proxy.unit_context import may_end_transaction
 from limedyke.result_codes import ResultCode
-from limedyke.settings import ProxySettings, Secrets
+from limedyke.settings.proxy import ProxySettings
+from limedyke.settings.secrets import Secrets
 
 MS_PER_S = 1_000.0
 NO_HOME_RETRY_MS = 500
--- a/limedyke/proxy/home_links.py
+++ b/limedyke/proxy/home_links.py
@@ -17,7 +17,7 @@
 from limedyke.proxy.control_view import ControlView
 from limedyke.proxy.forwarding_link import HomeLink, surplus_links
 from limedyke.result_codes import Failure, ResultCode
-from limedyke.settings import Secrets
+from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkIdentity, dial
 
 MS_PER_S = 1_000.0
--- a/limedyke/proxy/local_executor.py
+++ b/limedyke/proxy/local_executor.py
@@ -7,10 +7,10 @@
 import curio
 
 from limedyke.messages.work import AbandonWork, Access, AnswerEnd, WorkUnit
-from limedyke.metrics import ProxyMetrics
 from limedyke.proxy.backend_connection import MemberEndpoint
 from limedyke.proxy.backend_group import BackendGroup
 from limedyke.proxy.executor import Relay, refusal
+from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.proxy.open_transactions import OpenTransactions, RunningUnit
 from limedyke.proxy.unit_context import UnitContext
 from limedyke.proxy.unit_once_write import UnitOnceWrite
@@ -19,7 +19,7 @@
 from limedyke.proxy.unit_write import UnitWrite
 from limedyke.proxy.work_key import LOCAL_ORIGIN, WorkKey
 from limedyke.result_codes import Outcome, ResultCode
-from limedyke.settings import ProxySettings
+from limedyke.settings.proxy import ProxySettings
 
 MS_PER_S = 1_000.0
 CANCEL_GRACE_S = 1.0
--- a/limedyke/proxy/pool_gauges.py
+++ b/limedyke/proxy/pool_gauges.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from limedyke.metrics import ProxyMetrics
 from limedyke.proxy.back_ends import BackEndStats
+from limedyke.proxy.metrics import ProxyMetrics
 
 
 class PoolGauges:
--- a/limedyke/proxy/server.py
+++ b/limedyke/proxy/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import hmac
 import itertools
 
@@ -14,8 +13,9 @@
 from limedyke.core.session_token import TokenAuthority
 from limedyke.core.statement_cache import StatementCache
 from limedyke.event_log import EventLog
+from limedyke.garbage_collection import resume_garbage_collection
 from limedyke.messages.handshake import PeerRole
-from limedyke.metrics import ProxyMetrics, new_registry
+from limedyke.metrics import new_registry
 from limedyke.postgres.client_messages import failure_response
 from limedyke.postgres.frontend import LoginPolicy
 from limedyke.proxy.back_ends import BackEnds
@@ -30,18 +30,17 @@
 from limedyke.proxy.control_view import ControlView
 from limedyke.proxy.drain import drain_proxy
 from limedyke.proxy.login_directory import LoginDirectory
+from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.proxy.pool_gauges import PoolGauges
 from limedyke.result_codes import Failure, ResultCode
-from limedyke.settings import EXIT_SETTINGS_INVALID, ProxySettings, Secrets
+from limedyke.settings.base import EXIT_SETTINGS_INVALID
+from limedyke.settings.proxy import ProxySettings
+from limedyke.settings.secrets import Secrets
 from limedyke.stop_signal import StopSignal
 from limedyke.transport.http_status import ReadyState, serve_status
 from limedyke.transport.link import LinkIdentity, listen, serve_links
 
 EXIT_FAILED = 1
-GARBAGE_THRESHOLDS = (50_000, 20, 100)
-"""Units, answers and sessions are freed by their reference counts; the collector, which walks
-all sessions, is needed for the cycles of exceptions only.
-"""
 ACCEPT_PAUSE_S = 0.1
 LEASE_CHECK_S = 1.0
 GAUGES_INTERVAL_S = 1.0
@@ -237,8 +236,7 @@
         LOG.error("secrets-missing", names=settings.cluster_key)
         return EXIT_SETTINGS_INVALID
     settings.data_folder.mkdir(parents=True, exist_ok=True)
-    gc.freeze()
-    gc.set_threshold(*GARBAGE_THRESHOLDS)
+    resume_garbage_collection()
     return curio.run(_run, settings, secrets)
 
 
--- a/limedyke/proxy/statements/member_connection.py
+++ b/limedyke/proxy/statements/member_connection.py
@@ -9,6 +9,7 @@
 import curio
 from curio import socket
 
+from limedyke.addresses import split_address
 from limedyke.messages.statements import (
     AnswerKind,
     MemberAnswer,
@@ -18,7 +19,6 @@
 )
 from limedyke.messages.work import LogPosition, TransactionStatus
 from limedyke.proxy.statements.member_codec import MemberCodec
-from limedyke.settings import split_address
 
 RECEIVE_BYTES = 64 * 1024
 USER_TIMEOUT_MS = 3_000
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/member_pool.py
@@ -11,6 +11,7 @@
 import curio
 from curio import socket
 
+from limedyke.addresses import split_address
 from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.messages.statements import AnswerKind
 from limedyke.messages.work import TransactionStatus
@@ -20,7 +21,6 @@
     ConnectionRefusedByMemberError,
     MemberConnection,
 )
-from limedyke.settings import split_address
 
 IDLE_CLOSE_S = 6.0
 """Idle connections are few, so that members have room when proxies come back: a member holds a
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -30,7 +30,8 @@
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
-from limedyke.settings import EXIT_SETTINGS_INVALID, Secrets
+from limedyke.settings.base import EXIT_SETTINGS_INVALID
+from limedyke.settings.secrets import Secrets
 from limedyke.settings_watch import SettingsWatch
 from limedyke.stop_signal import StopSignal
 from limedyke.transport.http_server import HttpAnswer, HttpLimits, HttpRequest, HttpServer
--- a/limedyke/proxy/statements/settings.py
+++ b/limedyke/proxy/statements/settings.py
@@ -4,7 +4,7 @@
 
 from pydantic import Field
 
-from limedyke.settings import Address, Model
+from limedyke.settings.base import Address, Model
 
 
 class StatementProxySettings(Model):
--- a/limedyke/proxy/unit_context.py
+++ b/limedyke/proxy/unit_context.py
@@ -10,16 +10,16 @@
 from result import Result
 
 from limedyke.messages.work import Access, AnswerEnd, LogPosition, TransactionStatus, WorkUnit
-from limedyke.metrics import ProxyMetrics
 from limedyke.proxy.backend_connection import BackendConnection, OwnAnswer
 from limedyke.proxy.backend_group import BackendGroup
 from limedyke.proxy.executor import Relay, jittered
 from limedyke.proxy.member_gate import Grant, MemberGate
+from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.proxy.open_transactions import OpenTransaction, OpenTransactions, RunningUnit
 from limedyke.proxy.unit_exchange import Exchange, ExchangePlan
 from limedyke.proxy.work_key import WorkKey
 from limedyke.result_codes import Failure, ResultCode
-from limedyke.settings import ProxySettings
+from limedyke.settings.proxy import ProxySettings
 
 NO_LEASE_RETRY_MS = 500
 _MAY_END_TRANSACTION = re.compile(
--- /dev/null
+++ b/limedyke/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the processes; each process loads only the modules it needs."""
--- /dev/null
+++ b/limedyke/settings/controller.py
@@ -0,0 +1,50 @@
+"""Settings of a controller."""
+
+from __future__ import annotations
+
+from pydantic import Field
+
+from limedyke.settings.base import Address, CommonSettings, Model
+
+
+class ControllerPeer(Model):
+    """Another controller: its name and internal address."""
+
+    name: str
+    address: Address
+
+
+class OperatorKey(Model):
+    """An operator allowed to plan and confirm; ``secret`` names a secret."""
+
+    name: str
+    secret: str
+
+
+class ControllerSettings(CommonSettings):
+    """Settings of ``limedyke controller``. Times are in milliseconds.
+
+    ``voters_wanted`` has the leader keep so many voters by itself, 0 leaves that to operators;
+    ``keeps_unsynced_writes`` says that the boot id of the machine tells losses of power apart.
+    """
+
+    listen: Address
+    advertise: Address
+    peers: tuple[ControllerPeer, ...]
+    join: bool = False
+    voters_wanted: int = Field(default=0, ge=0)
+    voter_silence_limit_ms: int = Field(default=3_000, ge=100)
+    keeps_unsynced_writes: bool = True
+    operators: tuple[OperatorKey, ...] = ()
+    tick_interval_ms: int = Field(default=20, ge=5)
+    heartbeat_interval_ms: int = Field(default=100, ge=10)
+    election_timeout_ms: int = Field(default=1_000, ge=100)
+    connection_lease_ms: int = Field(default=30_000, ge=1_000)
+    home_proxies_per_group: int = Field(default=3, ge=1)
+    failure_report_hold_ms: int = Field(default=100, ge=0)
+    promotion_timeout_ms: int = Field(default=1_500, ge=100)
+    primary_lease_ms: int = Field(default=1_500, ge=0)
+    authority_timeout_ms: int = Field(default=3_000, ge=100)
+    member_silence_ms: int = Field(default=5_000, ge=100)
+    plan_lifetime_s: int = Field(default=3_600, ge=1)
+    platform_list_url: str = ""
--- a/limedyke/transport/http_client.py
+++ b/limedyke/transport/http_client.py
@@ -8,7 +8,7 @@
 import h11
 from curio import socket
 
-from limedyke.settings import split_address
+from limedyke.addresses import split_address
 
 RECEIVE_BYTES = 16 * 1024
 MAXIMUM_ANSWER_BYTES = 64 * 1024
--- a/limedyke/transport/link.py
+++ b/limedyke/transport/link.py
@@ -14,6 +14,7 @@
 from curio import socket
 from result import Err, Ok, Result
 
+from limedyke.addresses import split_address
 from limedyke.messages.codec import decode, encode
 from limedyke.messages.handshake import (
     PROTOCOL_VERSION,
@@ -23,7 +24,6 @@
     PeerRole,
 )
 from limedyke.result_codes import Failure, ResultCode
-from limedyke.settings import split_address
 from limedyke.transport.framing import FrameError, FrameReader, frame
 
 RECEIVE_BYTES = 256 * 1024
--- a/limedyke_lab/agreement_measurements/trio.py
+++ b/limedyke_lab/agreement_measurements/trio.py
@@ -9,7 +9,7 @@
 import psutil
 import yaml
 
-from limedyke.settings import split_address
+from limedyke.addresses import split_address
 from limedyke_lab.fleet.addresses import (
     CONTROLLER_HOST,
     CONTROLLER_PORT,
--- a/limedyke_lab/experiments/config_storm.py
+++ b/limedyke_lab/experiments/config_storm.py
@@ -10,6 +10,7 @@
 import curio
 from result import Result
 
+from limedyke.addresses import split_address
 from limedyke.messages.declaration import Declaration
 from limedyke.messages.operator import (
     Confirmed,
@@ -21,7 +22,6 @@
 )
 from limedyke.operator_client import OperatorClient, load_operator, new_request_id
 from limedyke.result_codes import Failure
-from limedyke.settings import split_address
 from limedyke_lab.experiments.result import ExperimentResult, Latencies, ResultWriter, Value
 from limedyke_lab.experiments.revision_watch import RiseWatch
 from limedyke_lab.experiments.settings_file import ConfigStormSettings, load_experiment
--- a/limedyke_lab/experiments/idle_clients.py
+++ b/limedyke_lab/experiments/idle_clients.py
@@ -9,7 +9,7 @@
 import psutil
 import psycopg
 
-from limedyke.settings import split_address
+from limedyke.addresses import split_address
 from limedyke_lab.experiments.result import ExperimentResult, Latencies, Value
 from limedyke_lab.experiments.settings_file import OverheadSettings
 from limedyke_lab.fleet.fleet import Fleet
--- a/limedyke_lab/fleet/conditions.py
+++ b/limedyke_lab/fleet/conditions.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 
-from limedyke.settings import split_address
+from limedyke.addresses import split_address
 
 POLL_INTERVAL_S = 0.05
 PROBE_TIMEOUT_S = 1.0
--- a/limedyke_lab/fleet/members.py
+++ b/limedyke_lab/fleet/members.py
@@ -6,7 +6,7 @@
 
 import psycopg
 
-from limedyke.settings import split_address
+from limedyke.addresses import split_address
 from limedyke_lab.fleet.secrets import LAB_ADMIN_PASSWORD, LAB_ADMIN_USER
 from limedyke_lab.fleet.topology import MemberNode, Topology
 
--- a/limedyke_lab/fleet/relay_control.py
+++ b/limedyke_lab/fleet/relay_control.py
@@ -5,7 +5,7 @@
 import json
 import socket
 
-from limedyke.settings import split_address
+from limedyke.addresses import split_address
 
 CONTROL_TIMEOUT_S = 5.0
 
--- a/limedyke_lab/fleet/revisions.py
+++ b/limedyke_lab/fleet/revisions.py
@@ -7,7 +7,7 @@
 import threading
 from collections.abc import Callable
 
-from limedyke.settings import split_address
+from limedyke.addresses import split_address
 from limedyke_lab.fleet.topology import Node
 
 HTTP_TIMEOUT_S = 1.0
--- a/limedyke_lab/load/runner.py
+++ b/limedyke_lab/load/runner.py
@@ -10,7 +10,7 @@
 
 import psycopg
 
-from limedyke.settings import split_address
+from limedyke.addresses import split_address
 from limedyke_lab.checkers.revisions import REVISION
 from limedyke_lab.fleet.conditions import wait_until
 from limedyke_lab.fleet.fleet import Fleet
--- a/limedyke_lab/load/session.py
+++ b/limedyke_lab/load/session.py
@@ -14,8 +14,8 @@
 from psycopg import AsyncConnection
 from psycopg.rows import dict_row
 
+from limedyke.addresses import split_address
 from limedyke.postgres.member_batch import DUPLICATE_TEXT
-from limedyke.settings import split_address
 from limedyke_lab.history import ClientOutcome, Event, Kind, NoAnswer, Operation
 from limedyke_lab.load.operations import Operations
 from limedyke_lab.load.outcome import failed_operation
--- a/limedyke_lab/platform.py
+++ b/limedyke_lab/platform.py
@@ -15,8 +15,8 @@
 import h11
 from curio import socket
 
+from limedyke.addresses import split_address
 from limedyke.event_log import EventLog, start_logging
-from limedyke.settings import split_address
 
 RECEIVE_BYTES = 4_096
 MAXIMUM_BODY_BYTES = 1_000_000
--- a/limedyke_lab/relay.py
+++ b/limedyke_lab/relay.py
@@ -19,8 +19,8 @@
 import curio
 from curio import socket
 
+from limedyke.addresses import split_address
 from limedyke.event_log import EventLog, start_logging
-from limedyke.settings import split_address
 from limedyke_lab.geography import CLIENT
 from limedyke_lab.relay_network import Direction, Endpoint, Network, RelayNode, RelaySettings
 
--- a/limedyke_lab/scale/data_path.py
+++ b/limedyke_lab/scale/data_path.py
@@ -15,9 +15,9 @@
 
 import psycopg
 
+from limedyke.addresses import split_address
 from limedyke.core.home import home_proxies
 from limedyke.messages.control import ProxyRecord, ProxyState
-from limedyke.settings import split_address
 from limedyke_lab.fleet.fleet import Fleet, FleetOptions
 from limedyke_lab.fleet.secrets import client_password
 from limedyke_lab.fleet.topology import Node
--- a/limedyke_lab/scale/forwarding_links.py
+++ b/limedyke_lab/scale/forwarding_links.py
@@ -20,7 +20,7 @@
 
 from limedyke.messages.handshake import PeerRole
 from limedyke.messages.work import AnswerEnd, LinkProbe, LogPosition, TransactionStatus, WorkUnit
-from limedyke.settings import ProxySettings
+from limedyke.settings.proxy import ProxySettings
 from limedyke.transport.link import Link, LinkIdentity, dial, listen, serve_links
 from limedyke_lab.fleet.addresses import AddressLock, AddressPlan
 from limedyke_lab.fleet.process import ManagedProcess
--- a/limedyke_lab/scale/hollow_host.py
+++ b/limedyke_lab/scale/hollow_host.py
@@ -12,8 +12,8 @@
 
 import curio
 
+from limedyke.addresses import split_address
 from limedyke.messages.control import MemberReport, PromoteOrder
-from limedyke.settings import split_address
 from limedyke_lab.scale.hollow_proxy import HollowProxy, HollowSettings
 from limedyke_lab.scale.home_duty import HomeDuty
 from limedyke_lab.scale.sizes import (
--- a/limedyke_lab/scale/linked_proxy.py
+++ b/limedyke_lab/scale/linked_proxy.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import gc
 import json
 import sys
 from dataclasses import dataclass
@@ -15,13 +14,15 @@
 import curio
 
 from limedyke.event_log import start_logging
+from limedyke.garbage_collection import resume_garbage_collection
 from limedyke.messages.control import ProxyRecord, ProxyState
 from limedyke.messages.declaration import Priority
 from limedyke.messages.work import Access, AnswerChunk, LogPosition, WorkUnit
 from limedyke.proxy.control_view import ControlView
 from limedyke.proxy.forwarding import ForwardingExecutor
-from limedyke.proxy.server import GARBAGE_THRESHOLDS, Proxy
-from limedyke.settings import ProxySettings, Secrets
+from limedyke.proxy.server import Proxy
+from limedyke.settings.proxy import ProxySettings
+from limedyke.settings.secrets import Secrets
 
 UNIT_DEADLINE_MS = 8_000
 
@@ -106,8 +107,7 @@
     )
     start_logging(settings.proxy.log_level)
     settings.proxy.data_folder.mkdir(parents=True, exist_ok=True)
-    gc.freeze()
-    gc.set_threshold(*GARBAGE_THRESHOLDS)
+    resume_garbage_collection()
     sys.exit(curio.run(_run, settings))
 
 
--- a/limedyke_lab/simulator/controllers.py
+++ b/limedyke_lab/simulator/controllers.py
@@ -12,7 +12,8 @@
 from limedyke.core.control.state import ControlState
 from limedyke.messages.agreement import ControllerIdentity
 from limedyke.result_codes import ResultCode
-from limedyke.settings import ControllerSettings, Secrets
+from limedyke.settings.controller import ControllerSettings
+from limedyke.settings.secrets import Secrets
 from limedyke.storage.durable_log import DurableLog
 from limedyke.storage.open_log import open_durable_log
 from limedyke_lab.simulated_disk import SimulatedDisk, SimulatedPowerLoss
--- a/limedyke_lab/simulator/layout.py
+++ b/limedyke_lab/simulator/layout.py
@@ -17,13 +17,9 @@
     User,
 )
 from limedyke.scram_verifier import make_verifier
-from limedyke.settings import (
-    ControllerPeer,
-    ControllerSettings,
-    OperatorKey,
-    ProxySettings,
-    Secrets,
-)
+from limedyke.settings.controller import ControllerPeer, ControllerSettings, OperatorKey
+from limedyke.settings.proxy import ProxySettings
+from limedyke.settings.secrets import Secrets
 from limedyke_lab.geography import CLIENT, COLD_CHAIN, OSTMARK, Geography
 
 LINK_PORT = 7000
--- a/limedyke_lab/simulator/proxies.py
+++ b/limedyke_lab/simulator/proxies.py
@@ -6,7 +6,8 @@
 from collections.abc import Callable
 
 from limedyke.proxy.server import Proxy
-from limedyke.settings import ProxySettings, Secrets
+from limedyke.settings.proxy import ProxySettings
+from limedyke.settings.secrets import Secrets
 from limedyke_lab.simulator.curio_process import CurioProcess
 from limedyke_lab.simulator.environment import Environment
 from limedyke_lab.simulator.history import History
