Pace changes of the proxies' membership by the number of groups

Cause: changes were 0.2 s apart at any size. The pause bounds the work of looking at all groups, 1,800 of them. Change: 0.2 s with 1,800 groups, as before, in proportion with fewer, 0.02 s at least. Ruled out: to wait a moment before the first change (it delays each single proxy that joins). Tests: the pacing scenario now runs with 1,800 groups declared, 0.2 s as before (it had one group), and with 3 groups, 0.02 s.

--- a/features/control_membership.feature
+++ b/features/control_membership.feature
@@ -43,9 +43,14 @@
       | 6       | from another machine  | suspected |
       | 32      | from another machine  | serving   |
 
-  Scenario: membership: hundreds that start at once are recorded in parts
-    When membership: 850 proxies connect within one decision
-    Then membership: within 3 s all are recorded, by entries of at most 64, 0.2 s apart
+  Scenario Outline: membership: hundreds that start at once are recorded in parts, <groups> groups
+    When membership: 850 proxies connect within one decision, with <groups> groups declared
+    Then membership: within <seconds> s all are recorded, by entries of at most 64, <apart> s apart
+
+    Examples: the more groups there are to look at, the slower
+      | groups | seconds | apart |
+      | 1800   | 3       | 0.2   |
+      | 3      | 0.3     | 0.02  |
 
   Scenario: membership: of many changes those that take proxies out of service go first
     When membership: 200 proxies connect and then 10 others are found silent
--- a/features/steps/control_membership_steps.py
+++ b/features/steps/control_membership_steps.py
@@ -29,9 +29,10 @@
 class MembershipUnderTest:
     """A leader whose proposals are applied at once."""
 
-    def __init__(self, lease_s: float) -> None:
+    def __init__(self, lease_s: float, groups: int = 1) -> None:
         self.test = StateUnderTest()
-        self.test.bring_into_force(a_declaration(a_group("g")))
+        declared = [a_group("g"), *(a_group(f"g{number}") for number in range(1, groups))]
+        self.test.bring_into_force(a_declaration(*declared))
         self.now = 0.0
         timing = ControlTiming(lease_s=lease_s)
         generator = random.Random(1)
@@ -117,9 +118,9 @@
     assert (record.state.value if record else "forgotten") == state, record
 
 
-@when("membership: {count:d} proxies connect within one decision")
-def _(context, count):
-    context.membership = membership = MembershipUnderTest(30.0)
+@when("membership: {count:d} proxies connect within one decision, with {groups:d} groups declared")
+def _(context, count, groups):
+    context.membership = membership = MembershipUnderTest(30.0, groups)
     hellos = [ProxyHello(f"p{i}", 1, "", "z1", 0, 0, "disk") for i in range(count)]
     membership.post(*[ProxyConnected(hello) for hello in hellos])
     context.count = count
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -45,7 +45,9 @@
 from limedyke.messages.declaration import Group
 
 JUDGE_INTERVAL_S = 0.5
-MEMBERSHIP_INTERVAL_S = 0.2
+SHORTEST_MEMBERSHIP_INTERVAL_S = 0.02
+MEMBERSHIP_INTERVAL_PER_GROUP_S = 0.2 / 1_800
+"""Between two changes of the membership: each makes every controller look at all groups."""
 LEASES_RUN_OUT = "its leases have run out"
 EARLIER_PROCESS = "an earlier process of this name may still hold leases"
 
@@ -157,7 +159,9 @@
             return []
         entries = self.membership.take_entries()
         if entries:
-            self._next_membership_at = self._now + MEMBERSHIP_INTERVAL_S
+            groups = len(self._state.declared.groups)
+            interval_s = MEMBERSHIP_INTERVAL_PER_GROUP_S * groups
+            self._next_membership_at = self._now + max(interval_s, SHORTEST_MEMBERSHIP_INTERVAL_S)
         return entries
 
     def _is_of_refused(self, event: LeaderEvent) -> bool:
