Keep reads from members that hang, and statements from being sent too late

(2) a hung member flapped between reachable and not, as a connection that it took counted as an answer. (3) just after the start no position of the primary is known, so all reads queued at the primary (Cold-chain, loss of all machines: 0.4 s of refusals). (4) a statement with some ms left was sent and then told as unknown: a write is not asked again after that, after a refusal it is. Change: reads avoid a member that can't be reached whatever its pause; the watch probes each such member; an open connection alone doesn't make it reachable. While the primary has no usual room and no position is known, one question for its position goes ahead and reads wait for that. A statement is refused when less time is left than the member's answers take lately (half of its whole time at most, 50 ms at least). Ruled out: a question with the first read of each idle spell (the primary's answer to the read tells it); longer pauses (a member that came back would stay unused).

--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -48,6 +48,43 @@
     And statement path: the client asks "READ x" and is told "LAGGING I"
     Then statement path: "READ x" ran nowhere
 
+  Scenario: statement path: reads of a proxy that has just started don't wait for a slow primary
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: the lease is for 2 connections
+    And statement path: another proxy has written 7 to x
+    And statement path: a takes 300 ms for a read
+    When statement path: 8 clients read at once
+    Then statement path: all are told "7 done I"
+    And statement path: at least 5 of them were served by replicas
+    And statement path: a was asked for its position 1 times
+
+  Scenario: statement path: reads stay away from a silent replica until it is found to answer again
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: 100 ms pass
+    And statement path: b turns silent
+    And statement path: the client asks "READ x" and is told "1 done I"
+    And statement path: the members are watched for 1300 ms
+    And statement path: the client asks "READ x" and is told "1 done I"
+    Then statement path: that took less than 200 ms
+    When statement path: b answers again
+    And statement path: the members are watched for 1000 ms
+    And statement path: the client asks "READ x" and is told "1 done I"
+    Then statement path: "READ x" ran at b
+
+  Scenario Outline: statement path: a statement with too little time left is refused rather than sent: <asked>
+    Given statement path: a primary database on primary a and replicas b c, the proxy beside b
+    And statement path: a answered within 500 ms lately
+    And statement path: a is busy 999 times
+    When statement path: the client asks "<asked>" and is told "BUSY I"
+    Then statement path: that took less than 500 ms
+    And statement path: "<asked>" ran nowhere
+
+    Examples:
+      | asked     |
+      | WRITE x 1 |
+      | READ x    |
+
   Scenario: statement path: a silent primary is found although all its connections are in use
     Given statement path: a session database on primary a and replicas b c, the proxy beside b
     And statement path: the lease is for 1 connection
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -60,6 +60,45 @@
     run(context, context.path.groups.leases_changed, (lease,), float("inf"))
 
 
+@given("statement path: the lease is for {count:d} connections")
+def step_few_connections(context, count):
+    lease = ConnectionLease(GROUP, "shared", count)
+    run(context, context.path.groups.leases_changed, (lease,), float("inf"))
+
+
+@given("statement path: {name:w} answered within {milliseconds:d} ms lately")
+def step_answered(context, name, milliseconds):
+    context.path.groups.groups[GROUP].pools[name].belief.latency_s = milliseconds / 1_000
+
+
+@given("statement path: another proxy has written {value} to {thing:w}")
+def step_written_elsewhere(context, value, thing):
+    group = context.path.group
+    run(context, group.commit, group.primary, "elsewhere", ((thing, value),))
+
+
+@given("statement path: {name:w} takes {milliseconds:d} ms for a read")
+def step_slow(context, name, milliseconds):
+    context.path.group.members[name].faults.work_s = milliseconds / 1_000
+
+
+@when("statement path: {count:d} clients read at once")
+def step_read_at_once(context, count):
+    _ask_at_once(context, count, "READ x")
+
+
+@then("statement path: at least {count:d} of them were served by replicas")
+def step_by_replicas(context, count):
+    runs = context.path.runs_of("READ x")
+    assert sum(member != "a" for member in runs) >= count, runs
+
+
+@then("statement path: {name:w} was asked for its position {count:d} times")
+def step_asked_position(context, name, count):
+    asked = context.path.group.members[name].status_questions
+    assert asked == count, asked
+
+
 @given("statement path: transactions may rest for {rest:d} ms")
 def step_rest(context, rest):
     context.path.idle_in_transaction_ms = rest
@@ -112,6 +151,11 @@
     context.path.group.members[name].faults.silent = True
 
 
+@step("statement path: {name:w} answers again")
+def step_answers_again(context, name):
+    context.path.group.members[name].faults.silent = False
+
+
 @given("statement path: {name:w} takes {count:d} connection and {way}")
 def step_full(context, name, count, way):
     member = context.path.group.members[name]
@@ -119,14 +163,20 @@
     member.faults.resets_when_full = way == "resets any others"
 
 
-@when("statement path: {count:d} clients write at once")
-def step_write_at_once(context, count):
-    async def write_all():
+def _ask_at_once(context, count, text):
+    """Have so many clients ask the same at once; keep what they are told."""
+
+    async def ask_all():
         clients = [(await context.path.connect())[0] for _ in range(count)]
-        tasks = [await curio.spawn(client.ask, "WRITE x 1") for client in clients]
+        tasks = [await curio.spawn(client.ask, text) for client in clients]
         return [await task.join() for task in tasks]
 
-    context.all_told = run(context, write_all)
+    context.all_told = run(context, ask_all)
+
+
+@when("statement path: {count:d} clients write at once")
+def step_write_at_once(context, count):
+    _ask_at_once(context, count, "WRITE x 1")
 
 
 @then('statement path: all are told "{told}"')
--- a/features/support/line_platform/group.py
+++ b/features/support/line_platform/group.py
@@ -23,6 +23,7 @@
     resets_when_full: bool = False
     lag_s: float = 0.0
     deaf: bool = False
+    work_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -38,6 +39,7 @@
     port: int = 0
     connections: int = 0
     opened: int = 0
+    status_questions: int = 0
     listener: socket.socket | None = None
     sessions: set[MemberSession] = field(default_factory=set)
     task: curio.Task | None = None
--- a/features/support/line_platform/member_session.py
+++ b/features/support/line_platform/member_session.py
@@ -163,6 +163,7 @@
 
     async def _status(self) -> None:
         member = self._member
+        member.status_questions += 1
         role = "primary" if member.is_primary else "replica"
         position = member.log.position(member.group.term)
         row = f"{role} {member.group.term} {position} 0 0 0 {member.connections}"
@@ -183,6 +184,7 @@
             await self._error("READONLY")
             return
         self._note(request_id, text)
+        await curio.sleep(self._member.faults.work_s)
         await self._answer(f"DATAROW {self._member.log.value_of(thing)}")
 
     async def _write(self, request_id: str, text: str, rest: str) -> None:
--- a/limedyke/core/statements/member_belief.py
+++ b/limedyke/core/statements/member_belief.py
@@ -28,6 +28,7 @@
     :ivar behind_until: its log lacked a wanted position a moment ago
     :ivar position: the last one it told
     :ivar contact_at: when it last answered anything
+    :ivar probed_at: when it was last asked whether it answers
     """
 
     record: AnnouncedMember
@@ -37,6 +38,7 @@
     behind_until: float = 0.0
     position: LogPosition = field(default_factory=LogPosition)
     contact_at: float = float("-inf")
+    probed_at: float = float("-inf")
     health: MemberHealth = MemberHealth.REACHABLE
     _troubles: int = 0
     _behind_s: float = FIRST_BEHIND_S
@@ -64,6 +66,16 @@
         if position is not None:
             self.position = position
 
+    def connected(self, now: float) -> None:
+        """Take that a connection was opened: a member that hangs may still take them.
+
+        One that can't be reached counts as such until it answers a statement or question.
+        """
+        self.contact_at = now
+        if self.health is MemberHealth.REACHABLE:
+            self.paused_until = 0.0
+            self._troubles = 0
+
     def served(self, seconds: float) -> None:
         """Take how long an answer took."""
         self.latency_s += LATENCY_SMOOTHING * (seconds - self.latency_s)
--- a/limedyke/core/statements/routing.py
+++ b/limedyke/core/statements/routing.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection, Iterable
 
 from limedyke.core.statements.member_belief import MemberBelief
+from limedyke.messages.control import MemberHealth
 from limedyke.messages.work import LogPosition
 
 OTHER_ZONE_COST_S = 0.02
@@ -48,6 +49,6 @@
     cost = member.latency_s * (1.0 + crowd)
     if member.record.zone != zone:
         cost += OTHER_ZONE_COST_S
-    if now < member.paused_until:
+    if now < member.paused_until or member.health is MemberHealth.UNREACHABLE:
         cost += PAUSED_COST_S
     return cost
--- a/limedyke/proxy/statements/attempt.py
+++ b/limedyke/proxy/statements/attempt.py
@@ -16,6 +16,9 @@
 MS_PER_S = 1_000.0
 RETRY_PAUSE_S = 0.03
 RETRY_AFTER_MS = 200
+LEAST_ATTEMPT_S = 0.05
+LATE_SHARE_OF_TIME = 0.5
+"""While more of a statement's time is left it is sent, however slow the member is."""
 HELD_SHARE_OF_TARGET = 0.2
 """A statement that no member can run is held for so much of its target latency at most."""
 
@@ -25,7 +28,8 @@
     """One statement on its way: whose it is, how long it has, and what was tried.
 
     :param log: gets a line for each try that failed
-    :param deadline: when its time is over, seconds of the monotonic clock
+    :param whole_s: its whole time
+    :param deadline: when that is over, seconds of the monotonic clock
     :param hold_until: how long it is held while no member can run it
     :param tried: identities of members that did not run it
     :param runs: how often a member may have run it
@@ -37,6 +41,7 @@
     run: RunOnMember
     group: StatementGroup
     log: StatementLog
+    whole_s: float
     deadline: float
     hold_until: float
     tried: set[str] = field(default_factory=set)
@@ -51,14 +56,24 @@
         """Begin an attempt: its time counts from now."""
         now = time.monotonic()
         database = session.database
-        deadline = now + database.statement_timeout_ms / MS_PER_S
+        whole_s = database.statement_timeout_ms / MS_PER_S
         hold_until = now + HELD_SHARE_OF_TARGET * database.target_latency_ms / MS_PER_S
-        return cls(session, run, group, log, deadline, hold_until)
+        return cls(session, run, group, log, whole_s, now + whole_s, hold_until)
 
     def time_left(self) -> float:
         """Return the seconds left to the statement."""
         return self.deadline - time.monotonic()
 
+    def is_too_late(self, answer_s: float = LEAST_ATTEMPT_S) -> bool:
+        """Tell whether so much time has passed that an answer would hardly come in time.
+
+        Then it is better not to send the statement: it is surely not run, and may be asked again.
+
+        :param answer_s: how long an answer of the member takes lately
+        """
+        least_s = min(max(LEAST_ATTEMPT_S, answer_s), LATE_SHARE_OF_TIME * self.whole_s)
+        return self.time_left() < least_s
+
     def failed(self, reason: AnswerKind | NotSent, member: str = "") -> None:
         """Note why a try failed; the log tells it when it is news.
 
--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -24,6 +24,8 @@
     :param name: of the group
     :param make_pool: makes the pool of a member
     :param lease_ends_at: gives the moment until which the recorded primary is surely the only one
+
+    :ivar position_is_asked: a question for the primary's position is under way
     """
 
     def __init__(self, name: str, make_pool: MakePool, lease_ends_at: Callable[[], float]) -> None:
@@ -37,6 +39,7 @@
         self.replaced = ""
         self.denied: set[str] = set()
         self.next_search_at = 0.0
+        self.position_is_asked = False
         self.primary_changed = curio.Event()
         self.leased = curio.Event()
         self._make_pool = make_pool
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -125,17 +125,25 @@
         for identity, pool in list(group.pools.items()):
             belief = pool.belief
             is_primary = identity == group.primary
-            if is_primary and self._wants_probe(belief, now):
+            if self._wants_probe(belief, is_primary, now):
+                belief.probed_at = now
                 await curio.spawn(self._probe, pool, daemon=True)
             await self._report(group.name, belief, is_primary)
 
-    def _wants_probe(self, belief: MemberBelief, now: float) -> bool:
+    def _wants_probe(self, belief: MemberBelief, is_primary: bool, now: float) -> bool:
+        """Tell whether a member should be asked whether it answers.
+
+        A primary that is silent is, and any member that can't be reached: no statement goes there
+        before it answers again.
+        """
+        if now - belief.probed_at < self._settings.probe_timeout_ms / 1_000:
+            return False
         if belief.health is MemberHealth.UNREACHABLE:
             return True
         interval_s = self._settings.probe_interval_ms / 1_000
         if belief.outstanding:
             interval_s *= BUSY_PROBE_SHARE
-        return now - belief.contact_at > interval_s
+        return is_primary and now - belief.contact_at > interval_s
 
     async def _probe(self, pool: MemberPool) -> None:
         """Ask a member how it is; its belief learns from the answer, or from none."""
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/member_pool.py
@@ -113,6 +113,11 @@
         """Whether a connection can be had at once."""
         return bool(self._idle) or self._may_open()
 
+    @property
+    def has_usual_room(self) -> bool:
+        """Whether a connection can be had at once and without going beyond the usual share."""
+        return bool(self._idle) or self._may_open(waited_s=0.0)
+
     @property
     def usual_limit(self) -> int:
         """Connections that are opened without a wait."""
@@ -237,7 +242,7 @@
         except curio.CancelledError:
             self.opened -= 1
             raise
-        self.belief.answered(time.monotonic(), None)
+        self.belief.connected(time.monotonic())
         return connection
 
     def _is_full(self) -> bool:
--- a/limedyke/proxy/statements/member_questions.py
+++ b/limedyke/proxy/statements/member_questions.py
@@ -38,6 +38,24 @@
         group.learn_position(pool.belief.record.identity, asked_at, status.position, proven=True)
         return status.position
 
+    async def learn_position(self, group: StatementGroup) -> None:
+        """Ask the recorded primary for its position, in the background and once at a time."""
+        pool = group.primary_pool()
+        if pool is None or group.position_is_asked:
+            return
+        group.position_is_asked = True
+        await curio.spawn(self._learn_position, group, pool, daemon=True)
+
+    async def _learn_position(self, group: StatementGroup, pool: MemberPool) -> None:
+        asked_at = time.monotonic()
+        try:
+            status = await self.ask_status(pool, SEARCH_TIMEOUT_S)
+        finally:
+            group.position_is_asked = False
+        if status is not None and status.is_primary:
+            identity = pool.belief.record.identity
+            group.learn_position(identity, asked_at, status.position, proven=True)
+
     async def look_for_primary(self, group: StatementGroup) -> None:
         """Ask the members, in the background, which of them leads; not too often."""
         now = time.monotonic()
--- a/limedyke/proxy/statements/read_runner.py
+++ b/limedyke/proxy/statements/read_runner.py
@@ -8,7 +8,7 @@
 from limedyke.messages.databases import Consistency
 from limedyke.messages.statements import NOT_RUN, AnswerKind
 from limedyke.messages.work import LogPosition
-from limedyke.proxy.statements.attempt import MS_PER_S, Attempt
+from limedyke.proxy.statements.attempt import LEAST_ATTEMPT_S, MS_PER_S, Attempt
 from limedyke.proxy.statements.member_exchange import MemberExchange
 from limedyke.proxy.statements.member_pool import MemberPool
 from limedyke.proxy.statements.member_questions import MemberQuestions
@@ -19,7 +19,6 @@
 
 READ_ATTEMPT_SHARE = 0.5
 """A first attempt to read gets so much of the time, so that another member can be tried."""
-LEAST_ATTEMPT_S = 0.05
 STALENESS_MARGIN_S = 0.03
 
 
@@ -38,6 +37,8 @@
         """Run a read; try member after member while none has run it."""
         group = attempt.group
         while True:
+            if attempt.is_too_late():
+                return PlacedAnswer(attempt.give_up(ResultCode.NO_MEMBER))
             required = await self._required_position(attempt)
             if required is None and not group.is_surely_primary(group.primary):
                 attempt.failed(NotSent.POSITION_UNPROVEN)
@@ -102,23 +103,43 @@
         """Return a position that a replica must hold for this read; None when none is proved."""
         group = attempt.group
         session = attempt.session
-        database = session.database
-        if database.consistency is Consistency.PRIMARY:
+        if session.database.consistency is Consistency.PRIMARY:
             if group.is_surely_primary(group.primary):
                 return None
             return await self._questions.prove_position(group, attempt.time_left())
-        since = time.monotonic() - database.max_staleness_ms / MS_PER_S + STALENESS_MARGIN_S
-        position = group.positions.not_older_than(since)
-        if position is None and not group.is_surely_primary(group.primary):
-            position = await self._questions.prove_position(group, attempt.time_left())
-        if position is None:
-            return None
-        if database.consistency is Consistency.SESSION and session.written is not None:
-            return max(position, session.written)
-        return position
+        position = await self._fresh_position(attempt)
+        if position is None or session.database.consistency is Consistency.BOUNDED:
+            return position
+        return position if session.written is None else max(position, session.written)
+
+    async def _fresh_position(self, attempt: Attempt) -> LogPosition | None:
+        """Return a position that the primary held within the bound; None when none is known.
+
+        While the primary has no room, as just after the start, its position is asked for: then
+        replicas can serve, and a read need not wait for the primary.
+        """
+        group = attempt.group
+        while True:
+            position = group.positions.not_older_than(_oldest_allowed(attempt))
+            if position is not None:
+                return position
+            if not group.is_surely_primary(group.primary):
+                return await self._questions.prove_position(group, attempt.time_left())
+            pool = group.primary_pool()
+            if pool is None or pool.has_usual_room:
+                return None
+            await self._questions.learn_position(group)
+            if not await attempt.pause():
+                return None
 
     def _limit_s(self, attempt: Attempt) -> float:
         left_s = attempt.time_left()
         if attempt.runs + 1 >= attempt.session.database.maximum_attempts:
             return left_s
         return max(left_s * READ_ATTEMPT_SHARE, LEAST_ATTEMPT_S)
+
+
+def _oldest_allowed(attempt: Attempt) -> float:
+    """Return the moment at which a position must have been the primary's at the earliest."""
+    staleness_s = attempt.session.database.max_staleness_ms / MS_PER_S
+    return time.monotonic() - staleness_s + STALENESS_MARGIN_S
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -55,11 +55,14 @@
 
     async def _run_pinned(self, pinned: PinnedConnection, attempt: Attempt) -> PlacedAnswer:
         """Run a further statement of a transaction on its connection."""
-        answer = await self._exchange.run(pinned, attempt, None, attempt.time_left())
-        while answer.kind is AnswerKind.BUSY and attempt.time_left() > 2 * RETRY_PAUSE_S:
+        while True:
+            answer = await self._exchange.run(pinned, attempt, None, attempt.time_left())
+            if answer.kind is not AnswerKind.BUSY:
+                break
             attempt.failed(answer.kind, pinned.identity)
             await curio.sleep(RETRY_PAUSE_S)
-            answer = await self._exchange.run(pinned, attempt, None, attempt.time_left())
+            if attempt.is_too_late(pinned.pool.belief.latency_s):
+                break
         return await settle_in_transaction(attempt.session, attempt.run, pinned, answer)
 
     async def _run_on_primary(self, attempt: Attempt) -> PlacedAnswer:
@@ -74,6 +77,10 @@
                     return PlacedAnswer(attempt.give_up(ResultCode.NO_PRIMARY))
                 continue
             pinned = await self._exchange.connect(pool, attempt)
+            if attempt.is_too_late(pool.belief.latency_s):
+                if pinned is not None:
+                    await pinned.release()
+                return PlacedAnswer(attempt.give_up(ResultCode.NO_PRIMARY))
             if pinned is None:
                 if not await attempt.pause():
                     return PlacedAnswer(attempt.give_up(ResultCode.NO_PRIMARY))
