Prove on real processes that failed requests can be explained from logs and metrics

It starts three controllers, two proxies and stand-ins; the steps that explain read only standard output (through limedyke.log_explanation) and /metrics. What the first runs showed: whether the leader's decision is there when a write is refused depends on time; the authority is down in the scenario, so that the refusal comes for certain and the log holds the doubt, the grant and the call that was not answered.

--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -42,6 +42,7 @@
         self.group = StandInGroup(GROUP, ("a", "b", "c"))
         self.promotions: list[tuple[str, int]] = []
         self.version = 0
+        self.authority_is_down = False
 
     async def start(self) -> None:
         """Start the stand-ins and all processes."""
@@ -160,6 +161,8 @@
 
     async def _promote(self, request: HttpRequest) -> HttpAnswer:
         """Promote a member a little later, as the authority does."""
+        if self.authority_is_down:
+            return HttpAnswer(503)
         identity = json.loads(request.body)["id"]
         member = self.group.members[identity]
         if member.task.terminated:
