Take no position that a member told while it was a replica for the primary's

A proxy's read ran at a replica; before the answer came the replica was promoted, and the proxy learned so. The answer's position, 1.69, then counted as the new primary's, asked for within the bound, and for 2.5 s reads were sent to a third member with a wait for 1.69, while commits up to 1.99 had been acknowledged. The fault is as old as the positions; it needs an answer under way while the primary's record changes. Ruled out: a false word of a member (no status named the third member primary), the session's own position (the reads belong to many sessions), the question that reads ask at the start (it takes a position only with the member's own word that it leads). Change: a position told beside an answer counts only if its member was surely the primary when it was asked, too; that of a commit counts as before, as only a primary commits.

--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -58,6 +58,16 @@
     And statement path: at least 5 of them were served by replicas
     And statement path: a was asked for its position 1 times
 
+  Scenario: statement path: an answer that a member gave before it led is no word of the primary
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: 100 ms pass
+    And statement path: the client asks "READ x" and is told "1 done I"
+    And statement path: answers of b are 300 ms on their way
+    And statement path: b begins to lead while another client's "READ y" runs there, and the proxy knows
+    Then statement path: "READ y" ran at b
+    And statement path: no position of the primary is known
+
   Scenario: statement path: reads stay away from a silent replica until it is found to answer again
     Given statement path: a session database on primary a and replicas b c, the proxy beside b
     When statement path: the client asks "WRITE x 1" and is told "done I"
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -244,6 +244,37 @@
     run(context, context.path.tell_view)
 
 
+@step("statement path: answers of {name:w} are {milliseconds:d} ms on their way")
+def step_travel(context, name, milliseconds):
+    context.path.group.members[name].faults.answers_travel_s = milliseconds / 1_000
+
+
+@step(
+    'statement path: {name:w} begins to lead while another client\'s "{text}" runs there, '
+    "and the proxy knows"
+)
+def step_leads_meanwhile(context, name, text):
+    async def lead_meanwhile() -> str:
+        client, _ = await context.path.connect()
+        task = await curio.spawn(client.ask, text)
+        while not context.path.runs_of(text):
+            await curio.sleep(0.01)
+        context.path.group.promote(name)
+        context.path.primary = name
+        context.path.term = 2
+        await context.path.tell_view()
+        return await task.join()
+
+    told = run(context, lead_meanwhile)
+    assert told.endswith("done I"), told
+
+
+@then("statement path: no position of the primary is known")
+def step_no_position(context):
+    known = context.path.groups.groups[GROUP].positions.not_older_than(0.0)
+    assert known is None, known
+
+
 @step("statement path: no primary is recorded")
 def step_no_primary(context):
     context.path.primary = ""
--- a/features/support/line_platform/group.py
+++ b/features/support/line_platform/group.py
@@ -24,6 +24,7 @@
     lag_s: float = 0.0
     deaf: bool = False
     work_s: float = 0.0
+    answers_travel_s: float = 0.0
 
 
 @dataclass(slots=True)
--- a/features/support/line_platform/member_session.py
+++ b/features/support/line_platform/member_session.py
@@ -88,7 +88,9 @@
 
     async def _ready(self, *lines: str) -> None:
         position = self._member.log.position(self._member.group.term)
-        await self._send(*lines, f"READY {self._state} {position}")
+        ready = f"READY {self._state} {position}"
+        await curio.sleep(self._member.faults.answers_travel_s)
+        await self._send(*lines, ready)
 
     async def _error(self, word: str) -> None:
         if self._state == "T":
--- a/limedyke/proxy/statements/member_exchange.py
+++ b/limedyke/proxy/statements/member_exchange.py
@@ -74,6 +74,7 @@
         belief = pinned.pool.belief
         run = attempt.run
         started_at = time.monotonic()
+        was_primary = attempt.group.is_surely_primary(pinned.identity)
         try:
             async with curio.timeout_after(max(0.0, limit_s)):
                 answer = await pinned.connection.run(
@@ -88,13 +89,22 @@
         except curio.CancelledError:
             await pinned.abandon()
             raise
-        self._learn(pinned, attempt, answer, started_at)
+        self._learn(pinned, attempt, answer, started_at, was_primary)
         return answer
 
     def _learn(
-        self, pinned: PinnedConnection, attempt: Attempt, answer: MemberAnswer, started_at: float
+        self,
+        pinned: PinnedConnection,
+        attempt: Attempt,
+        answer: MemberAnswer,
+        started_at: float,
+        was_primary: bool,
     ) -> None:
-        """Take what an answer says of the member, and of the primary's position."""
+        """Take what an answer says of the member, and of the primary's position.
+
+        :param was_primary: it was surely the primary when it was asked; what it told while it
+            was a replica may come after it was promoted, and is no position of the primary
+        """
         now = time.monotonic()
         belief = pinned.pool.belief
         is_replica = pinned.identity != attempt.group.primary
@@ -106,6 +116,8 @@
         if answer.kind is AnswerKind.DONE:
             belief.served(now - started_at)
             is_commit = attempt.run.writes and answer.status is TransactionStatus.IDLE
-            attempt.group.learn_position(pinned.identity, started_at, answer.position, is_commit)
+            if is_commit or was_primary:
+                group = attempt.group
+                group.learn_position(pinned.identity, started_at, answer.position, is_commit)
         elif answer.kind is AnswerKind.BUSY:
             belief.is_busy(now)
