Send statements on to a home proxy that reaches the primary, and doubt links that owe a sign

Change: a home proxy that can't reach the recorded primary says so at once (LD3016, between proxies only), and the statement goes to the next one, three at most, then waits for another primary as long as any statement is held. The way of an answer, measured when the link is opened, is left out of the home proxy's time. A link owes a sign of life after a statement was given up unheard; it is probed and takes no new work before. Changes of leases have a line in the log. Ruled out: to have home proxies send their own clients' statements on as well (more states for few cases); to try another home proxy after any refusal (an overloaded group would get its load several times).

--- a/features/statement_forwarding.feature
+++ b/features/statement_forwarding.feature
@@ -77,15 +77,54 @@
       | h1 freezes                   | WRITE x 2 | INDOUBT I | 1     |
       | the primary turns silent     | WRITE x 2 | TIMEOUT I | 1     |
 
-  Scenario: statement homes: a home proxy that went silent is avoided
+  Scenario Outline: statement homes: a home proxy that can't reach the primary, <consistency>, "<asked>"
+    Given statement homes: a <consistency> database, home proxies h1 in z2, h2 in z3
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement homes: links to all are open
+    And statement homes: h1 can't reach the primary
+    And statement path: the lease has run out
+    And statement path: the client asks "<asked>" and is told "<told>"
+    Then statement path: "<asked>" ran at <member>
+    And statement path: that took less than 150 ms
+
+    Examples:
+      | consistency | asked     | told     | member |
+      | session     | WRITE x 2 | done I   | a      |
+      | primary     | READ x    | 1 done I | c      |
+
+  Scenario: statement homes: no home proxy can reach the primary
+    Given statement homes: a session database, home proxies h1 in z2, h2 in z3
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement homes: links to all are open
+    And statement homes: h1 can't reach the primary
+    And statement homes: h2 can't reach the primary
+    And statement path: the client asks "WRITE x 2" and is told "BUSY I"
+    Then statement path: "WRITE x 2" ran nowhere
+    And statement path: that took less than 300 ms
+
+  Scenario Outline: statement homes: the answer's way is left out of a home proxy's time: <limit> s, <travel> s
+    Then statement homes: of <limit> s with <travel> s on the way a home proxy gets <home> s
+
+    Examples:
+      | limit | travel | home  |
+      | 0.8   | 0.002  | 0.76  |
+      | 0.48  | 0.045  | 0.435 |
+      | 0.05  | 0.2    | 0.025 |
+
+  Scenario Outline: statement homes: a home proxy that went silent is avoided, after <ms> ms
     Given statement homes: a session database, home proxies h1 in z2, h2 in z3
     When statement path: the client asks "WRITE x 1" and is told "done I"
     And statement homes: links to all are open
     And statement homes: h1 freezes
-    And statement homes: a client waits at h1 for 750 ms
+    And statement homes: a client waits at h1 for <ms> ms
     And statement path: the client asks "WRITE x 2" and is told "done I"
     Then statement path: that took less than 200 ms
 
+    Examples: while its statement waits, and after it was given up
+      | ms  |
+      | 750 |
+      | 950 |
+
   Scenario: statement homes: a transaction whose home proxy is lost
     Given statement homes: a session database, home proxies h1 in z2, h2 in z3
     When statement path: the client asks "BEGIN" and is told "done T"
--- a/features/steps/statement_forwarding_steps.py
+++ b/features/steps/statement_forwarding_steps.py
@@ -13,8 +13,10 @@
 from features.support.statement_path import GROUP
 from limedyke.messages.control import ConnectionLease
 from limedyke.messages.databases import Consistency
+from limedyke.proxy.statements.forwarding import home_time_s
 
 SETTLE_S = 3.0
+TIME_PRECISION_S = 1e-6
 
 
 def parse_homes(text):
@@ -75,6 +77,17 @@
     run(context, curio.sleep, 0.05)
 
 
+@step("statement homes: {name:w} can't reach the primary")
+def step_unreached(context, name):
+    belief = context.path.homes[name].groups.groups[GROUP].pools["a"].belief
+    belief.was_silent(time.monotonic())
+
+
+@then("statement homes: of {limit:g} s with {travel:g} s on the way a home proxy gets {home:g} s")
+def step_home_time(context, limit, travel, home):
+    assert abs(home_time_s(limit, travel) - home) < TIME_PRECISION_S
+
+
 @then("statement homes: no connection is in use at {name:w}")
 def step_none_in_use(context, name):
     wait(context, lambda: context.path.homes[name].connections() == 0)
--- a/limedyke/proxy/forwarding_link.py
+++ b/limedyke/proxy/forwarding_link.py
@@ -55,13 +55,15 @@
     Only this end closes a link for being idle: at the other end a unit may be on its way.
 
     :param idle_limit_s: the link closes when nothing was on it for so long
+    :param travel_s: how long a message and its answer travel, as its opening took
     :ivar transactions: open transactions that are on the home proxy, by this proxy's numbers
     :ivar used_at: when a unit or transaction was last on it (``time.monotonic()`` seconds)
     :ivar is_draining: the home proxy has said that it takes no new work
     """
 
-    def __init__(self, home: str, link: Link, idle_limit_s: float) -> None:
+    def __init__(self, home: str, link: Link, idle_limit_s: float, travel_s: float = 0.0) -> None:
         self.home = home
+        self.travel_s = travel_s
         self.transactions: set[int] = set()
         self.closed = False
         self.is_draining = False
@@ -74,17 +76,18 @@
         self._number_of: dict[int, int] = {}
         self._numbers = itertools.count(1)
         self._heard_at = time.monotonic()
+        self._owes_sign = False
 
     @property
     def takes_work(self) -> bool:
         """Whether new work belongs here: the other end neither drains nor owes a sign of life."""
         is_silent = bool(self._streams) and time.monotonic() - self._heard_at > DOUBT_AFTER_S
-        return not is_silent and not self.is_draining
+        return not (is_silent or self._owes_sign or self.is_draining)
 
     @property
     def is_busy(self) -> bool:
-        """Whether a unit or an open transaction is on the link."""
-        return bool(self._streams or self.transactions)
+        """Whether a unit or an open transaction is on the link, or one was given up unheard."""
+        return bool(self._streams or self.transactions or self._owes_sign)
 
     async def close_if_idle(self) -> None:
         """Close the link unless something is on it; no unit starts on it from now on."""
@@ -111,6 +114,7 @@
             while True:
                 message = await self._link.receive()
                 self._heard_at = time.monotonic()
+                self._owes_sign = False
                 await self._take(message)
         except LinkClosedError:
             return
@@ -167,8 +171,9 @@
         """Run a unit at the home proxy; None when the link closed before its end."""
         number = next(self._numbers)
         stream = _Stream()
-        if not self._streams:
-            self._heard_at = time.monotonic()
+        began_at = time.monotonic()
+        if not self.is_busy:
+            self._heard_at = began_at
         self._streams[number] = stream
         self._number_of[unit.stream] = number
         self.used_at = time.monotonic()
@@ -188,6 +193,7 @@
             del self._number_of[unit.stream]
             self.used_at = time.monotonic()
             if not ended:
+                self._owes_sign = self._heard_at <= began_at
                 await self._put_quietly(AbandonWork(number, unit.transaction, False))
 
     async def _follow(
--- a/limedyke/proxy/home_links.py
+++ b/limedyke/proxy/home_links.py
@@ -24,6 +24,8 @@
 DIAL_TIMEOUT_S = 0.5
 DIAL_BACKOFF_BASE_S = 0.1
 DIAL_BACKOFF_LIMIT_S = 2.0
+DIAL_ROUND_TRIPS = 3
+"""To connect, to greet and to prove both identities."""
 DIALS_AT_ONCE = 2
 """For one unit; the others are dialled only when these fail, as many proxies want few links."""
 
@@ -152,6 +154,7 @@
     async def _dial_in_task(
         self, record: ProxyRecord, backoff: Backoff, event: curio.Event
     ) -> None:
+        began_at = time.monotonic()
         try:
             dialed = await self._dial(record)
             if isinstance(dialed, Err):
@@ -161,7 +164,8 @@
             backoff.succeeded()
             await self._make_room()
             idle_limit_s = self._settings.home_link_idle_ms / MS_PER_S
-            link = HomeLink(record.name, dialed.ok_value, idle_limit_s)
+            travel_s = (time.monotonic() - began_at) / DIAL_ROUND_TRIPS
+            link = HomeLink(record.name, dialed.ok_value, idle_limit_s, travel_s)
             self._links[record.name] = link
             await curio.spawn(self._serve, link, daemon=True)
         finally:
--- a/limedyke/proxy/statements/attempt.py
+++ b/limedyke/proxy/statements/attempt.py
@@ -96,11 +96,7 @@
 
     async def wait_for_primary(self) -> bool:
         """Wait for a change of the primary while the statement may be held."""
-        left_s = min(self.hold_until, self.deadline) - time.monotonic()
-        if left_s <= 0.0:
-            return False
-        await curio.ignore_after(left_s, self.group.primary_changed.wait)
-        return time.monotonic() < self.hold_until
+        return await self.group.wait_for_primary(min(self.hold_until, self.deadline))
 
     async def pause(self, until: float | None = None) -> bool:
         """Pause before another try; False when the statement may not be held that long."""
--- a/limedyke/proxy/statements/forwarding.py
+++ b/limedyke/proxy/statements/forwarding.py
@@ -17,7 +17,11 @@
 from limedyke.messages.work import AbandonWork, SessionSetting, TransactionStatus
 from limedyke.proxy.forwarding_link import HomeLink
 from limedyke.proxy.home_links import HomeLinks
-from limedyke.proxy.statements.attempt import RETRY_AFTER_MS, RETRY_PAUSE_S
+from limedyke.proxy.statements.attempt import (
+    HELD_SHARE_OF_TARGET,
+    RETRY_AFTER_MS,
+    RETRY_PAUSE_S,
+)
 from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.placed_answer import ForwardedTransaction, PlacedAnswer
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
@@ -29,11 +33,17 @@
 LEASE_WAIT_SHARE = 0.7
 """While no home proxy is reached, a statement waits so much of its time for one or for a lease."""
 HOME_SHARE_OF_TIME = 0.95
-"""So much of a statement's time is left to the home proxy: its answer has to come back."""
+"""So much of a statement's time is left to the home proxy at most: its answer has to come back."""
+LEAST_HOME_SHARE_OF_TIME = 0.5
+UNREACHED_TRIES = 3
+"""After so many home proxies that can't reach the primary a statement waits for another primary."""
 READ_SHARE_OF_TIME = 0.6
 """A first attempt to read gets so much of the time, so that another home proxy can be tried."""
 LEAST_ATTEMPT_S = 0.05
-_TRY_ANOTHER = frozenset({ResultCode.DRAINING.value.number, ResultCode.NO_LEASE.value.number})
+_UNREACHED = ResultCode.PRIMARY_UNREACHED.value.number
+_TRY_ANOTHER = frozenset(
+    {ResultCode.DRAINING.value.number, ResultCode.NO_LEASE.value.number, _UNREACHED}
+)
 
 
 class StatementForwarding:
@@ -64,15 +74,23 @@
             await curio.ignore_after(OWN_LEASE_WAIT_S, group.leased.wait)
             if group.limit > 0:
                 return None
+        hold_until = now + HELD_SHARE_OF_TARGET * session.database.target_latency_ms / MS_PER_S
         tried: set[str] = set()
         last = "no home proxy is reached"
         runs = 0
+        unreached = 0
         while True:
             link = await self._choose(group.name, tried, deadline)
+            if unreached and (link is None or unreached >= UNREACHED_TRIES):
+                if not await group.wait_for_primary(min(hold_until, deadline)):
+                    return self._give_up(session, ResultCode.NO_PRIMARY, last)
+                tried.clear()
+                unreached = 0
+                continue
             if link is None:
                 tried.clear()
                 if time.monotonic() >= wait_until:
-                    return self._give_up(session, last)
+                    return self._give_up(session, ResultCode.NO_LEASE, last)
                 await curio.ignore_after(RETRY_PAUSE_S, group.leased.wait)
                 if group.limit > 0:
                     return None
@@ -90,6 +108,7 @@
             if end.answer.code not in _TRY_ANOTHER:
                 return self._settle(session, run, end, link, transaction)
             runs -= 1
+            unreached += end.answer.code == _UNREACHED
             link.is_draining |= end.answer.code == ResultCode.DRAINING.value.number
             last = f"{link.home}: {end.answer.detail}"
 
@@ -139,7 +158,7 @@
     ) -> StatementUnitEnd | None:
         """Run a unit at a home proxy; None when it gives no answer in time."""
         self._metrics.forwarded_out.inc()
-        deadline_ms = max(1, int(limit_s * HOME_SHARE_OF_TIME * MS_PER_S))
+        deadline_ms = max(1, int(home_time_s(limit_s, link.travel_s) * MS_PER_S))
         sent = dataclasses.replace(unit, stream=next(self._numbers), deadline_ms=deadline_ms)
         async with curio.ignore_after(limit_s):
             return await link.run_unit(sent)
@@ -184,9 +203,18 @@
             return PlacedAnswer(refusal(ResultCode.TRANSACTION_LOST, detail, RETRY_AFTER_MS))
         return PlacedAnswer(refusal(ResultCode.READ_UNANSWERED, detail))
 
-    def _give_up(self, session: StatementSession, detail: str) -> PlacedAnswer:
+    def _give_up(self, session: StatementSession, code: ResultCode, detail: str) -> PlacedAnswer:
         """Refuse a statement that did not run."""
         if session.transaction is not None:
             session.fail_transaction()
             return PlacedAnswer(refusal(ResultCode.TRANSACTION_LOST, detail, RETRY_AFTER_MS))
-        return PlacedAnswer(refusal(ResultCode.NO_LEASE, detail, RETRY_AFTER_MS))
+        return PlacedAnswer(refusal(code, detail, RETRY_AFTER_MS))
+
+
+def home_time_s(limit_s: float, travel_s: float) -> float:
+    """Return how much of the time for an answer the home proxy itself may take.
+
+    :param travel_s: how long the unit and its answer are on their way
+    """
+    most_s = min(limit_s * HOME_SHARE_OF_TIME, limit_s - travel_s)
+    return max(most_s, limit_s * LEAST_HOME_SHARE_OF_TIME)
--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -9,7 +9,7 @@
 
 from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.core.statements.primary_positions import PrimaryPositions
-from limedyke.messages.control import GroupPrimary
+from limedyke.messages.control import GroupPrimary, MemberHealth
 from limedyke.messages.databases import AnnouncedMember
 from limedyke.messages.work import LogPosition
 from limedyke.proxy.statements.member_pool import MemberPool
@@ -77,6 +77,11 @@
             self.exposed = identity
             await self._wake_waiting()
 
+    def has_unreachable_primary(self) -> bool:
+        """Tell whether this proxy can't reach the member that should lead, though one is known."""
+        pool = self.primary_pool()
+        return pool is not None and pool.belief.health is MemberHealth.UNREACHABLE
+
     def primary_lease_left_s(self) -> float:
         """Return for how long the recorded primary is surely the only one; negative when not."""
         return self._lease_ends_at() - LEASE_MARGIN_S - time.monotonic()
@@ -116,6 +121,14 @@
         self.denied.clear()
         await self._wake_waiting()
 
+    async def wait_for_primary(self, until: float) -> bool:
+        """Wait for a change of the primary; tell whether it came before ``until``."""
+        left_s = until - time.monotonic()
+        if left_s <= 0.0:
+            return False
+        await curio.ignore_after(left_s, self.primary_changed.wait)
+        return time.monotonic() < until
+
     async def _wake_waiting(self) -> None:
         """Have those that wait for a primary look again."""
         event, self.primary_changed = self.primary_changed, curio.Event()
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -93,7 +94,10 @@
     async def leases_changed(self, leases: tuple[ConnectionLease, ...], expires_at: float) -> None:
         """Take the leases of connections; what is above them is closed and given back."""
         self._owed |= self._leases.keys()
+        before = self._leases
         self._leases = {(lease.group, lease.tenant): lease.connections for lease in leases}
+        if self._leases != before:
+            EVENTS.info("leases", connections=_text_of(self._leases) or "none")
         for name, group in self.groups.items():
             await group.set_limit(self._limit_of(name))
         await self._return_leases()
@@ -205,3 +209,11 @@
             return MemberPool(belief, self._make_codec, settings.source_ip, timeout_s)
 
         return StatementGroup(name, make_pool, self._primary_lease_ends_at)
+
+
+def _text_of(leases: dict[tuple[str, str], int]) -> str:
+    """Return connections by group, in one word."""
+    total: Counter[str] = Counter()
+    for (group, _), connections in leases.items():
+        total[group] += connections
+    return ",".join(f"{group}:{connections}" for group, connections in sorted(total.items()))
--- a/limedyke/proxy/statements/home_service.py
+++ b/limedyke/proxy/statements/home_service.py
@@ -13,9 +13,10 @@
     StatementSession,
     refusal,
 )
-from limedyke.messages.statements import StatementUnit, StatementUnitEnd
+from limedyke.messages.statements import StatementKind, StatementUnit, StatementUnitEnd
 from limedyke.messages.work import AbandonWork, TransactionStatus
 from limedyke.proxy.executor import Relay
+from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.groups import StatementGroups
 from limedyke.proxy.statements.pinned_connection import PinnedConnection
 from limedyke.proxy.statements.runner import StatementRunner
@@ -96,6 +97,8 @@
             return refuse_unit(unit, ResultCode.TRANSACTION_LOST, "it is not open here")
         if held is None and (group is None or group.limit == 0):
             return refuse_unit(unit, ResultCode.NO_LEASE)
+        if held is None and _is_for_another_home(unit, group):
+            return refuse_unit(unit, ResultCode.PRIMARY_UNREACHED, group.primary)
         session = held.session if held is not None else _new_session(unit)
         _renew(session, unit)
         run = RunOnMember(unit.statement, unit.begin, unit.writes, unit.prepared)
@@ -139,3 +142,10 @@
     """Take what the unit says of its session; its time left is the statement's whole time."""
     session.database = dataclasses.replace(unit.database, statement_timeout_ms=unit.deadline_ms)
     session.settings = {setting.name: setting.value for setting in unit.settings}
+
+
+def _is_for_another_home(unit: StatementUnit, group: StatementGroup) -> bool:
+    """Tell whether a unit needs the primary, which this home proxy can't reach."""
+    begins_to_write = unit.begin is not None and unit.begin.kind is StatementKind.BEGIN
+    needs_primary = unit.writes or begins_to_write or not group.is_surely_primary(group.primary)
+    return needs_primary and group.has_unreachable_primary()
--- a/limedyke/proxy/statements/statement_log.py
+++ b/limedyke/proxy/statements/statement_log.py
@@ -23,7 +23,9 @@
 """Lines on tries take so much of the budget at most: those on outcomes say more."""
 SUMMARY_INTERVAL_S = 10.0
 MS_PER_S = 1_000
-TRIED_ELSEWHERE = frozenset({ResultCode.NO_LEASE, ResultCode.DRAINING})
+TRIED_ELSEWHERE = frozenset(
+    {ResultCode.NO_LEASE, ResultCode.DRAINING, ResultCode.PRIMARY_UNREACHED}
+)
 EVENTS = EventLog("statements")
 
 
--- a/limedyke/result_codes.py
+++ b/limedyke/result_codes.py
@@ -141,6 +141,12 @@
         Outcome.DID_NOT_RUN,
         "The proxy holds no lease of connections to the group; try again later.",
     )
+    PRIMARY_UNREACHED = CodeEntry(
+        3016,
+        "57P03",
+        Outcome.DID_NOT_RUN,
+        "The home proxy can't reach the group's primary; another one may.",
+    )
     # 4xxx: control
     NOT_LEADER = CodeEntry(
         4001, "57P03", Outcome.DID_NOT_RUN, "This controller does not hold the leader lease."
