End the joint phase of a replaced voter with a second entry

Cause: a replacement was one entry that names the replaced voters too, and these counted until the entry was known committed. A restart forgets what is committed. When later all machines lost power and two their disks, the three voters left asked for a majority of the old voters, with the replaced one gone for good: no leader was ever elected again (RECOVER and CONFIG broken).

Ruled out: a commit index kept on disk (a sync more for each commit, or an index that lags just when it is needed); never counting the old voters (two majorities without a voter in common).

Change: once the joint entry is committed the leader appends a second one with the new voters alone; the replacement is answered, and counts as settled, when that is committed. A voter's own log then says which voters count. A leader that finds a joint entry committed, also one of an earlier version or a former leader, ends it the same way.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -8,6 +8,11 @@
     Then agreement: no rule is broken
     And agreement: at least 5000 proposals were accepted and 10000 reads served
 
+  Scenario: With five controllers two disks are lost with the power of all, also after repairs
+    When agreement: seeds 1 to 60 run with 5 controllers
+    Then agreement: no rule is broken
+    And agreement: at least 3000 proposals were accepted and 6000 reads served
+
   Scenario: The same seed goes the same way
     Then agreement: seeds 1 to 3 run twice give the same digests
 
@@ -45,6 +50,7 @@
       | a full disk                                        | goes on after a failed write                            |
       | a failing sync                                     | goes on after a failed write                            |
       | a second machine lost right after a repair         | comes back under the old name after a lost disk         |
+      | power and a disk lost after a repair               | never ends the joint phase of a replacement             |
 
   Scenario Outline: It holds: <script>
     Then agreement: the script "<script>" breaks nothing
--- a/features/mutants/agreement_safeguards.py
+++ b/features/mutants/agreement_safeguards.py
@@ -42,6 +42,7 @@
     "leads on under its lease after handing over": "cut off while handing over",
     "changes members while a change is uncommitted": "two membership changes in a row",
     "promotes learners that are not caught up": "a deaf learner is promoted",
+    "never ends the joint phase of a replacement": "power and a disk lost after a repair",
     "counts learners as voters": "a leader left with a learner",
     "goes on after a failed write": "a full disk",
     "never steps down without a quorum": "silently cut off",
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -24,7 +24,7 @@
     MemberConfiguration,
 )
 from limedyke.result_codes import ResultCode
-from limedyke_lab.agreement_simulation import simulate
+from limedyke_lab.agreement_simulation import SimulationOptions, simulate
 
 NONE = "-"
 FOUNDING_VOTERS = ("a", "b", "c")
@@ -39,6 +39,12 @@
     context.reports = [simulate(seed) for seed in range(first, last + 1)]
 
 
+@when("agreement: seeds {first:d} to {last:d} run with {controllers:d} controllers")
+def step_seeds_with_controllers(context, first, last, controllers):
+    options = SimulationOptions(controllers=controllers)
+    context.reports = [simulate(seed, options) for seed in range(first, last + 1)]
+
+
 @then("agreement: no rule is broken")
 def step_no_rule_broken(context):
     broken = [(report.seed, report.violations) for report in context.reports if report.violations]
--- a/features/support/agreement_mutants.py
+++ b/features/support/agreement_mutants.py
@@ -142,6 +142,10 @@
     self.vouched_for = leader
 
 
+def _newest_configuration_committed(self: AgreementState) -> bool:
+    return self.log.configuration_index <= self.commit_index
+
+
 _CONFIRM = LeaderLease.confirm
 _VOUCH_FOR = AgreementState.vouch_for
 _CONTINUE_TRANSFER = Leader._continue_transfer
@@ -232,6 +236,12 @@
             ),
         )
     ),
+    "never ends the joint phase of a replacement": Mutant(
+        (
+            (Leader, "_end_joint_phase", lambda self: None),
+            (AgreementState, "membership_settled", property(_newest_configuration_committed)),
+        )
+    ),
     "counts learners as voters": Mutant(
         ((Leader, "_majority_index", _majority_index_with_learners),)
     ),
--- a/features/support/agreement_scripts.py
+++ b/features/support/agreement_scripts.py
@@ -45,6 +45,7 @@
     "silently cut off": lease.silent_cut,
     "followers behind and beside a new leader": election.diverged_follower,
     "a second machine lost right after a repair": storage.second_machine,
+    "power and a disk lost after a repair": storage.power_and_disk_lost_after_repair,
     "a leader left with a learner": members.learner_counts,
     "two disks lost at once": storage.two_lost_disks,
     "a full disk": storage.full_disk,
--- a/features/support/agreement_storage_scripts.py
+++ b/features/support/agreement_storage_scripts.py
@@ -70,6 +70,25 @@
     require(cluster.repair("a"), "a was not repaired")
 
 
+def power_and_disk_lost_after_repair(cluster: ScriptedCluster) -> None:
+    """Long after one machine's repair all lose power at once, and the leader its disk."""
+    leader = cluster.lead("a")
+    repaired = cluster.machines["c"]
+    repaired.lose_disk()
+    repaired.start()
+    cluster.repair("c")
+    accept(cluster, leader)
+    cluster.run(1.0)
+    for machine in cluster.machines.values():
+        machine.power_loss()
+    leader.lose_disk()
+    for machine in cluster.machines.values():
+        machine.start()
+    elected = cluster.run_until(lambda: cluster.leader() in cluster.others(leader), 5.0)
+    require(elected, "two of three voters with their disks elect nobody")
+    require(cluster.repair("a"), "a was not repaired")
+
+
 def two_lost_disks(cluster: ScriptedCluster) -> None:
     """Two of three disks are lost at once: the last holder must not go on alone."""
     leader = cluster.lead("a")
--- a/limedyke/core/agreement/leader.py
+++ b/limedyke/core/agreement/leader.py
@@ -16,7 +16,7 @@
     ReadRequested,
 )
 from limedyke.core.agreement.lease import LeaderLease
-from limedyke.core.agreement.membership import change_configuration
+from limedyke.core.agreement.membership import change_configuration, without_previous_voters
 from limedyke.core.agreement.records import encode_configuration
 from limedyke.core.agreement.replication import Replication
 from limedyke.core.agreement.state import AgreementState
@@ -123,7 +123,7 @@
         code = ResultCode.MEMBERSHIP_CHANGE_REFUSED
         if state.commit_index < self._first_index:
             return Failure(code, "The leader has committed nothing in its term yet.", 200)
-        if state.log.configuration_index > state.commit_index:
+        if not state.membership_settled:
             return Failure(code, "Another membership change is not committed yet.", 200)
         return None
 
@@ -173,10 +173,24 @@
         index = self._majority_index()
         if index > self._state.commit_index and self._may_commit_by_counting(index):
             self._state.advance_commit(index)
-            if self._state.configuration.previous_voters:
-                self.replication.refresh_members()
+            self._end_joint_phase()
         self._state.advance_commit(self._state.commit_index)
 
+    def _end_joint_phase(self) -> None:
+        """Once a replacement's first entry is committed, append the one without the old voters.
+
+        Who asked for the replacement is answered when that entry is committed: from then on it
+        holds also for voters that restart.
+        """
+        state = self._state
+        joint_index = state.log.configuration_index
+        if not state.configuration.previous_voters or joint_index > state.commit_index:
+            return
+        request_id = self._pending.pop(joint_index, None)
+        index = self._append_configuration(without_previous_voters(state.configuration))
+        if request_id is not None:
+            self._pending[index] = request_id
+
     def _majority_index(self) -> int:
         """Return the last index that majorities of all sets of voters in force have synced."""
         state = self._state
--- a/limedyke/core/agreement/membership.py
+++ b/limedyke/core/agreement/membership.py
@@ -1,7 +1,10 @@
 """Rules for changing the members: one voter is added, removed or replaced at a time.
 
-A replacement is one entry that holds the old voters too: it takes effect in elections and
-commits at once beside them, and alone as soon as it is committed by majorities of both sets.
+A replacement takes two entries (joint consensus).  The first holds the old voters too: from then
+on elections and commits need majorities of both sets.  Once it is committed, the leader appends
+the second, which names the new voters alone.  Only that entry ends the joint phase for
+good: a controller that restarts doesn't know which entries of its log are committed, and goes by
+the old voters too as long as the first entry is the newest configuration in its log.
 """
 
 from __future__ import annotations
@@ -46,6 +49,11 @@
             return _remove_member(configuration, change, leader)
 
 
+def without_previous_voters(configuration: MemberConfiguration) -> MemberConfiguration:
+    """Return the configuration that ends a replacement's joint phase."""
+    return replace(configuration, previous_voters=())
+
+
 def _add_learner(
     configuration: MemberConfiguration, change: AddLearner
 ) -> Result[MemberConfiguration, Failure]:
--- a/limedyke/core/agreement/state.py
+++ b/limedyke/core/agreement/state.py
@@ -105,6 +105,12 @@
         """Whether this very incarnation counts."""
         return self.identity in self.configuration.voters
 
+    @property
+    def membership_settled(self) -> bool:
+        """Whether the newest configuration is committed and ends the change that it is part of."""
+        is_committed = self.log.configuration_index <= self.commit_index
+        return is_committed and not self.configuration.previous_voters
+
     @property
     def voter_sets(self) -> tuple[tuple[ControllerIdentity, ...], ...]:
         """The sets of voters of each of which a majority is needed.
--- a/limedyke/core/agreement/view.py
+++ b/limedyke/core/agreement/view.py
@@ -52,9 +52,8 @@
 
     @property
     def membership_settled(self) -> bool:
-        """Whether the newest configuration is committed."""
-        state = self._state
-        return state.log.configuration_index <= state.commit_index
+        """Whether the last change of the members is done: no replacement is in its joint phase."""
+        return self._state.membership_settled
 
     @property
     def commit_index(self) -> int:
--- a/limedyke/messages/agreement.py
+++ b/limedyke/messages/agreement.py
@@ -59,8 +59,9 @@
     :param cluster: identifier made when the cluster was founded; empty before
     :param voters: identities that count for elections and commits
     :param learners: identities that receive entries but do not count
-    :param previous_voters: the voters that this configuration replaces in one step; until its
-        entry is committed, elections and commits need a majority of these too (joint consensus)
+    :param previous_voters: the voters that this configuration replaces in one step; elections and
+        commits need a majority of these too until its entry is committed (joint consensus), and the
+        leader then appends the configuration without them
     """
 
     cluster: str = NO_CLUSTER
--- a/limedyke_lab/agreement_simulation/faults.py
+++ b/limedyke_lab/agreement_simulation/faults.py
@@ -97,6 +97,7 @@
             self._power_loss_in_write,
             self._power_loss_everywhere,
             self._lose_disk,
+            self._lose_disks_and_power,
             self._transfer,
             self._slow_sender,
             self._late_answers_then_deaf,
@@ -212,6 +213,19 @@
                 machine.lose_disk()
             self._restart_later(machine)
 
+    def _lose_disks_and_power(self) -> None:
+        """All lose power, and as many as a majority can do without lose their disks too."""
+        if not self._operator.is_whole():
+            return
+        machines = list(self._machines.values())
+        without_disk = self._world.rng.sample(machines, (len(machines) - 1) // 2)
+        for machine in machines:
+            if machine in without_disk and machine.is_up:
+                machine.lose_disk()
+            elif machine.is_up:
+                machine.power_loss()
+            self._restart_later(machine)
+
     def _transfer(self) -> None:
         leader = current_leader(self._machines)
         if leader is not None:
--- a/limedyke_lab/agreement_simulation/run.py
+++ b/limedyke_lab/agreement_simulation/run.py
@@ -14,7 +14,8 @@
 from limedyke_lab.agreement_simulation.machine import Machine
 from limedyke_lab.agreement_simulation.world import SimulationOptions, World
 
-MACHINE_NAMES = ("a", "b", "c")
+MACHINE_NAMES = "abcdefg"
+"""Names of the machines, of which a run takes as many as its options say."""
 CLUSTER = "simulated"
 FIRST_PROPOSALS_S = (0.005, 0.03)
 """How long after its election a new leader gets proposals that waited for it."""
@@ -105,8 +106,10 @@
     seed: int, options: SimulationOptions | None = None, machine_class: type[Machine] = Machine
 ) -> SimulationReport:
     """Run one seed and return what the checkers found."""
-    world = World(seed, options or SimulationOptions())
-    machines = {name: machine_class(world, name) for name in MACHINE_NAMES}
+    options = options or SimulationOptions()
+    world = World(seed, options)
+    names = MACHINE_NAMES[: options.controllers]
+    machines = {name: machine_class(world, name) for name in names}
 
     def deliver(sender, to, message) -> None:
         machine = machines[to.name]
--- a/limedyke_lab/agreement_simulation/world.py
+++ b/limedyke_lab/agreement_simulation/world.py
@@ -30,6 +30,7 @@
 class SimulationOptions:
     """Sizes and chances of one run.
 
+    :param controllers: how many machines found the cluster
     :param faulty_s: true time with faults, in seconds
     :param calm_s: true time after them, in which the controllers must recover
     :param loss: chance that a message is lost; each run draws its own up to this
@@ -38,6 +39,7 @@
     :param snapshot_every: applied entries after which a controller takes a snapshot
     """
 
+    controllers: int = 3
     faulty_s: float = 14.0
     calm_s: float = 6.0
     loss: float = 0.1
