Tell a read that may have run so when it is given up

Cause: a read that was sent and lost or timed out at one member, and then found no member with room, was refused as LD3003, "did not run". The refusal was chosen by what happened last. The same between home proxies: the refusal of the second one was passed on although the first had taken the read and not answered.

Ruled out: no repeats of reads (a lost answer then costs its client a try); a promise all the same, since nothing of a read is kept (true for the data, not for the words).

Change: an attempt counts the tries that may have run; what is given up after one is told LD3011 (the read was sent, and not answered; it may be sent again). One function gives the final answer for both ways; the attempt through home proxies is a class of its own, and StatementForwarding.run is short.

Tests that failed first: statement_path "b loses 1 answer and is busy from then on" (BUSY told for a read that ran once), statement_forwarding "h1 freezes, and all members are busy".

--- a/features/statement_forwarding.feature
+++ b/features/statement_forwarding.feature
@@ -74,6 +74,8 @@
       | h1 holds no lease            | WRITE x 2 | done I    | 1     |
       | nobody holds a lease         | WRITE x 2 | BUSY I    | 0     |
       | h1 freezes                   | READ x    | 1 done I  | 1     |
+      | h1 freezes, and all members are busy | READ x | FAILED I | 0  |
+      | h1 freezes, and h2 holds no lease    | READ x | FAILED I | 0  |
       | h1 freezes                   | WRITE x 2 | INDOUBT I | 1     |
       | the primary turns silent     | WRITE x 2 | TIMEOUT I | 1     |
 
--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -161,6 +161,10 @@
       | a is busy 999 times  | WRITE x 2 | BUSY I    | 0     |
       | b is busy 1 times    | READ x    | 1 done I  | 1     |
 
+    Examples: a read that may have run is not called one that did not
+      | fault                                                           | asked  | told     | times |
+      | b loses 1 answer and is busy from then on, the others are busy  | READ x | FAILED I | 1     |
+
     Examples: a member is gone
       | fault                | asked     | told      | times |
       | b crashes            | READ x    | 1 done I  | 1     |
--- a/features/steps/statement_forwarding_steps.py
+++ b/features/steps/statement_forwarding_steps.py
@@ -9,6 +9,7 @@
 from behave import given, step, then, when
 
 from features.steps.statement_path_steps import begin, run
+from features.support.line_platform.member_session import ALWAYS
 from features.support.statement_homes import ForwardingPath
 from features.support.statement_path import GROUP
 from limedyke.messages.control import ConnectionLease
@@ -115,6 +116,19 @@
     context.path.homes[name].freeze()
 
 
+@step("statement homes: {name:w} freezes, and all members are busy")
+def step_freezes_and_busy(context, name):
+    step_freezes(context, name)
+    for member in context.path.group.members.values():
+        member.faults.busy = ALWAYS
+
+
+@step("statement homes: {frozen:w} freezes, and {other:w} holds no lease")
+def step_freezes_without_lease(context, frozen, other):
+    step_freezes(context, frozen)
+    step_no_lease(context, other)
+
+
 @step("statement homes: {name:w} holds no lease")
 def step_no_lease(context, name):
     run(context, context.path.homes[name].lease, 0)
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -7,6 +7,7 @@
 import curio
 from behave import given, step, then, when
 
+from features.support.line_platform.member_session import ALWAYS
 from features.support.statement_path import GROUP, StatementPath, elapsed_ms, summary
 from limedyke.messages.control import ConnectionLease, MemberHealth
 from limedyke.messages.databases import Consistency
@@ -136,6 +137,16 @@
     context.path.group.members[name].faults.lose_answers = count
 
 
+@step("statement path: {name:w} loses 1 answer and is busy from then on, the others are busy")
+def step_loses_then_busy(context, name):
+    for member in context.path.group.members.values():
+        member.faults.busy = ALWAYS
+    faults = context.path.group.members[name].faults
+    faults.busy = 0
+    faults.lose_answers = 1
+    faults.busy_after_loss = True
+
+
 @step("statement path: {name:w} is busy {count:d} times")
 def step_busy(context, name, count):
     context.path.group.members[name].faults.busy = count
--- a/features/support/line_platform/group.py
+++ b/features/support/line_platform/group.py
@@ -19,6 +19,7 @@
 
     busy: int = 0
     lose_answers: int = 0
+    busy_after_loss: bool = False
     silent: bool = False
     resets_when_full: bool = False
     lag_s: float = 0.0
--- a/features/support/line_platform/member_session.py
+++ b/features/support/line_platform/member_session.py
@@ -16,6 +16,8 @@
 
 RESET = struct.pack("ii", 1, 0)
 OWN_ID = "-"
+ALWAYS = 10**6
+"""A fault that should not end by itself comes so often."""
 
 
 class MemberSession:
@@ -223,6 +225,8 @@
         """Answer a statement that ran, or lose the answer; tell whether it was sent."""
         if self._member.faults.lose_answers:
             self._member.faults.lose_answers -= 1
+            if self._member.faults.busy_after_loss:
+                self._member.faults.busy = ALWAYS
             await self.abort()
             return False
         await self._ready(*rows, f"COMPLETE {self._member.group.signature()}")
--- a/limedyke/proxy/statements/attempt.py
+++ b/limedyke/proxy/statements/attempt.py
@@ -7,15 +7,15 @@
 
 import curio
 
-from limedyke.core.statements.session import RunOnMember, StatementSession, refusal
+from limedyke.core.statements.session import RunOnMember, StatementSession
 from limedyke.messages.statements import AnswerKind, StatementAnswer
+from limedyke.proxy.statements.giving_up import give_up
 from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.statement_log import NotSent, StatementLog, Try
 from limedyke.result_codes import ResultCode
 
 MS_PER_S = 1_000.0
 RETRY_PAUSE_S = 0.03
-RETRY_AFTER_MS = 200
 LEAST_ATTEMPT_S = 0.05
 LATE_SHARE_OF_TIME = 0.5
 """While more of a statement's time is left it is sent, however slow the member is."""
@@ -33,7 +33,6 @@
     :param hold_until: how long it is held while no member can run it
     :param tried: identities of members that did not run it
     :param runs: how often a member may have run it
-    :param tries: how many tries failed
     :param last: why the last try failed, for the refusal
     """
 
@@ -46,7 +45,6 @@
     hold_until: float
     tried: set[str] = field(default_factory=set)
     runs: int = 0
-    tries: int = 0
     last: str = "no member is known"
 
     @classmethod
@@ -79,7 +77,6 @@
 
         :param member: the member that was tried, if one was
         """
-        self.tries += 1
         last = f"{reason} at {member}" if member else str(reason)
         is_news = last != self.last
         self.last = last
@@ -88,11 +85,8 @@
         self.log.tried(self.run.statement, group.name, seen)
 
     def give_up(self, code: ResultCode) -> StatementAnswer:
-        """Refuse the statement, which did not run; an open transaction fails with it."""
-        if self.session.transaction is not None:
-            self.session.fail_transaction()
-            return refusal(ResultCode.TRANSACTION_LOST, self.last, RETRY_AFTER_MS)
-        return refusal(code, self.last, RETRY_AFTER_MS)
+        """Return the final answer to the statement, of which nothing was kept."""
+        return give_up(self.session, code, self.last, self.runs > 0)
 
     async def wait_for_primary(self) -> bool:
         """Wait for a change of the primary while the statement may be held."""
--- /dev/null
+++ b/limedyke/proxy/statements/forwarded_attempt.py
@@ -0,0 +1,126 @@
+"""One statement on its way to home proxies: its time, its tries and what it waits for."""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass, field
+
+import curio
+
+from limedyke.core.statements.session import RunOnMember, StatementSession
+from limedyke.messages.statements import StatementAnswer
+from limedyke.proxy.statements.attempt import (
+    HELD_SHARE_OF_TARGET,
+    LEAST_ATTEMPT_S,
+    MS_PER_S,
+    RETRY_PAUSE_S,
+)
+from limedyke.proxy.statements.giving_up import give_up
+from limedyke.proxy.statements.group import StatementGroup
+from limedyke.result_codes import CODE_BY_NUMBER, Outcome, ResultCode
+
+LEASE_WAIT_SHARE = 0.7
+"""While no home proxy is reached, a statement waits so much of its time for one or for a lease."""
+READ_SHARE_OF_TIME = 0.6
+"""A first attempt to read gets so much of the time, so that another home proxy can be tried."""
+UNREACHED_TRIES = 3
+"""After so many home proxies that can't reach the primary a statement waits for another primary."""
+_UNREACHED = ResultCode.PRIMARY_UNREACHED.value.number
+
+
+@dataclass(slots=True)
+class ForwardedAttempt:
+    """A statement that is in no open transaction yet, on its way to a home proxy.
+
+    :param deadline: when its time is over, seconds of the monotonic clock
+    :param home_until: how long it waits for a home proxy or a lease
+    :param hold_until: how long it waits for a primary that home proxies reach
+    :param tried: names of home proxies that did not run it
+    :param unanswered: how often a home proxy took it and gave no answer: it may have run
+    :param unreached: how many home proxies in a row could not reach the primary
+    :param last: why the last try failed, for the refusal
+    """
+
+    session: StatementSession
+    run: RunOnMember
+    group: StatementGroup
+    deadline: float
+    home_until: float
+    hold_until: float
+    tried: set[str] = field(default_factory=set)
+    unanswered: int = 0
+    unreached: int = 0
+    last: str = "no home proxy is reached"
+
+    @classmethod
+    def begin(
+        cls, session: StatementSession, run: RunOnMember, group: StatementGroup
+    ) -> ForwardedAttempt:
+        """Begin an attempt: its time counts from now."""
+        now = time.monotonic()
+        database = session.database
+        whole_s = database.statement_timeout_ms / MS_PER_S
+        target_s = database.target_latency_ms / MS_PER_S
+        return cls(
+            session,
+            run,
+            group,
+            deadline=now + whole_s,
+            home_until=now + LEASE_WAIT_SHARE * whole_s,
+            hold_until=now + HELD_SHARE_OF_TARGET * target_s,
+        )
+
+    def time_left(self) -> float:
+        """Return the seconds left to the statement, 0 when its time is over."""
+        return max(0.0, self.deadline - time.monotonic())
+
+    @property
+    def is_last_try(self) -> bool:
+        """Whether the statement must not be sent again when this try is not answered."""
+        return self.run.writes or self.unanswered + 1 >= self.session.database.maximum_attempts
+
+    def limit_s(self) -> float:
+        """Return for how long the next home proxy is waited for."""
+        left_s = self.time_left()
+        if self.is_last_try:
+            return left_s
+        return max(left_s * READ_SHARE_OF_TIME, LEAST_ATTEMPT_S)
+
+    def may_be_sent_again(self) -> bool:
+        """Tell whether an unanswered statement may go to another home proxy."""
+        return not self.is_last_try and self.time_left() > LEAST_ATTEMPT_S
+
+    def refused(self, answer: StatementAnswer, home: str) -> None:
+        """Take that a home proxy did not run it and another one may."""
+        self.unreached += answer.code == _UNREACHED
+        self.last = f"{home}: {answer.detail}"
+
+    async def wait_for_primary(self) -> bool:
+        """Wait for another primary, then try all homes again; False when it may not be held."""
+        if not await self.group.wait_for_primary(min(self.hold_until, self.deadline)):
+            return False
+        self.tried.clear()
+        self.unreached = 0
+        return True
+
+    async def wait_for_home(self) -> bool:
+        """Wait for a lease or a home proxy a little; False when it may not be held."""
+        self.tried.clear()
+        if time.monotonic() >= self.home_until:
+            return False
+        await curio.ignore_after(RETRY_PAUSE_S, self.group.leased.wait)
+        return True
+
+    def give_up(self, code: ResultCode) -> StatementAnswer:
+        """Return the final answer to the statement, of which nothing was kept."""
+        return give_up(self.session, code, self.last, self.unanswered > 0)
+
+    def outcome_of(self, answer: StatementAnswer) -> StatementAnswer:
+        """Return what a home proxy's answer means after the tries before it.
+
+        A refusal tells that this home proxy did not run it; an earlier one may have.
+        """
+        refused = answer.code != 0 and CODE_BY_NUMBER[answer.code].outcome is Outcome.DID_NOT_RUN
+        if refused and self.unanswered:
+            return give_up(self.session, ResultCode.READ_UNANSWERED, answer.detail, True)
+        return answer
--- a/limedyke/proxy/statements/forwarding.py
+++ b/limedyke/proxy/statements/forwarding.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import itertools
-import time
 
 import curio
 
@@ -17,32 +16,22 @@
 from limedyke.messages.work import AbandonWork, SessionSetting, TransactionStatus
 from limedyke.proxy.forwarding_link import HomeLink
 from limedyke.proxy.home_links import HomeLinks
-from limedyke.proxy.statements.attempt import (
-    HELD_SHARE_OF_TARGET,
-    RETRY_AFTER_MS,
-    RETRY_PAUSE_S,
-)
+from limedyke.proxy.statements.attempt import MS_PER_S
+from limedyke.proxy.statements.forwarded_attempt import UNREACHED_TRIES, ForwardedAttempt
+from limedyke.proxy.statements.giving_up import RETRY_AFTER_MS
 from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.placed_answer import ForwardedTransaction, PlacedAnswer
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from limedyke.result_codes import ResultCode
 
-MS_PER_S = 1_000.0
 OWN_LEASE_WAIT_S = 0.1
 """A home proxy that has no lease yet waits so long for it before it asks another one."""
-LEASE_WAIT_SHARE = 0.7
-"""While no home proxy is reached, a statement waits so much of its time for one or for a lease."""
 HOME_SHARE_OF_TIME = 0.95
 """So much of a statement's time is left to the home proxy at most: its answer has to come back."""
 LEAST_HOME_SHARE_OF_TIME = 0.5
-UNREACHED_TRIES = 3
-"""After so many home proxies that can't reach the primary a statement waits for another primary."""
-READ_SHARE_OF_TIME = 0.6
-"""A first attempt to read gets so much of the time, so that another home proxy can be tried."""
-LEAST_ATTEMPT_S = 0.05
-_UNREACHED = ResultCode.PRIMARY_UNREACHED.value.number
 _TRY_ANOTHER = frozenset(
-    {ResultCode.DRAINING.value.number, ResultCode.NO_LEASE.value.number, _UNREACHED}
+    code.value.number
+    for code in (ResultCode.DRAINING, ResultCode.NO_LEASE, ResultCode.PRIMARY_UNREACHED)
 )
 
 
@@ -65,52 +54,44 @@
 
         :returns: None when this proxy holds a lease by now and can run it itself
         """
-        now = time.monotonic()
-        deadline = now + session.database.statement_timeout_ms / MS_PER_S
-        wait_until = now + LEASE_WAIT_SHARE * (deadline - now)
         transaction = next(self._numbers) if session.transaction is not None else 0
         unit = self._unit(session, run, transaction)
+        attempt = ForwardedAttempt.begin(session, run, group)
         if self.links.is_home(group.name):
             await curio.ignore_after(OWN_LEASE_WAIT_S, group.leased.wait)
-            if group.limit > 0:
+        while group.limit == 0:
+            link = await self._choose(attempt)
+            if attempt.unreached and (link is None or attempt.unreached >= UNREACHED_TRIES):
+                if not await attempt.wait_for_primary():
+                    return PlacedAnswer(attempt.give_up(ResultCode.NO_PRIMARY))
+            elif link is None:
+                if not await attempt.wait_for_home():
+                    return PlacedAnswer(attempt.give_up(ResultCode.NO_LEASE))
+            else:
+                placed = await self._try_at(link, unit, attempt)
+                if placed is not None:
+                    return placed
+        return None
+
+    async def _try_at(
+        self, link: HomeLink, unit: StatementUnit, attempt: ForwardedAttempt
+    ) -> PlacedAnswer | None:
+        """Try one home proxy; None when another one should be tried."""
+        attempt.tried.add(link.home)
+        end = await self._run_at(link, unit, attempt.limit_s())
+        if end is None:
+            may_be_sent_again = attempt.may_be_sent_again()
+            attempt.unanswered += 1
+            attempt.last = f"no answer of home proxy {link.home}"
+            if may_be_sent_again:
                 return None
-        hold_until = now + HELD_SHARE_OF_TARGET * session.database.target_latency_ms / MS_PER_S
-        tried: set[str] = set()
-        last = "no home proxy is reached"
-        runs = 0
-        unreached = 0
-        while True:
-            link = await self._choose(group.name, tried, deadline)
-            if unreached and (link is None or unreached >= UNREACHED_TRIES):
-                if not await group.wait_for_primary(min(hold_until, deadline)):
-                    return self._give_up(session, ResultCode.NO_PRIMARY, last)
-                tried.clear()
-                unreached = 0
-                continue
-            if link is None:
-                tried.clear()
-                if time.monotonic() >= wait_until:
-                    return self._give_up(session, ResultCode.NO_LEASE, last)
-                await curio.ignore_after(RETRY_PAUSE_S, group.leased.wait)
-                if group.limit > 0:
-                    return None
-                continue
-            tried.add(link.home)
-            runs += 1
-            is_last = run.writes or runs >= session.database.maximum_attempts
-            limit_s = self._limit_s(deadline, is_last)
-            end = await self._run_at(link, unit, limit_s)
-            if end is None:
-                last = f"no answer of home proxy {link.home}"
-                if not is_last and deadline - time.monotonic() > LEAST_ATTEMPT_S:
-                    continue
-                return self._lost(session, run, last)
-            if end.answer.code not in _TRY_ANOTHER:
-                return self._settle(session, run, end, link, transaction)
-            runs -= 1
-            unreached += end.answer.code == _UNREACHED
+            return self._lost(attempt.session, attempt.run, attempt.last)
+        if end.answer.code in _TRY_ANOTHER:
             link.is_draining |= end.answer.code == ResultCode.DRAINING.value.number
-            last = f"{link.home}: {end.answer.detail}"
+            attempt.refused(end.answer, link.home)
+            return None
+        end = dataclasses.replace(end, answer=attempt.outcome_of(end.answer))
+        return self._settle(attempt.session, attempt.run, end, link, unit.transaction)
 
     async def run_in_transaction(
         self, session: StatementSession, run: RunOnMember, place: ForwardedTransaction
@@ -129,15 +110,11 @@
         place.link.transactions.discard(place.number)
         await place.link.abandon(AbandonWork(0, place.number, False))
 
-    async def _choose(self, group: str, tried: set[str], deadline: float) -> HomeLink | None:
-        async with curio.ignore_after(max(0.0, deadline - time.monotonic())):
-            return await self.links.choose(group, tried)
+    async def _choose(self, attempt: ForwardedAttempt) -> HomeLink | None:
+        async with curio.ignore_after(attempt.time_left()):
+            return await self.links.choose(attempt.group.name, attempt.tried)
         return None
 
-    def _limit_s(self, deadline: float, is_last: bool) -> float:
-        left_s = max(0.0, deadline - time.monotonic())
-        return left_s if is_last else max(left_s * READ_SHARE_OF_TIME, LEAST_ATTEMPT_S)
-
     def _unit(self, session: StatementSession, run: RunOnMember, transaction: int) -> StatementUnit:
         settings = tuple(SessionSetting(name, value) for name, value in session.settings.items())
         return StatementUnit(
@@ -203,13 +180,6 @@
             return PlacedAnswer(refusal(ResultCode.TRANSACTION_LOST, detail, RETRY_AFTER_MS))
         return PlacedAnswer(refusal(ResultCode.READ_UNANSWERED, detail))
 
-    def _give_up(self, session: StatementSession, code: ResultCode, detail: str) -> PlacedAnswer:
-        """Refuse a statement that did not run."""
-        if session.transaction is not None:
-            session.fail_transaction()
-            return PlacedAnswer(refusal(ResultCode.TRANSACTION_LOST, detail, RETRY_AFTER_MS))
-        return PlacedAnswer(refusal(code, detail, RETRY_AFTER_MS))
-
 
 def home_time_s(limit_s: float, travel_s: float) -> float:
     """Return how much of the time for an answer the home proxy itself may take.
