Lead reads away from members that hang, and open connections in the background

Cause: a read chose one member and waited up to 0.4 s for a connection there. While a member hangs, its few connections are all in use and its last answers were fast, so reads kept choosing it: LD3003 "no-connection-came-free" after 457 ms held, with replicas that had room.

Change: a belief counts since when answers are awaited without one coming; that silence is the least that another answer is expected to take. Requests that wait count as load. A read waits 60 ms for a connection to one member, then looks at all of them again, and keeps its place by when it began; at a member that seems to hang nothing waits longer than a fifth of the target. The first try of a read gets half of its target, not of its time.

So connections are opened in the background, for whoever waits when one is there, and a probe that gets none while the member is silent counts as silence. Requests that wait have a class of their own.

Tests that failed first: reads don't queue for the connections of a member that hangs; a read goes elsewhere when the nearest member's connections stay in use; a primary that answers no attempt to connect is found; a connection that takes long to open is there for the next request.

--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -82,6 +82,42 @@
     And statement path: the client asks "READ x" and is told "1 done I"
     Then statement path: "READ x" ran at b
 
+  Scenario: statement path: a primary that answers no attempt to connect is found
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: attempts to connect to a hang
+    When statement path: the client asks "WRITE x 1" and is told "BUSY I"
+    And statement path: the members are watched for 1300 ms
+    Then statement path: a is thought unreachable
+
+  Scenario: statement path: a connection that takes long to open is there for the next request
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: attempts to connect to a take 550 ms
+    When statement path: the client asks "WRITE x 1" and is told "BUSY I"
+    And statement path: 200 ms pass
+    And statement path: the client asks "WRITE x 2" and is told "done I"
+    Then statement path: that took less than 100 ms
+    And statement path: a has 1 connections
+
+  Scenario: statement path: reads don't queue for the connections of a member that hangs
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: the lease is for 2 connections
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: 100 ms pass
+    And statement path: b turns silent
+    And statement path: 2 other clients begin to read
+    And statement path: 150 ms pass
+    And statement path: the client asks "READ x" and is told "1 done I"
+    Then statement path: that took less than 100 ms
+
+  Scenario: statement path: a read goes elsewhere when the nearest member's connections stay in use
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: the lease is for 2 connections
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: 100 ms pass
+    And statement path: 2 clients hold transactions that read open at b
+    And statement path: the client asks "READ x" and is told "1 done I"
+    Then statement path: that took less than 200 ms
+
   Scenario Outline: statement path: a statement with too little time left is refused rather than sent: <asked>
     Given statement path: a primary database on primary a and replicas b c, the proxy beside b
     And statement path: a answered within 500 ms lately
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from unittest import mock
 
 import curio
 from behave import given, step, then, when
@@ -11,6 +12,9 @@
 from features.support.statement_path import GROUP, StatementPath, elapsed_ms, summary
 from limedyke.messages.control import ConnectionLease, MemberHealth
 from limedyke.messages.databases import Consistency
+from limedyke.proxy.statements.member_connection import MemberConnection
+
+HANGS_S = 3_600.0
 
 
 def run(context, function, *arguments):
@@ -83,6 +87,31 @@
     context.path.group.members[name].faults.work_s = milliseconds / 1_000
 
 
+def _delay_connecting(context, name, seconds):
+    """Have attempts to connect to a member take so long."""
+    open_connection = MemberConnection.open
+    address = context.path.group.members[name].address
+
+    async def open_late(to, *arguments):
+        if to == address:
+            await curio.sleep(seconds)
+        return await open_connection(to, *arguments)
+
+    patch = mock.patch.object(MemberConnection, "open", open_late)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@given("statement path: attempts to connect to {name:w} hang")
+def step_connecting_hangs(context, name):
+    _delay_connecting(context, name, HANGS_S)
+
+
+@given("statement path: attempts to connect to {name:w} take {milliseconds:d} ms")
+def step_connecting_takes(context, name, milliseconds):
+    _delay_connecting(context, name, milliseconds / 1_000)
+
+
 @when("statement path: {count:d} clients read at once")
 def step_read_at_once(context, count):
     _ask_at_once(context, count, "READ x")
@@ -195,6 +224,12 @@
     assert set(context.all_told) == {told}, context.all_told
 
 
+@then("statement path: {name:w} is thought unreachable")
+def step_unreachable(context, name):
+    belief = context.path.groups.groups[GROUP].pools[name].belief
+    assert belief.health is MemberHealth.UNREACHABLE, belief
+
+
 @then("statement path: {name:w} is thought reachable")
 def step_reachable(context, name):
     belief = context.path.groups.groups[GROUP].pools[name].belief
@@ -212,6 +247,29 @@
     run(context, hold)
 
 
+@when("statement path: {count:d} clients hold transactions that read open at {name:w}")
+def step_hold_reads(context, count, name):
+    async def hold():
+        for _ in range(count):
+            client, _ = await context.path.connect()
+            assert await client.ask("BEGIN READ") == "done T"
+            assert await client.ask("READ y") == "- done T"
+
+    run(context, hold)
+    runs = context.path.runs_of("READ y")
+    assert runs == [name] * count, runs
+
+
+@when("statement path: {count:d} other clients begin to read")
+def step_begin_to_read(context, count):
+    async def begin_all():
+        for _ in range(count):
+            client, _ = await context.path.connect()
+            await curio.spawn(client.ask, "READ x", daemon=True)
+
+    run(context, begin_all)
+
+
 @then("statement path: that took at least {limit:d} ms, and a has {count:d} connections")
 def step_took_at_least(context, limit, count):
     assert context.took_ms >= limit, context.took_ms
--- a/limedyke/core/statements/member_belief.py
+++ b/limedyke/core/statements/member_belief.py
@@ -16,13 +16,17 @@
 LONGEST_BEHIND_S = 0.32
 TROUBLES_FOR_UNREACHABLE = 2
 LATELY_S = 0.5
+SILENT_S = 0.1
+"""A member silent for so long, and for several of its usual answers, seems to hang."""
+SILENT_ANSWERS = 3.0
 
 
 @dataclass(slots=True)
 class MemberBelief:
     """One member as this proxy sees it; times are seconds of a monotonic clock.
 
-    :ivar outstanding: statements of this proxy under way there
+    :ivar outstanding: connections of this proxy to it that are in use
+    :ivar waiting: requests of this proxy that wait for a connection to it
     :ivar latency_s: smoothed time of an answer, the network's part included
     :ivar paused_until: no new work goes there before, unless nothing else is left
     :ivar behind_until: its log lacked a wanted position a moment ago
@@ -33,6 +37,7 @@
 
     record: AnnouncedMember
     outstanding: int = 0
+    waiting: int = 0
     latency_s: float = INITIAL_LATENCY_S
     paused_until: float = 0.0
     behind_until: float = 0.0
@@ -40,6 +45,8 @@
     contact_at: float = float("-inf")
     probed_at: float = float("-inf")
     health: MemberHealth = MemberHealth.REACHABLE
+    _awaited: int = 0
+    _awaited_since: float = 0.0
     _troubles: int = 0
     _behind_s: float = FIRST_BEHIND_S
 
@@ -57,9 +64,32 @@
         """Whether a further sign of life is not due yet."""
         return now - self.contact_at < LATELY_S
 
+    def sent(self, now: float) -> None:
+        """Note that a statement or question was sent, whose answer is awaited from now on."""
+        if self._awaited == 0:
+            self._awaited_since = now
+        self._awaited += 1
+
+    def ended(self) -> None:
+        """Note that an answer is awaited no more: it came, or its time is over."""
+        self._awaited -= 1
+
+    def silent_s(self, now: float) -> float:
+        """Return for how long answers have been awaited without a single one coming."""
+        return now - self._awaited_since if self._awaited else 0.0
+
+    def seems_silent(self, now: float) -> bool:
+        """Whether the member seems to hang: nothing of what is awaited there comes."""
+        return self.silent_s(now) >= max(SILENT_S, SILENT_ANSWERS * self.latency_s)
+
+    def expected_s(self, now: float) -> float:
+        """Return how long an answer takes lately, at least as long as the member is silent."""
+        return max(self.latency_s, self.silent_s(now))
+
     def answered(self, now: float, position: LogPosition | None) -> None:
         """Take any sign that the member works."""
         self.contact_at = now
+        self._awaited_since = now
         self.paused_until = 0.0
         self._troubles = 0
         self.health = MemberHealth.REACHABLE
--- a/limedyke/core/statements/routing.py
+++ b/limedyke/core/statements/routing.py
@@ -44,9 +44,13 @@
 
 
 def cost_s(member: MemberBelief, zone: str, now: float) -> float:
-    """Return what a statement is expected to cost at a member, in seconds."""
-    crowd = member.outstanding / max(1, member.record.capacity)
-    cost = member.latency_s * (1.0 + crowd)
+    """Return what a statement is expected to cost at a member, in seconds.
+
+    One that has been silent for some time, while answers are awaited, is expected to be silent for
+    as long again: reads leave it well before its silence proves that it is lost.
+    """
+    crowd = (member.outstanding + member.waiting) / max(1, member.record.capacity)
+    cost = member.expected_s(now) * (1.0 + crowd)
     if member.record.zone != zone:
         cost += OTHER_ZONE_COST_S
     if now < member.paused_until or member.health is MemberHealth.UNREACHABLE:
--- a/limedyke/proxy/statements/attempt.py
+++ b/limedyke/proxy/statements/attempt.py
@@ -7,6 +7,7 @@
 
 import curio
 
+from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.core.statements.session import RunOnMember, StatementSession
 from limedyke.messages.statements import AnswerKind, StatementAnswer
 from limedyke.proxy.statements.giving_up import give_up
@@ -21,6 +22,9 @@
 """While more of a statement's time is left it is sent, however slow the member is."""
 HELD_SHARE_OF_TARGET = 0.2
 """A statement that no member can run is held for so much of its target latency at most."""
+CONNECTION_WAIT_SHARE = 0.5
+"""A statement waits for a connection for so much of its target latency at most, as long as the
+connections of the member come back."""
 
 
 @dataclass(slots=True)
@@ -28,6 +32,7 @@
     """One statement on its way: whose it is, how long it has, and what was tried.
 
     :param log: gets a line for each try that failed
+    :param began_at: when it came, seconds of the monotonic clock
     :param whole_s: its whole time
     :param deadline: when that is over, seconds of the monotonic clock
     :param hold_until: how long it is held while no member can run it
@@ -40,12 +45,15 @@
     run: RunOnMember
     group: StatementGroup
     log: StatementLog
+    began_at: float
     whole_s: float
     deadline: float
     hold_until: float
     tried: set[str] = field(default_factory=set)
     runs: int = 0
     last: str = "no member is known"
+    _wants_connection: bool = False
+    _connection_until: float = 0.0
 
     @classmethod
     def begin(
@@ -56,12 +64,25 @@
         database = session.database
         whole_s = database.statement_timeout_ms / MS_PER_S
         hold_until = now + HELD_SHARE_OF_TARGET * database.target_latency_ms / MS_PER_S
-        return cls(session, run, group, log, whole_s, now + whole_s, hold_until)
+        return cls(session, run, group, log, now, whole_s, now + whole_s, hold_until)
 
     def time_left(self) -> float:
         """Return the seconds left to the statement."""
         return self.deadline - time.monotonic()
 
+    def connection_wait_s(self, belief: MemberBelief) -> float:
+        """Return for how long a connection to a member may be waited for from now on."""
+        now = time.monotonic()
+        self._connection_until = self.hold_until
+        if not belief.seems_silent(now):
+            target_s = self.session.database.target_latency_ms / MS_PER_S
+            self._connection_until = self.began_at + CONNECTION_WAIT_SHARE * target_s
+        return max(0.0, min(self._connection_until, self.deadline) - now)
+
+    def held_until(self) -> float:
+        """Return until when the statement is held: longer when only a connection is wanted."""
+        return self._connection_until if self._wants_connection else self.hold_until
+
     def is_too_late(self, answer_s: float = LEAST_ATTEMPT_S) -> bool:
         """Tell whether so much time has passed that an answer would hardly come in time.
 
@@ -77,6 +98,7 @@
 
         :param member: the member that was tried, if one was
         """
+        self._wants_connection = reason is NotSent.NO_CONNECTION_FREE
         last = f"{reason} at {member}" if member else str(reason)
         is_news = last != self.last
         self.last = last
--- a/limedyke/proxy/statements/member_exchange.py
+++ b/limedyke/proxy/statements/member_exchange.py
@@ -8,7 +8,7 @@
 
 from limedyke.messages.statements import AnswerKind, MemberAnswer
 from limedyke.messages.work import LogPosition, TransactionStatus
-from limedyke.proxy.statements.attempt import MS_PER_S, Attempt
+from limedyke.proxy.statements.attempt import Attempt
 from limedyke.proxy.statements.member_connection import (
     ConnectionLostError,
     ConnectionRefusedByMemberError,
@@ -20,8 +20,6 @@
 
 SILENCE_S = 0.35
 """A member that answers nothing at all for so long while a statement waits is silent."""
-CONNECTION_WAIT_SHARE = 0.5
-"""A statement waits for a connection for so much of its target latency at most."""
 
 
 class MemberExchange:
@@ -33,16 +31,18 @@
     def __init__(self, metrics: StatementMetrics) -> None:
         self._metrics = metrics
 
-    async def connect(self, pool: MemberPool, attempt: Attempt) -> PinnedConnection | None:
-        """Return a connection, or None when the member gives none."""
+    async def connect(
+        self, pool: MemberPool, attempt: Attempt, wait_s: float
+    ) -> PinnedConnection | None:
+        """Return a connection, or None when the member gives none within ``wait_s``."""
         session = attempt.session
-        database = session.database
-        longest_s = CONNECTION_WAIT_SHARE * database.target_latency_ms / MS_PER_S
-        wait_s = min(attempt.time_left(), longest_s)
+        priority = session.database.priority
         identity = pool.belief.record.identity
         began_at = time.monotonic()
         try:
-            connection = await pool.getconn(session.settings, database.priority, wait_s)
+            connection = await pool.getconn(
+                session.settings, priority, wait_s, since=attempt.began_at
+            )
         except ConnectionRefusedByMemberError as error:
             pool.belief.is_busy(time.monotonic())
             attempt.failed(error.answer.kind, identity)
@@ -74,6 +74,7 @@
         belief = pinned.pool.belief
         run = attempt.run
         started_at = time.monotonic()
+        belief.sent(started_at)
         was_primary = attempt.group.is_surely_primary(pinned.identity)
         try:
             async with curio.timeout_after(max(0.0, limit_s)):
@@ -89,6 +90,8 @@
         except curio.CancelledError:
             await pinned.abandon()
             raise
+        finally:
+            belief.ended()
         self._learn(pinned, attempt, answer, started_at, was_primary)
         return answer
 
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/member_pool.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
-import heapq
-import itertools
 import math
 import time
 from collections.abc import Callable
 
 import curio
 from curio import socket
+from result import Err, Ok, Result
 
 from limedyke.addresses import split_address
 from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.messages.statements import AnswerKind
 from limedyke.messages.work import TransactionStatus
+from limedyke.proxy.statements.connection_queue import (
+    ConnectionQueue,
+    ConnectionWaiter,
+    QueuePlace,
+)
 from limedyke.proxy.statements.member_codec import MemberCodec
 from limedyke.proxy.statements.member_connection import (
     ConnectionLostError,
@@ -43,17 +47,6 @@
     """The member has left, or this proxy holds no lease on it."""
 
 
-class _Waiter:
-    """A request that waits for a connection; ``connection`` None means: try again."""
-
-    __slots__ = ("connection", "event", "is_over")
-
-    def __init__(self) -> None:
-        self.event = curio.Event()
-        self.connection: MemberConnection | None = None
-        self.is_over = False
-
-
 class MemberPool:
     """Lends connections to one member: by priority, then in order of arrival.
 
@@ -78,32 +71,30 @@
         self._make_codec = make_codec
         self._source_ip = source_ip
         self._connect_timeout_s = connect_timeout_s
+        self._opening = 0
         self._idle: list[MemberConnection] = []
-        self._waiters: list[tuple[int, int, int, _Waiter]] = []
-        self._numbers = itertools.count()
+        self._queue = ConnectionQueue()
 
     async def getconn(
-        self, values: dict[str, str], priority: int, timeout_s: float
+        self, values: dict[str, str], priority: int, timeout_s: float, since: float | None = None
     ) -> MemberConnection:
         """Return a connection, if possible one with these session values.
 
+        :param since: when the statement began to wait, also for another member: its place among
+            those of its priority; None for now
         :raises PoolTimeoutError: when none came free in time
         :raises PoolClosedError: when the member has left or there is no lease
         :raises ConnectionLostError: when a new one could not be opened
         :raises ConnectionRefusedByMemberError: when the member takes no further one
         """
-        began_at = time.monotonic()
-        give_up_at = began_at + timeout_s
-        place = (priority, next(self._numbers))
+        give_up_at = time.monotonic() + timeout_s
+        place = QueuePlace(priority, time.monotonic() if since is None else since)
         while True:
             if self.is_closed or self.limit == 0:
                 raise PoolClosedError(self.belief.record.identity)
             connection = await self._take_idle(values)
-            waited_s = time.monotonic() - began_at
-            if connection is None and self._may_open(waited_s):
-                connection = await self._open(give_up_at - time.monotonic())
             if connection is None:
-                connection = await self._wait(place, began_at, give_up_at)
+                connection = await self._wait(place, give_up_at)
             if connection is not None:
                 self.belief.outstanding += 1
                 return connection
@@ -154,13 +145,16 @@
         if not is_usable or self.is_closed or self.opened > self.limit:
             await self._give_up(connection)
             return
-        waiter = self._next_waiter()
-        if waiter is None:
-            connection.idle_since = time.monotonic()
-            self._idle.append(connection)
+        await self._hand_over(connection)
+
+    async def _hand_over(self, connection: MemberConnection) -> None:
+        """Give a connection to the request that is next, or keep it idle."""
+        waiter = self._queue.pop()
+        if waiter is not None:
+            await waiter.give(connection)
             return
-        waiter.connection = connection
-        await waiter.event.set()
+        connection.idle_since = time.monotonic()
+        self._idle.append(connection)
 
     async def set_limit(self, limit: int) -> None:
         """Take the lease; idle connections above it are closed."""
@@ -176,7 +170,7 @@
         self.is_closed = True
         while self._idle:
             await self._give_up(self._idle.pop())
-        while (waiter := self._next_waiter()) is not None:
+        while (waiter := self._queue.pop()) is not None:
             await waiter.event.set()
 
     async def close_idle(self, now: float) -> None:
@@ -207,55 +201,77 @@
                 return index
         return 0
 
-    async def _open(self, time_left_s: float) -> MemberConnection | None:
-        """Open a connection; None when the member took none and others can be waited for."""
-        self.opened += 1
-        record = self.belief.record
+    async def _open_one(self, waited_s: float) -> None:
+        """Open a connection in the background, unless one is being opened for each request.
+
+        Requests that give up meanwhile leave it to others: to open one takes several round trips.
+
+        :param waited_s: how long the request that wants it has waited
+        """
+        if self._opening < len(self._queue) and self._may_open(waited_s):
+            self._opening += 1
+            self.opened += 1
+            await curio.spawn(self._open, daemon=True)
+
+    async def _open(self) -> None:
+        self.belief.sent(time.monotonic())
+        try:
+            opened = await self._try_to_open()
+        finally:
+            self.belief.ended()
+            self._opening -= 1
+        if isinstance(opened, Ok):
+            self.belief.connected(time.monotonic())
+            if self.is_closed or self.opened > self.limit:
+                await self._give_up(opened.ok_value)
+            else:
+                await self._hand_over(opened.ok_value)
+            return
+        self.opened -= 1
+        await self._not_opened(opened.err_value)
+
+    async def _try_to_open(self) -> Result[MemberConnection, Exception]:
+        """Open a connection; the member is believed what this shows of it."""
+        belief = self.belief
+        record = belief.record
+        codec = self._make_codec()
         try:
-            async with curio.timeout_after(max(0.0, min(self._connect_timeout_s, time_left_s))):
+            async with curio.timeout_after(self._connect_timeout_s):
                 connection = await MemberConnection.open(
-                    record.address,
-                    record.group,
-                    record.identity,
-                    self._make_codec(),
-                    self._source_ip,
+                    record.address, record.group, record.identity, codec, self._source_ip
                 )
         except curio.TaskTimeout:
-            await self._not_opened()
-            if time_left_s < self._connect_timeout_s:
-                raise PoolTimeoutError(record.identity) from None
-            self.belief.was_silent(time.monotonic())
-            raise ConnectionLostError("no answer to a connection attempt") from None
+            belief.was_silent(time.monotonic())
+            return Err(ConnectionLostError("no answer to a connection attempt"))
         except ConnectionRefusedByMemberError as error:
-            await self._not_opened()
             if error.answer.kind is not AnswerKind.WRONG_MEMBER:
-                self.belief.answered(time.monotonic(), None)
-            if error.answer.kind is AnswerKind.NO_CONNECTION and self._is_full():
-                return None
-            raise
-        except ConnectionLostError:
-            await self._not_opened()
-            if self.belief.answered_lately(time.monotonic()) and self._is_full():
-                return None
-            self.belief.broke(time.monotonic())
-            raise
-        except curio.CancelledError:
-            self.opened -= 1
-            raise
-        self.belief.connected(time.monotonic())
-        return connection
+                belief.answered(time.monotonic(), None)
+            return Err(error)
+        except ConnectionLostError as error:
+            if not belief.answered_lately(time.monotonic()):
+                belief.broke(time.monotonic())
+            return Err(error)
+        return Ok(connection)
+
+    async def _not_opened(self, error: Exception) -> None:
+        """Tell requests that a connection was not opened; who may get another one waits on."""
+        has_others = self.opened > self._opening
+        if has_others and self._has_no_room(error):
+            self._full_until = time.monotonic() + FULL_PAUSE_S
+            return
+        while (waiter := self._queue.pop()) is not None:
+            await waiter.fail(error)
+            if has_others:
+                break
 
-    def _is_full(self) -> bool:
-        """Take that the member has no room for more; tell whether other connections are open.
+    def _has_no_room(self, error: Exception) -> bool:
+        """Tell whether a member works but takes no further connection.
 
-        A member resets connections beyond its limit, also those of machines that are gone count.
+        It says so, or resets those beyond its limit; those of machines that are gone count too.
         """
-        self._full_until = time.monotonic() + FULL_PAUSE_S
-        return self.opened > 0
-
-    async def _not_opened(self) -> None:
-        self.opened -= 1
-        await self._wake_one()
+        if isinstance(error, ConnectionRefusedByMemberError):
+            return error.answer.kind is AnswerKind.NO_CONNECTION
+        return self.belief.answered_lately(time.monotonic())
 
     async def _give_up(self, connection: MemberConnection) -> None:
         await connection.close()
@@ -264,31 +280,35 @@
 
     async def _wake_one(self) -> None:
         """Let the next request try again: a connection may be opened."""
-        waiter = self._next_waiter()
+        waiter = self._queue.pop()
         if waiter is not None:
             await waiter.event.set()
 
-    def _next_waiter(self) -> _Waiter | None:
-        while self._waiters:
-            *_, waiter = heapq.heappop(self._waiters)
-            if not waiter.is_over:
-                waiter.is_over = True
-                return waiter
-        return None
+    async def _wait(self, place: QueuePlace, give_up_at: float) -> MemberConnection | None:
+        """Wait for a connection, and have one opened if there may be one more.
+
+        :returns: None when another try is worth it
+        :raises PoolTimeoutError: when the request's time is over
+        :raises ConnectionLostError: when none could be opened
+        :raises ConnectionRefusedByMemberError: when the member takes none
+        """
+        waiter = self._queue.push(place)
+        self.belief.waiting += 1
+        try:
+            await self._open_one(time.monotonic() - place.since)
+            return await self._wait_for(waiter, place.since + GROWTH_WAIT_S, give_up_at)
+        finally:
+            self.belief.waiting -= 1
 
-    async def _wait(
-        self, place: tuple[int, int], began_at: float, give_up_at: float
+    async def _wait_for(
+        self, waiter: ConnectionWaiter, grows_at: float, give_up_at: float
     ) -> MemberConnection | None:
-        """Wait for a connection; None when another try is worth it.
+        """Wait until a request is served, may look again, or gives up.
 
-        :param place: priority and number of the request, its place in the queue
-        :raises PoolTimeoutError: when its time is over
+        :param grows_at: when a connection beyond the usual share may be opened for it
         """
         now = time.monotonic()
-        grows_at = began_at + GROWTH_WAIT_S
         until = min(grows_at, give_up_at) if now < grows_at else give_up_at
-        waiter = _Waiter()
-        heapq.heappush(self._waiters, (*place, next(self._numbers), waiter))
         try:
             async with curio.timeout_after(max(0.0, until - now)):
                 await waiter.event.wait()
@@ -300,14 +320,16 @@
         except curio.CancelledError:
             await self._abandon(waiter)
             raise
+        if waiter.error is not None:
+            raise waiter.error
         return waiter.connection
 
-    async def _abandon(self, waiter: _Waiter) -> None:
+    async def _abandon(self, waiter: ConnectionWaiter) -> None:
         """Pass on what a waiter was given at the moment it gave up."""
         was_given = waiter.is_over
         waiter.is_over = True
         if was_given and waiter.connection is not None:
             self.belief.outstanding += 1
             await self.putconn(waiter.connection)
-        elif was_given:
+        elif was_given and waiter.error is None:
             await self._wake_one()
--- a/limedyke/proxy/statements/member_questions.py
+++ b/limedyke/proxy/statements/member_questions.py
@@ -80,14 +80,14 @@
         """Ask a member what it says of itself; None when it doesn't answer."""
         try:
             connection = await pool.getconn({}, 0, limit_s)
-        except (
-            ConnectionLostError,
-            ConnectionRefusedByMemberError,
-            PoolClosedError,
-            PoolTimeoutError,
-        ):
+        except PoolTimeoutError:
+            if pool.belief.silent_s(time.monotonic()) >= limit_s:
+                pool.belief.was_silent(time.monotonic())
+            return None
+        except (ConnectionLostError, ConnectionRefusedByMemberError, PoolClosedError):
             return None
         asked_at = time.monotonic()
+        pool.belief.sent(asked_at)
         status = None
         try:
             async with curio.timeout_after(limit_s):
@@ -100,5 +100,6 @@
         except ConnectionLostError:
             pool.belief.broke(time.monotonic())
         finally:
+            pool.belief.ended()
             await pool.putconn(connection)
         return status
--- a/limedyke/proxy/statements/read_runner.py
+++ b/limedyke/proxy/statements/read_runner.py
@@ -18,8 +18,12 @@
 from limedyke.result_codes import ResultCode
 
 READ_ATTEMPT_SHARE = 0.5
-"""A first attempt to read gets so much of the time, so that another member can be tried."""
+"""A first attempt to read gets so much of what is left of its target, or of its time once that has
+passed, so that another member can be tried."""
 STALENESS_MARGIN_S = 0.03
+CHOICE_INTERVAL_S = 0.06
+"""A read waits so long for a connection to one member before it looks at all of them again: twice
+as long as it takes until a connection beyond the usual share of the lease is opened."""
 
 
 class ReadRunner:
@@ -48,7 +52,7 @@
             pool = self._choose(attempt, required)
             if pool is None:
                 attempt.tried.clear()
-                if not await attempt.pause():
+                if not await attempt.pause(until=attempt.held_until()):
                     return PlacedAnswer(attempt.give_up(ResultCode.NO_MEMBER))
                 continue
             answer = await self._try_at(pool, attempt, required)
@@ -61,7 +65,7 @@
         """Run a read at one member; None when another one should be tried."""
         identity = pool.belief.record.identity
         attempt.tried.add(identity)
-        pinned = await self._exchange.connect(pool, attempt)
+        pinned = await self._exchange.connect(pool, attempt, self._wait_s(pool, attempt))
         if pinned is None:
             return None
         is_primary = attempt.group.is_surely_primary(identity)
@@ -89,6 +93,15 @@
         is_time_left = attempt.time_left() > LEAST_ATTEMPT_S
         return is_time_left and attempt.runs < attempt.session.database.maximum_attempts
 
+    def _wait_s(self, pool: MemberPool, attempt: Attempt) -> float:
+        """Return how long a connection to a member is waited for, before the next choice.
+
+        Meanwhile another member may have become the better one.
+        """
+        wait_s = attempt.connection_wait_s(pool.belief)
+        others = len(attempt.group.pools) > len(attempt.tried)
+        return min(wait_s, CHOICE_INTERVAL_S) if others else wait_s
+
     def _choose(self, attempt: Attempt, required: LogPosition | None) -> MemberPool | None:
         group = attempt.group
         wants_primary = attempt.session.database.consistency is Consistency.PRIMARY
@@ -133,9 +146,14 @@
                 return None
 
     def _limit_s(self, attempt: Attempt) -> float:
+        """Return how long the next member's answer is waited for."""
         left_s = attempt.time_left()
-        if attempt.runs + 1 >= attempt.session.database.maximum_attempts:
+        database = attempt.session.database
+        if attempt.runs + 1 >= database.maximum_attempts:
             return left_s
+        target_left_s = attempt.began_at + database.target_latency_ms / MS_PER_S - time.monotonic()
+        if target_left_s * READ_ATTEMPT_SHARE > LEAST_ATTEMPT_S:
+            left_s = min(left_s, target_left_s)
         return max(left_s * READ_ATTEMPT_SHARE, LEAST_ATTEMPT_S)
 
 
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -76,7 +76,8 @@
                 if not await attempt.wait_for_primary():
                     return PlacedAnswer(attempt.give_up(ResultCode.NO_PRIMARY))
                 continue
-            pinned = await self._exchange.connect(pool, attempt)
+            wait_s = attempt.connection_wait_s(pool.belief)
+            pinned = await self._exchange.connect(pool, attempt, wait_s)
             if attempt.is_too_late(pool.belief.latency_s):
                 if pinned is not None:
                     await pinned.release()
