Replace a primary sooner when its observers are cut off, and send refused clients elsewhere

Cause: with a primary, two of three of its home proxies were cut off from the controllers. 3.8 s passed until the next primary was recorded: 0.65 s until the third home proxy found it silent, 1.7 s until the others counted as unheard, 1.0 s of hold for few observers. And the proxies on the cut-off side refused their clients until the cut ended.

So a leader that hears less than half of all proxies holds its doubt for 2.5 s: it may be the one that is cut off. A new leader counts no home proxy as missing before it had time to come. A proxy without a lease from the leader closes sessions that it had to refuse, outside transactions: a client that comes back finds another proxy.

Ruled out: not ready while cut off: the platform takes 2 s to notice, and new sessions are few.

--- a/features/announced_members.feature
+++ b/features/announced_members.feature
@@ -66,6 +66,33 @@
       | one alone, which can't reach it  | only p is heard, p reports a unreachable | 3300 | not asked  |
       | the same for longer              | only p is heard, p reports a unreachable | 6000 | asked of b |
 
+  Scenario Outline: authority: a new leader waits for home proxies that are on their way: <ms> ms
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    When authority: another leader takes over, which only p has found
+    And authority: p reports a unreachable
+    And authority: <ms> ms pass
+    Then authority: promotion is <outcome>
+
+    Examples:
+      | ms   | outcome    |
+      | 3300 | not asked  |
+      | 6000 | asked of b |
+
+  Scenario Outline: authority: a leader that hears few proxies at all replaces a primary late: <why>
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    And authority: 9 more proxies that follow
+    And authority: the silence of home proxies is 1300 ms, and few are heard for 300 ms
+    When authority: 1 home proxy and <others> others are heard, and it reports a unreachable
+    And authority: <ms> ms pass
+    Then authority: promotion is <outcome>
+
+    Examples:
+      | why               | others | ms   | outcome    |
+      | most are heard, too soon | 6 | 1500 | not asked |
+      | most are heard    | 6      | 2000 | asked of b |
+      | few are heard     | 3      | 3500 | not asked  |
+      | after a while all the same | 3 | 4500 | asked of b |
+
   Scenario: authority: proxies that are no home proxies don't count
     Given authority: primary a, replicas b and c, proxies p q r that follow
     And authority: 9 more proxies that follow
--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -48,6 +48,28 @@
     And statement path: the client asks "READ x" and is told "LAGGING I"
     Then statement path: "READ x" ran nowhere
 
+  Scenario Outline: statement path: a proxy that has lost the controllers sends refused clients elsewhere
+    Given statement path: a primary database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: 100 ms pass
+    And statement path: <event>
+    And statement path: the client asks "READ x" and is told "<told>"
+    Then statement path: the client's session is <session>
+
+    Examples:
+      | event                                  | told      | session |
+      | the lease has run out, and nobody leads | LAGGING I | closed  |
+      | the lease has run out                  | 1 done I  | open    |
+      | all members are busy                   | BUSY I    | open    |
+
+  Scenario: statement path: a transaction is ended before its client is sent elsewhere
+    Given statement path: a primary database on primary a and replicas b c, the proxy beside b
+    When statement path: the client asks "BEGIN" and is told "done T"
+    And statement path: the lease has run out, and nobody leads
+    And statement path: the client asks "READ x" and is told "ABORTED E"
+    And statement path: the client asks "ROLLBACK" and is told "done I"
+    Then statement path: the client's session is closed
+
   Scenario: statement path: reads of a proxy that has just started don't wait for a slow primary
     Given statement path: a session database on primary a and replicas b c, the proxy beside b
     And statement path: the lease is for 2 connections
--- a/features/steps/announced_members_steps.py
+++ b/features/steps/announced_members_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from behave import given, step, then, when
 
 from features.support.announced_world import (
@@ -163,6 +165,36 @@
     context.world.lead()
 
 
+@step("authority: another leader takes over, which only {name:w} has found")
+def step_new_leader_found_by(context, name):
+    others = [proxy for proxy in context.world.proxies if proxy != name]
+    context.world.unconfirming.update(others)
+    context.world.lead([name])
+
+
+@given(
+    "authority: the silence of home proxies is {silence:d} ms, and few are heard for {hold:d} ms"
+)
+def step_observer_times(context, silence, hold):
+    world = context.world
+    world.timing = replace(world.timing, live_s=silence / 1_000, few_observers_hold_s=hold / 1_000)
+    world.lead()
+    world.run(2.0)
+
+
+@when(
+    "authority: {homes:d} home proxy and {others:d} others are heard, and it reports "
+    "{member:w} unreachable"
+)
+def step_few_heard(context, homes, others, member):
+    world = context.world
+    heard_homes = world.home_proxies()[:homes]
+    rest = [name for name in world.proxies if name not in world.home_proxies()]
+    heard = {*heard_homes, *rest[:others]}
+    world.unconfirming.update(name for name in world.proxies if name not in heard)
+    world.report(" ".join(heard_homes), member, MemberHealth.UNREACHABLE)
+
+
 @then("authority: promotion is not asked")
 def step_not_asked(context):
     assert not context.world.calls, context.world.calls
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -181,6 +181,21 @@
     context.path.group.members[name].faults.busy = count
 
 
+@step("statement path: all members are busy")
+def step_all_busy(context):
+    for member in context.path.group.members.values():
+        member.faults.busy = ALWAYS
+
+
+@then("statement path: the client's session is {state:w}")
+def step_session_state(context, state):
+    try:
+        answer = run(context, context.client.ask, "SET tone low")
+    except OSError:
+        answer = "closed"
+    assert answer == {"open": "done I", "closed": "closed"}[state], answer
+
+
 @step("statement path: {name:w} crashes")
 def step_crashes(context, name):
     run(context, context.path.group.crash, name)
--- a/features/support/announced_world.py
+++ b/features/support/announced_world.py
@@ -61,13 +61,17 @@
         self.calls: list[AskAuthority] = []
         self.heartbeats = 0
         self.proxies = list(PROXIES)
+        self.timing = ControlTiming(lease_s=30.0)
         self.lead()
 
-    def lead(self) -> None:
-        """Let a new leader begin."""
-        timing = ControlTiming(lease_s=30.0)
-        self.leader = LeaderDecisions(self.test.state, timing, 3, random.Random(1), self.now)
-        for name in self.proxies:
+    def lead(self, found_by: Iterable[str] | None = None) -> None:
+        """Let a new leader begin.
+
+        :param found_by: the proxies that connect to it; None for all
+        """
+        random_generator = random.Random(1)
+        self.leader = LeaderDecisions(self.test.state, self.timing, 3, random_generator, self.now)
+        for name in self.proxies if found_by is None else found_by:
             self._connect(name)
         for name in self.members:
             self.announce(name)
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -136,7 +136,9 @@
         self.groups = StatementGroups(settings, runner, LineMemberCodec, lambda: self.lease_ends_at)
         self.links = HomeLinks(settings, Secrets({settings.cluster_key: "key"}))
         executor = StatementExecutor(self.groups, runner, StatementForwarding(self.links, metrics))
-        self.services = ClientServices(self.groups, executor, log)
+        self.services = ClientServices(
+            self.groups, executor, log, lambda: time.monotonic() >= self.lease_ends_at
+        )
 
     async def start(self, connections: int = 4) -> None:
         """Start the members, and give the proxy its view and a lease."""
--- a/limedyke/controller/timings.py
+++ b/limedyke/controller/timings.py
@@ -24,6 +24,8 @@
     return ControlTiming(
         lease_s=settings.connection_lease_ms / MILLISECONDS,
         report_hold_s=settings.failure_report_hold_ms / MILLISECONDS,
+        live_s=settings.observer_silence_ms / MILLISECONDS,
+        few_observers_hold_s=settings.few_observers_hold_ms / MILLISECONDS,
         promotion_timeout_s=settings.promotion_timeout_ms / MILLISECONDS,
         primary_lease_s=settings.primary_lease_ms / MILLISECONDS,
         authority_timeout_s=settings.authority_timeout_ms / MILLISECONDS,
--- a/limedyke/core/control/authority_failover.py
+++ b/limedyke/core/control/authority_failover.py
@@ -252,7 +252,10 @@
         return True
 
     def _doubt(self, group: str, care: _Care, primary: str, now: float) -> tuple[str, float]:
-        """Return why a primary should be replaced, and how long the doubt has to last first."""
+        """Return why a primary should be replaced, and how long the doubt has to last first.
+
+        Home proxies that a new leader hasn't heard may still be on their way to it.
+        """
         member = self._members.get(primary)
         if member is None:
             return "it has left", 0.0
@@ -264,7 +267,11 @@
         live = {name for name in homes if self._membership.is_live(name, now)}
         votes = {name for name in live if self._cannot_reach(care, name, primary)}
         majority = len(homes) // 2 + 1
+        if len(live) < majority and now - self._started_at < self._timing.live_s:
+            return "", 0.0
         hold_s = vote_hold_s(votes, live, majority, self._timing.report_hold_s, self._timing)
+        if hold_s is not None and len(live) < majority and self._most_proxies_are_missing(now):
+            hold_s = max(hold_s, self._timing.cut_off_hold_s)
         if hold_s is not None:
             counted = f"{len(votes)} of {len(homes)} home proxies, {len(live)} of them heard"
             return f"{counted}, can't reach it", hold_s
@@ -277,6 +284,16 @@
             return f"silent for {silent_s:.1f} s, and nobody reaches it", 0.0
         return "", 0.0
 
+    def _most_proxies_are_missing(self, now: float) -> bool:
+        """Tell whether this leader hears less than half of the proxies.
+
+        It may be cut off from them together with the observers it hears, and the primary may well
+        serve the others: to replace it would take it from most clients.
+        """
+        serving = [name for name, r in self._proxies.items() if r.state is ProxyState.SERVING]
+        heard = sum(self._membership.is_live(name, now) for name in serving)
+        return 2 * heard < len(serving)
+
     def _cannot_reach(self, care: _Care, proxy: str, member: str) -> bool:
         report = care.reports.get((proxy, member))
         return report is not None and report.health is MemberHealth.UNREACHABLE
--- a/limedyke/core/control/timing.py
+++ b/limedyke/core/control/timing.py
@@ -17,6 +17,8 @@
     :param demoted_hold_s: the same when some see it reachable, but as a replica; longer than
         two probe intervals, as reports from before its promotion may still be on their way
     :param few_observers_hold_s: the same while less than a majority of home proxies is heard
+    :param cut_off_hold_s: the same while less than half of all proxies are heard, in groups of
+        announced members: with the silence before and the promotion it stays below 6 s
     :param promotion_timeout_s: an order without answer is given again after this long
     :param resume_hold_s: a new leader waits this long for an order of the one before it, whose
         result its proxies' reports would show; it may never have been sent
@@ -43,6 +45,7 @@
     report_hold_s: float = 0.1
     demoted_hold_s: float = 1.2
     few_observers_hold_s: float = 1.0
+    cut_off_hold_s: float = 2.5
     promotion_timeout_s: float = 1.5
     resume_hold_s: float = 0.8
     shortest_backoff_s: float = 0.2
--- a/limedyke/proxy/control_client.py
+++ b/limedyke/proxy/control_client.py
@@ -118,6 +118,11 @@
         """Until when the recorded primaries of announced members are surely the only ones."""
         return self._primary_lease_ends_at
 
+    @property
+    def holds_primary_lease(self) -> bool:
+        """Whether the recorded primaries of announced members are surely the only ones now."""
+        return time.monotonic() < self._primary_lease_ends_at
+
     def settings_changed(self, controllers: tuple[str, ...]) -> None:
         """Take the controllers that changed settings name."""
         self._choice.replace_first(controllers)
--- a/limedyke/proxy/statements/client.py
+++ b/limedyke/proxy/statements/client.py
@@ -4,6 +4,7 @@
 
 import time
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import curio
@@ -43,6 +44,18 @@
     }
 )
 """Behind other statements, such as SET, the one that they prepare is already on its way."""
+SERVED_ELSEWHERE = frozenset(
+    code.value.number
+    for code in (
+        ResultCode.FRESHNESS_UNPROVEN,
+        ResultCode.NO_LEASE,
+        ResultCode.NO_MEMBER,
+        ResultCode.NO_PRIMARY,
+        ResultCode.READ_UNANSWERED,
+        ResultCode.TRANSACTION_LOST,
+    )
+)
+"""What a proxy that is cut off answers, though another one may serve it."""
 REST_BEFORE_LEAVING_S = 0.25
 FIRST_VIEW_WAIT_S = 1.5
 """A client that comes before the proxy knows any database waits so long; to say that there is no
@@ -54,6 +67,7 @@
 class ClientServices:
     """What all clients of a proxy share.
 
+    :param is_cut_off: whether the proxy has lost the controllers, so that others may serve better
     :param is_leaving: the proxy was asked to stop
     :param transactions_end_at: when open transactions are ended, while it stops
     """
@@ -61,6 +75,7 @@
     groups: StatementGroups
     executor: StatementExecutor
     log: StatementLog
+    is_cut_off: Callable[[], bool] = lambda: False
     is_leaving: bool = False
     transactions_end_at: float = float("inf")
 
@@ -77,6 +92,7 @@
         self._services = services
         self._session: StatementSession | None = None
         self._place: TransactionPlace | None = None
+        self._is_sent_away = False
         self._events: deque[ClientEvent] = deque()
         self.is_idle = False
         self._idle_since = 0.0
@@ -221,8 +237,18 @@
         answer = refused or await self._answer(session, statement)
         self._services.log.answered(session.database, statement, answer, started_at)
         await self._socket.sendall(self._codec.answer(answer, session.status))
-        is_over = session.transaction is None and statement.kind in ENDS_AN_OPERATION
-        return not (self._services.is_leaving and is_over)
+        self._note_refusal(answer)
+        is_over = session.status is TransactionStatus.IDLE and statement.kind in ENDS_AN_OPERATION
+        return not (is_over and (self._services.is_leaving or self._is_sent_away))
+
+    def _note_refusal(self, answer: StatementAnswer) -> None:
+        """Have the client come back to another proxy if that may serve what was refused here.
+
+        A proxy that has lost the controllers knows no new primary and proves no position; another
+        one may be on the other side of the cut.
+        """
+        if answer.code in SERVED_ELSEWHERE and self._services.is_cut_off():
+            self._is_sent_away = True
 
     def _renew_database(self, session: StatementSession) -> StatementAnswer | None:
         """Take the newest declaration of the session's database; refuse when it is gone."""
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -90,7 +90,9 @@
         self._executor = StatementExecutor(self._groups, runner, forwarding)
         self._home = StatementHomeService(self._groups, runner, log, metrics)
         self._home_server = ForwardingServer(self._home, StatementUnit, refuse_unit)
-        self._services = ClientServices(self._groups, self._executor, log)
+        self._services = ClientServices(
+            self._groups, self._executor, log, lambda: not self._control.holds_primary_lease
+        )
         self._clients: set[StatementClient] = set()
         metrics.sessions.set_function(lambda: len(self._clients))
 
--- a/limedyke/settings/controller.py
+++ b/limedyke/settings/controller.py
@@ -42,6 +42,8 @@
     connection_lease_ms: int = Field(default=30_000, ge=1_000)
     home_proxies_per_group: int = Field(default=3, ge=1)
     failure_report_hold_ms: int = Field(default=100, ge=0)
+    observer_silence_ms: int = Field(default=2_500, ge=100)
+    few_observers_hold_ms: int = Field(default=1_000, ge=0)
     promotion_timeout_ms: int = Field(default=1_500, ge=100)
     primary_lease_ms: int = Field(default=1_500, ge=0)
     authority_timeout_ms: int = Field(default=3_000, ge=100)
