Count bytes by what they are for and how far they go

Change: each process counts the bytes that it sends on links, after compression, and each proxy for sessions of statements those to and from members, as limedyke_traffic_bytes_total by purpose, distance and direction. Both ends of a link say their zone and region in the greeting (an earlier version says nothing: unknown). The purpose follows from the kind of the message.

Ruled out: a purpose given by each caller (a parameter on every send); counters per message class (a hundred label values).

--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -18,7 +18,7 @@
     SessionLimits,
 )
 from limedyke.messages.declaration import Group, PromotionMode, TenantAccess
-from limedyke.metrics import new_registry
+from limedyke.metrics import TrafficCounter, new_registry
 from limedyke.proxy.control_view import ControlView
 from limedyke.proxy.home_links import HomeLinks
 from limedyke.proxy.statements.client import ClientServices, StatementClient
@@ -137,7 +137,13 @@
         self.settings = settings
         log = StatementLog(metrics)
         runner = StatementRunner("z2", metrics, log)
-        self.groups = StatementGroups(settings, runner, LineMemberCodec, lambda: self.lease_ends_at)
+        self.groups = StatementGroups(
+            settings,
+            runner,
+            LineMemberCodec,
+            lambda: self.lease_ends_at,
+            TrafficCounter(self.registry),
+        )
         self.links = HomeLinks(settings, Secrets({settings.cluster_key: "key"}))
         executor = StatementExecutor(self.groups, runner, StatementForwarding(self.links, metrics))
         self.services = ClientServices(
--- a/limedyke/controller/proxy_sessions.py
+++ b/limedyke/controller/proxy_sessions.py
@@ -37,6 +37,7 @@
 )
 from limedyke.result_codes import ResultCode
 from limedyke.transport.link import Link, LinkClosedError
+from limedyke.transport.traffic import Purpose
 
 OUTGOING_LIMIT = 4_096
 REFUSED_PAUSE_MS = 5_000
@@ -102,9 +103,9 @@
             if found.present_index > found.control_index:
                 await self.link.send(ControlTarget(found.present_index))
             if found.is_large:
-                await self.link.send_framed(found.framed)
+                await self.link.send_framed(found.framed, Purpose.STATE)
             else:
-                await self.link.send_encoded(found.message)
+                await self.link.send_encoded(found.message, Purpose.STATE)
             if not is_newer:
                 break
         if not self._answered:
--- a/limedyke/controller/server.py
+++ b/limedyke/controller/server.py
@@ -40,6 +40,7 @@
 from limedyke.storage.file_system import LocalFileSystem
 from limedyke.storage.open_log import open_durable_log
 from limedyke.transport.link import Link, LinkIdentity, listen, serve_links
+from limedyke.transport.traffic import Place
 
 INCARNATION_BYTES = 8
 LEADERSHIP_CHECK_S = 0.02
@@ -86,8 +87,13 @@
         self._calls: LeaderCalls | None = None
         self._log = log
         self._keys = ControllerKeys(settings, secrets)
+        self._pages = StatusPages(lambda: self._replica, lambda: self._leader)
         self._link_identity = LinkIdentity(
-            PeerRole.CONTROLLER, settings.name, self._keys.cluster_key
+            PeerRole.CONTROLLER,
+            settings.name,
+            self._keys.cluster_key,
+            Place(settings.zone, settings.region),
+            self._pages.traffic,
         )
         peers = [peer.name for peer in settings.peers]
         self._voter_names = tuple(sorted([settings.name, *peers]))
@@ -101,7 +107,6 @@
         self._leader: LeaderService | None = None
         self._leader_task: curio.Task | None = None
         self._requests: OperatorRequests | None = None
-        self._pages = StatusPages(lambda: self._replica, lambda: self._leader)
         self._desk = CallDesk(
             lambda: self._calls,
             self._leader_address,
--- a/limedyke/controller/status_pages.py
+++ b/limedyke/controller/status_pages.py
@@ -13,7 +13,7 @@
 from limedyke.controller.replica import Replica
 from limedyke.core.agreement.commands import Role
 from limedyke.messages.control import ProxyState
-from limedyke.metrics import new_registry
+from limedyke.metrics import TrafficCounter, new_registry
 from limedyke.transport.http_status import ReadyState, serve_status
 
 REFRESH_S = 1.0
@@ -37,6 +37,7 @@
         self._awaited_revision = 0
         self._is_awaiting = False
         self.metrics = ControllerMetrics(self._registry)
+        self.traffic = TrafficCounter(self._registry)
 
     async def run(self, address: str) -> None:
         """Serve until cancelled.
--- a/limedyke/messages/handshake.py
+++ b/limedyke/messages/handshake.py
@@ -27,6 +27,8 @@
     :param nonce: 16 random bytes
     :param compresses: the sender takes messages that are compressed against those before them; a
         process of an earlier version doesn't say so, and ignores the field
+    :param zone: where the sender runs, empty when it doesn't say
+    :param region: the same
     """
 
     version: int
@@ -34,6 +36,8 @@
     name: str
     nonce: bytes
     compresses: bool = False
+    zone: str = ""
+    region: str = ""
 
 
 @message(11)
--- a/limedyke/proxy/back_ends.py
+++ b/limedyke/proxy/back_ends.py
@@ -26,6 +26,7 @@
 from limedyke.settings.proxy import ProxySettings
 from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link
+from limedyke.transport.traffic import NO_METER, TrafficMeter
 
 DEADLINE_SWEEP_S = 0.05
 POOL_CHECK_S = 0.5
@@ -80,6 +81,7 @@
     :param secrets: passwords of the back-end logins and the cluster key
     :param control: takes member reports and promotion results; None in tests
     :param metrics: counts the decisions; None keeps them from view
+    :param meter: counts the bytes sent to home proxies
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         secrets: Secrets,
         control: ControlReporter | None = None,
         metrics: ProxyMetrics | None = None,
+        meter: TrafficMeter = NO_METER,
     ) -> None:
         self._settings = settings
         self._metrics = metrics or ProxyMetrics(CollectorRegistry())
@@ -102,7 +105,7 @@
         self._paused_reported: dict[str, int] = {}
         self._view_changed = curio.Event()
         self._local = LocalExecutor(settings, self._groups, self._metrics)
-        self._forwarding = ForwardingExecutor(settings, secrets, self._wait_view_change)
+        self._forwarding = ForwardingExecutor(settings, secrets, self._wait_view_change, meter)
         self._serving = ForwardingServer(self._local)
         self._periodic: list[curio.Task] = []
 
--- a/limedyke/proxy/control_client.py
+++ b/limedyke/proxy/control_client.py
@@ -43,6 +43,7 @@
 from limedyke.proxy.quorum_watch import QuorumWatch
 from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkClosedError, LinkIdentity, dial
+from limedyke.transport.traffic import NO_METER, Place, TrafficMeter
 
 DIAL_TIMEOUT_S = 0.4
 """A machine that is off answers nothing, and there are other controllers to dial."""
@@ -56,6 +57,7 @@
     :param secrets: holds the cluster key
     :param store: the proxy's disk
     :param handler: gets views, leases and promotion orders
+    :param meter: counts what is sent to the controllers
     """
 
     def __init__(
@@ -64,10 +66,12 @@
         secrets: Secrets,
         store: ControlStore,
         handler: ControlHandler,
+        meter: TrafficMeter = NO_METER,
     ) -> None:
         key = (secrets.get(settings.cluster_key) or "").encode()
         self._settings = settings
-        self._identity = LinkIdentity(PeerRole.PROXY, settings.name, key)
+        place = Place(settings.zone, settings.region)
+        self._identity = LinkIdentity(PeerRole.PROXY, settings.name, key, place, meter)
         self._handler = handler
         self._intake = ControlIntake(store, handler.control_changed)
         longest_pause_s = settings.control_retry_limit_ms / 1000
--- a/limedyke/proxy/forwarding.py
+++ b/limedyke/proxy/forwarding.py
@@ -14,6 +14,7 @@
 from limedyke.result_codes import ResultCode
 from limedyke.settings.proxy import ProxySettings
 from limedyke.settings.secrets import Secrets
+from limedyke.transport.traffic import NO_METER, TrafficMeter
 
 MS_PER_S = 1_000.0
 NO_HOME_RETRY_MS = 500
@@ -40,6 +41,7 @@
     """Sends whole units to home proxies; a transaction stays on one of them.
 
     :param wait_change: waits for a change of the control view, until a moment; False when late
+    :param meter: counts what is sent to home proxies
     """
 
     def __init__(
@@ -47,10 +49,11 @@
         settings: ProxySettings,
         secrets: Secrets,
         wait_change: Callable[[float], Awaitable[bool]],
+        meter: TrafficMeter = NO_METER,
     ) -> None:
         self._settings = settings
         self._wait_change = wait_change
-        self.links = HomeLinks(settings, secrets)
+        self.links = HomeLinks(settings, secrets, meter)
         self._transactions: dict[int, HomeLink] = {}
 
     def control_changed(self, view: ControlView) -> None:
--- a/limedyke/proxy/home_links.py
+++ b/limedyke/proxy/home_links.py
@@ -19,6 +19,7 @@
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkIdentity, dial
+from limedyke.transport.traffic import NO_METER, Place, TrafficMeter
 
 MS_PER_S = 1_000.0
 DIAL_TIMEOUT_S = 0.5
@@ -45,12 +46,18 @@
 
 
 class HomeLinks:
-    """The links of one proxy to home proxies, by name; shared by all work for them."""
+    """The links of one proxy to home proxies, by name; shared by all work for them.
 
-    def __init__(self, settings: HomeLinkSettings, secrets: Secrets) -> None:
+    :param meter: counts what is sent to them
+    """
+
+    def __init__(
+        self, settings: HomeLinkSettings, secrets: Secrets, meter: TrafficMeter = NO_METER
+    ) -> None:
         key = (secrets.get(settings.cluster_key) or "").encode()
         self._settings = settings
-        self._identity = LinkIdentity(PeerRole.PROXY, settings.name, key)
+        place = Place(settings.zone, settings.region)
+        self._identity = LinkIdentity(PeerRole.PROXY, settings.name, key, place, meter)
         self._view: ControlView | None = None
         self._candidates: dict[str, tuple[ProxyRecord, ...]] = {}
         self._links: dict[str, HomeLink] = {}
--- a/limedyke/proxy/server.py
+++ b/limedyke/proxy/server.py
@@ -15,7 +15,7 @@
 from limedyke.event_log import EventLog
 from limedyke.garbage_collection import resume_garbage_collection
 from limedyke.messages.handshake import PeerRole
-from limedyke.metrics import new_registry
+from limedyke.metrics import TrafficCounter, new_registry
 from limedyke.postgres.client_messages import failure_response
 from limedyke.postgres.frontend import LoginPolicy
 from limedyke.proxy.back_ends import BackEnds
@@ -39,6 +39,7 @@
 from limedyke.stop_signal import StopSignal
 from limedyke.transport.http_status import ReadyState, serve_status
 from limedyke.transport.link import LinkIdentity, listen, serve_links
+from limedyke.transport.traffic import Place
 
 EXIT_FAILED = 1
 ACCEPT_PAUSE_S = 0.1
@@ -61,14 +62,15 @@
         self._cluster_key = (secrets.get(settings.cluster_key) or "").encode()
         self._registry = new_registry()
         self._metrics = ProxyMetrics(self._registry)
+        self._traffic = TrafficCounter(self._registry)
         self._directory = LoginDirectory()
         self._first_view = curio.Event()
         self._drain_asked = curio.Event()
         self._draining = False
         self._bridge = ControlBridge(self._take_view)
         store = ControlStore(settings.data_folder / "control")
-        self._control = ControlClient(settings, secrets, store, self._bridge)
-        self._back_ends = BackEnds(settings, secrets, self._bridge, self._metrics)
+        self._control = ControlClient(settings, secrets, store, self._bridge, self._traffic)
+        self._back_ends = BackEnds(settings, secrets, self._bridge, self._metrics, self._traffic)
         self._bridge.client = self._control
         self._bridge.back_ends = self._back_ends
         self._tls = ClientTls(settings.tls) if settings.tls is not None else None
@@ -125,7 +127,10 @@
 
     async def _run_tasks(self, clients: socket.socket, links: socket.socket) -> int:
         settings = self._settings
-        identity = LinkIdentity(PeerRole.PROXY, settings.name, self._cluster_key)
+        place = Place(settings.zone, settings.region)
+        identity = LinkIdentity(
+            PeerRole.PROXY, settings.name, self._cluster_key, place, self._traffic
+        )
         await self._back_ends.start()
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._control.run)
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -24,8 +24,10 @@
 from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.member_codec import MemberCodec
 from limedyke.proxy.statements.member_pool import MemberPool
+from limedyke.proxy.statements.member_traffic import MemberTraffic
 from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.proxy.statements.settings import StatementProxySettings
+from limedyke.transport.traffic import NO_METER, Distance, Place, TrafficMeter
 
 WATCH_INTERVAL_S = 0.1
 """A member that seems to hang is probed at most so much later."""
@@ -50,6 +52,7 @@
 
     :param make_codec: makes the codec of a member connection
     :param primary_lease_ends_at: see ``StatementGroup``
+    :param meter: counts what is sent to members and received from them
     """
 
     def __init__(
@@ -58,7 +61,9 @@
         runner: StatementRunner,
         make_codec: Callable[[], MemberCodec],
         primary_lease_ends_at: Callable[[], float],
+        meter: TrafficMeter = NO_METER,
     ) -> None:
+        self._meter = meter
         self.groups: dict[str, StatementGroup] = {}
         self.view: ControlView | None = None
         self._first_view = curio.Event()
@@ -209,10 +214,18 @@
         def make_pool(belief: MemberBelief) -> MemberPool:
             settings = self._settings
             timeout_s = settings.connect_timeout_ms / 1_000
-            return MemberPool(belief, self._make_codec, settings.source_ip, timeout_s)
+            count = MemberTraffic(self._meter, lambda: self._distance_to(belief.record.zone))
+            return MemberPool(belief, self._make_codec, settings.source_ip, timeout_s, count)
 
         return StatementGroup(name, make_pool, self._primary_lease_ends_at, self._outage_times)
 
+    def _distance_to(self, zone: str) -> Distance:
+        """Return how far a zone is, whose region is that of the proxies there."""
+        own = Place(self._settings.zone, self._settings.region)
+        proxies = self.view.proxies.values() if self.view is not None else ()
+        region = next((proxy.region for proxy in proxies if proxy.zone == zone), "")
+        return own.distance_to(Place(zone, region))
+
 
 def _text_of(leases: dict[tuple[str, str], int]) -> str:
     """Return connections by group, in one word."""
--- a/limedyke/proxy/statements/member_connection.py
+++ b/limedyke/proxy/statements/member_connection.py
@@ -19,6 +19,8 @@
 )
 from limedyke.messages.work import LogPosition, TransactionStatus
 from limedyke.proxy.statements.member_codec import MemberCodec
+from limedyke.proxy.statements.member_traffic import UNCOUNTED, MemberTraffic
+from limedyke.transport.traffic import Purpose
 
 RECEIVE_BYTES = 64 * 1024
 USER_TIMEOUT_MS = 3_000
@@ -45,8 +47,12 @@
     :ivar status: of the connection's transaction
     """
 
-    def __init__(self, sock: socket.socket, codec: MemberCodec) -> None:
+    def __init__(
+        self, sock: socket.socket, codec: MemberCodec, traffic: MemberTraffic = UNCOUNTED
+    ) -> None:
         self._socket = sock
+        self._traffic = traffic
+        self._purpose = Purpose.STATEMENTS
         self._codec = codec
         self._answers: deque[MemberAnswer] = deque()
         self._prepared: dict[PreparedShape, str] = {}
@@ -57,7 +63,13 @@
 
     @classmethod
     async def open(
-        cls, address: str, group: str, identity: str, codec: MemberCodec, source_ip: str
+        cls,
+        address: str,
+        group: str,
+        identity: str,
+        codec: MemberCodec,
+        source_ip: str,
+        traffic: MemberTraffic = UNCOUNTED,
     ) -> MemberConnection:
         """Open a connection to exactly this member.
 
@@ -65,14 +77,14 @@
         :raises ConnectionRefusedByMemberError: when the member takes no connection
         """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        connection = cls(sock, codec)
+        connection = cls(sock, codec, traffic)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
             if source_ip:
                 sock.bind((source_ip, 0))
             await sock.connect(split_address(address))
-            await sock.sendall(codec.open(group, identity))
+            await connection._send(codec.open(group, identity))
             answer = await connection._receive()
         except (OSError, ValueError) as error:
             await connection.close()
@@ -150,7 +162,11 @@
 
         :raises ConnectionLostError: when the connection broke
         """
-        answer = await self._exchange([self._codec.ask_status()])
+        self._purpose = Purpose.QUESTIONS
+        try:
+            answer = await self._exchange([self._codec.ask_status()])
+        finally:
+            self._purpose = Purpose.STATEMENTS
         if answer.kind is AnswerKind.LOST:
             raise ConnectionLostError("no answer to a status question")
         return self._codec.read_status(answer) if answer.kind is AnswerKind.DONE else None
@@ -188,7 +204,7 @@
         first_failure: MemberAnswer | None = None
         answer = LOST
         try:
-            await self._socket.sendall(b"".join(requests))
+            await self._send(b"".join(requests))
             for _ in requests:
                 answer = await self._receive()
                 self.status = answer.status
@@ -202,10 +218,15 @@
             raise
         return first_failure or answer
 
+    async def _send(self, data: bytes) -> None:
+        self._traffic.sent(self._purpose, len(data))
+        await self._socket.sendall(data)
+
     async def _receive(self) -> MemberAnswer:
         while not self._answers:
             data = await self._socket.recv(RECEIVE_BYTES)
             if not data:
                 raise OSError("closed by the member")
+            self._traffic.received(self._purpose, len(data))
             self._answers.extend(self._codec.feed(data))
         return self._answers.popleft()
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/member_pool.py
@@ -25,6 +25,7 @@
     ConnectionRefusedByMemberError,
     MemberConnection,
 )
+from limedyke.proxy.statements.member_traffic import UNCOUNTED, MemberTraffic
 
 IDLE_CLOSE_S = 6.0
 """Idle connections are few, so that members have room when proxies come back: a member holds a
@@ -52,6 +53,7 @@
 
     :param belief: what is known of the member; its load is kept here
     :param make_codec: makes the codec of a connection
+    :param traffic: counts the bytes of all its connections
 
     :ivar opened: connections open or being opened
     """
@@ -62,7 +64,9 @@
         make_codec: Callable[[], MemberCodec],
         source_ip: str,
         connect_timeout_s: float,
+        traffic: MemberTraffic = UNCOUNTED,
     ) -> None:
+        self._traffic = traffic
         self.belief = belief
         self.limit = 0
         self.opened = 0
@@ -238,7 +242,12 @@
         try:
             async with curio.timeout_after(self._connect_timeout_s):
                 connection = await MemberConnection.open(
-                    record.address, record.group, record.identity, codec, self._source_ip
+                    record.address,
+                    record.group,
+                    record.identity,
+                    codec,
+                    self._source_ip,
+                    self._traffic,
                 )
         except curio.TaskTimeout:
             belief.was_silent(time.monotonic())
--- /dev/null
+++ b/limedyke/proxy/statements/member_traffic.py
@@ -0,0 +1,35 @@
+"""Counts the bytes between a proxy and one member."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from limedyke.transport.traffic import NO_METER, Direction, Distance, Purpose, TrafficMeter
+
+
+class MemberTraffic:
+    """Counts for all connections to one member.
+
+    :param distance: how far the member is; asked once something is counted, and kept when known
+    """
+
+    def __init__(self, meter: TrafficMeter, distance: Callable[[], Distance]) -> None:
+        self._meter = meter
+        self._find_distance = distance
+        self._distance = Distance.UNKNOWN
+
+    def sent(self, purpose: Purpose, size: int) -> None:
+        """Count what was sent to the member."""
+        self._meter.count(purpose, self._known_distance(), Direction.OUT, size)
+
+    def received(self, purpose: Purpose, size: int) -> None:
+        """Count what came from the member."""
+        self._meter.count(purpose, self._known_distance(), Direction.IN, size)
+
+    def _known_distance(self) -> Distance:
+        if self._distance is Distance.UNKNOWN:
+            self._distance = self._find_distance()
+        return self._distance
+
+
+UNCOUNTED = MemberTraffic(NO_METER, lambda: Distance.UNKNOWN)
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -13,7 +13,7 @@
 from limedyke.event_log import EventLog
 from limedyke.messages.handshake import PeerRole
 from limedyke.messages.statements import StatementUnit
-from limedyke.metrics import new_registry
+from limedyke.metrics import TrafficCounter, new_registry
 from limedyke.proxy.control_client import ControlClient
 from limedyke.proxy.control_view import ControlView
 from limedyke.proxy.forwarding_server import ForwardingServer
@@ -37,6 +37,7 @@
 from limedyke.transport.http_server import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 from limedyke.transport.http_status import ReadyState, serve_status
 from limedyke.transport.link import Link, LinkIdentity, listen, serve_links
+from limedyke.transport.traffic import Place
 
 EXIT_FAILED = 1
 ACCEPT_PAUSE_S = 0.05
@@ -76,16 +77,21 @@
         self._make_client_codec = make_client_codec
         self._registry = new_registry()
         metrics = StatementMetrics(self._registry)
+        self._traffic = TrafficCounter(self._registry)
         log = StatementLog(metrics, settings.log_lines_per_second)
         runner = StatementRunner(settings.zone, metrics, log)
         self._groups = StatementGroups(
-            settings, runner, make_member_codec, lambda: self._control.primary_lease_ends_at
+            settings,
+            runner,
+            make_member_codec,
+            lambda: self._control.primary_lease_ends_at,
+            self._traffic,
         )
         store = MemoryControlStore(settings.link_advertise)
-        self._control = ControlClient(settings, secrets, store, self._groups)
+        self._control = ControlClient(settings, secrets, store, self._groups, self._traffic)
         self._groups.reporter = self._control
         self._groups.on_view = self._take_view
-        self._links = HomeLinks(settings, secrets)
+        self._links = HomeLinks(settings, secrets, self._traffic)
         forwarding = StatementForwarding(self._links, metrics)
         self._executor = StatementExecutor(self._groups, runner, forwarding)
         self._home = StatementHomeService(self._groups, runner, log, metrics)
@@ -106,7 +112,8 @@
                 EVENTS.error("listen-failed", reason=listener.err_value)
                 return EXIT_SETTINGS_INVALID
         stop = StopSignal()
-        identity = LinkIdentity(PeerRole.PROXY, settings.name, self._key)
+        place = Place(settings.zone, settings.region)
+        identity = LinkIdentity(PeerRole.PROXY, settings.name, self._key, place, self._traffic)
         ready_server = HttpServer(self._answer_ready, HttpLimits(READY_BODY_BYTES))
         EVENTS.info("started", name=settings.name, listen=settings.client_listen)
         async with curio.TaskGroup(wait=any) as tasks:
--- a/limedyke/transport/link.py
+++ b/limedyke/transport/link.py
@@ -23,9 +23,19 @@
     LinkRefused,
     PeerRole,
 )
+from limedyke.messages.registry import KIND_BY_CLASS
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.transport.compression import MessageCompressor
 from limedyke.transport.framing import FrameError, FrameReader, frame, stream_frame
+from limedyke.transport.traffic import (
+    NO_METER,
+    Direction,
+    Distance,
+    Place,
+    Purpose,
+    TrafficMeter,
+    purpose_of_kind,
+)
 
 RECEIVE_BYTES = 256 * 1024
 NONCE_BYTES = 16
@@ -37,11 +47,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LinkIdentity:
-    """Who this process is on its links, and the key that proves it."""
+    """Who this process is on its links, and the key that proves it.
+
+    :param place: where it runs; told to the peer
+    :param meter: counts what is sent on its links
+    """
 
     role: PeerRole
     name: str
     key: bytes = field(repr=False)
+    place: Place = field(default=Place(), compare=False)
+    meter: TrafficMeter = field(default=NO_METER, repr=False, compare=False)
 
 
 @dataclass(slots=True)
@@ -64,8 +80,9 @@
     ``send`` may be called from several tasks; ``receive`` from one.
     """
 
-    def __init__(self, sock: socket.socket) -> None:
+    def __init__(self, sock: socket.socket, meter: TrafficMeter = NO_METER) -> None:
         self._socket = sock
+        self._meter = meter
         self._reader = FrameReader()
         self._received: deque[bytes] = deque()
         self._send_lock = curio.Lock()
@@ -74,23 +91,24 @@
         self.counters = LinkCounters()
         self.peer_role = PeerRole.PROXY
         self.peer_name = ""
+        self.distance = Distance.UNKNOWN
 
     async def send(self, message: object) -> None:
         """Send a registered message.
 
         :raises LinkClosedError: when the link is broken
         """
-        await self.send_encoded(encode(message))
+        await self.send_encoded(encode(message), purpose_of_kind(KIND_BY_CLASS[type(message)]))
 
-    async def send_encoded(self, data: bytes) -> None:
+    async def send_encoded(self, data: bytes, purpose: Purpose) -> None:
         """Send a message already encoded, perhaps for many peers."""
         async with self._send_lock:
-            await self._send_frame(self._framed(data))
+            await self._send_frame(self._framed(data), purpose)
 
-    async def send_framed(self, framed: bytes) -> None:
+    async def send_framed(self, framed: bytes, purpose: Purpose) -> None:
         """Send a frame made before, for one large message to many peers without a copy for each."""
         async with self._send_lock:
-            await self._send_frame(framed)
+            await self._send_frame(framed, purpose)
 
     def compress_from_now_on(self) -> None:
         """Compress each message against those before it: the peer has said that it takes this."""
@@ -102,7 +120,7 @@
             return frame(data)
         return stream_frame(self._compressor.compress(data))
 
-    async def _send_frame(self, framed: bytes) -> None:
+    async def _send_frame(self, framed: bytes, purpose: Purpose) -> None:
         """Send a frame; the caller holds the lock.
 
         A send that is cancelled may leave half a frame behind, so the link is closed then.
@@ -117,6 +135,7 @@
         self._broken = False
         self.counters.messages_out += 1
         self.counters.bytes_out += len(framed)
+        self._meter.count(purpose, self.distance, Direction.OUT, len(framed))
 
     async def receive(self) -> object:
         """Return the next message.
@@ -178,7 +197,10 @@
     """Prove both sides to each other; return the failure, or None."""
     peer_side = _Side.LISTENER if side is _Side.DIALLER else _Side.DIALLER
     nonce = os.urandom(NONCE_BYTES)
-    own = LinkHello(PROTOCOL_VERSION, identity.role, identity.name, nonce, compresses=True)
+    place = identity.place
+    own = LinkHello(
+        PROTOCOL_VERSION, identity.role, identity.name, nonce, True, place.zone, place.region
+    )
     await link.send(own)
     peer = await link.receive()
     if isinstance(peer, LinkRefused):
@@ -200,6 +222,7 @@
         return Failure(ResultCode.OPERATOR_REFUSED, f"{peer.role} {peer.name} gave a wrong proof")
     link.peer_role = peer.role
     link.peer_name = peer.name
+    link.distance = place.distance_to(Place(peer.zone, peer.region))
     if peer.compresses:
         link.compress_from_now_on()
     return None
@@ -244,7 +267,7 @@
     except (OSError, curio.TaskTimeout) as error:
         await sock.close()
         return Err(Failure(ResultCode.PEER_UNREACHABLE, f"{address}: {error or 'timeout'}"))
-    return await _open(Link(sock), _Side.DIALLER, identity, keys)
+    return await _open(Link(sock, identity.meter), _Side.DIALLER, identity, keys)
 
 
 def listen(address: str) -> Result[socket.socket, Failure]:
@@ -269,7 +292,7 @@
 
     async def serve_one(client: socket.socket) -> None:
         client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        opened = await _open(Link(client), _Side.LISTENER, identity, keys)
+        opened = await _open(Link(client, identity.meter), _Side.LISTENER, identity, keys)
         if isinstance(opened, Err):
             return
         link = opened.ok_value
