Make each script of the agreement catch its mutant under every seed

Cause: three mutants survived `make mutants` (counts the lease from the receipt of the answers, takes the first leader it vouched for as the last, leads on under its lease after handing over). It ran each script with one seed; the feature ran five and took a mutant as caught when one of them broke. The safeguards are still needed.

Change (tests only): the scripts hold what decides: followers stand at the shortest timeout and one of them alone; the former leader is the first that led; a leader that hands over hears nothing any more. A mutant counts as caught only when it breaks its script under each of twelve seeds, in the feature and in `make mutants`; both runs share the seeds.

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -60,6 +60,15 @@
       | two disks lost at once  |
       | a replacement far behind |
 
+  Scenario Outline: Random faults alone show the mutant that <mutant>
+    Then agreement: seeds <seeds> hold, and break with the mutant that <mutant>
+
+    Examples:
+      | seeds       | mutant                                            |
+      | 22 58 131   | counts the lease from the receipt of the answers  |
+      | 493 585 658 | takes the first leader it vouched for as the last |
+      | 51 134      | leads on under its lease after handing over       |
+
   Scenario: Every mutant of the agreement is in the tables above
     Then agreement: every mutant is named in this feature
 
--- a/features/lab_mutants.feature
+++ b/features/lab_mutants.feature
@@ -18,3 +18,7 @@
   Scenario: mutants: those of one area are run and counted
     When mutants: those of the area "lab" are listed
     Then mutants: each checker has one, and those that start fleets run alone
+
+  Scenario: mutants: each safeguard of the agreement and of the durable log is missed without it
+    When mutants: those of the area "agreement" are run
+    Then mutants: the run ends with 0 and no mutant was missed
--- a/features/mutants/agreement_safeguards.py
+++ b/features/mutants/agreement_safeguards.py
@@ -9,7 +9,7 @@
 from features.mutants.mutant import Mutant
 from features.support.agreement_mutants import MUTANTS as AGREEMENT_MUTANTS
 from features.support.agreement_mutants import patched_out
-from features.support.agreement_scripts import run_script
+from features.support.agreement_scripts import SCRIPT_SEEDS, run_script
 from features.support.durable_log_world import (
     crash_at_every_step,
     entry,
@@ -62,12 +62,14 @@
 
 
 def _script_mutant(name: str) -> bool:
+    """Tell whether the mutant breaks its script under each of the seeds."""
     script = SCRIPTS[name]
-    broken = run_script(script)
-    if broken:
-        raise NoticedWithSafeguardError(broken)
+    for seed in SCRIPT_SEEDS:
+        broken = run_script(script, seed=seed)
+        if broken:
+            raise NoticedWithSafeguardError(broken)
     with patched_out(name) as machine_class:
-        return bool(run_script(script, machine_class))
+        return all(run_script(script, machine_class, seed) for seed in SCRIPT_SEEDS)
 
 
 def _crashes_lose() -> bool:
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from features.support.agreement_mutants import MUTANTS, patched_out
-from features.support.agreement_scripts import run_script
+from features.support.agreement_scripts import SCRIPT_SEEDS, run_script
 from limedyke.core.agreement.events import AddLearner, PromoteLearner, RemoveMember
 from limedyke.core.agreement.founding import (
     Founding,
@@ -30,10 +30,6 @@
 FOUNDING_VOTERS = ("a", "b", "c")
 
 
-SCRIPT_SEEDS = range(1, 6)
-"""A script holds under the random timeouts of each; a mutant need break it under one of them."""
-
-
 @when("agreement: seeds {first:d} to {last:d} run under random faults")
 def step_seeds(context, first, last):
     context.reports = [simulate(seed) for seed in range(first, last + 1)]
@@ -77,8 +73,20 @@
 @then("agreement: it is broken by the mutant that {mutant}")
 def step_mutant_caught(context, mutant):
     with patched_out(mutant) as machine_class:
-        broken = any(run_script(context.script, machine_class, seed) for seed in SCRIPT_SEEDS)
-    assert broken, f"the mutant that {mutant} was not caught"
+        held = [
+            seed for seed in SCRIPT_SEEDS if not run_script(context.script, machine_class, seed)
+        ]
+    assert not held, f"the mutant that {mutant} was not caught with seeds {held}"
+
+
+@then("agreement: seeds {seeds} hold, and break with the mutant that {mutant}")
+def step_seeds_catch_mutant(context, seeds, mutant):
+    numbers = [int(seed) for seed in seeds.split()]
+    broken = [seed for seed in numbers if simulate(seed).violations]
+    assert not broken, f"with the safeguard, seeds {broken}"
+    with patched_out(mutant):
+        held = [seed for seed in numbers if not simulate(seed).violations]
+    assert not held, f"the mutant that {mutant} was not caught with seeds {held}"
 
 
 @then("agreement: every mutant is named in this feature")
--- a/features/steps/lab_mutants_steps.py
+++ b/features/steps/lab_mutants_steps.py
@@ -48,6 +48,13 @@
     assert (context.code, context.lines[-1]) == (code, line), (context.code, context.lines)
 
 
+@then("mutants: the run ends with 0 and no mutant was missed")
+def then_none_missed(context):
+    missed = [line for line in context.lines if line.startswith("MISSED")]
+    assert context.code == run.EXIT_ALL_CAUGHT, missed
+    assert context.lines[-1].endswith("caught, 0 missed"), context.lines[-1]
+
+
 @when('mutants: those of the area "{area}" are listed')
 def when_listed(context, area):
     modules = run.modules_with_mutants((area,))
--- a/features/support/agreement_lease_scripts.py
+++ b/features/support/agreement_lease_scripts.py
@@ -18,6 +18,12 @@
 from limedyke.result_codes import Outcome
 
 CUT_OFF_ROUNDS = 30
+LONGEST_DELAY_S = 0.002
+"""A message takes up to twice the delay of the scripts: the other voter is free by then."""
+LONGEST_ROUND_S = 0.165
+"""Spans a heartbeat round: an interval of 0.1 s, found due at a tick of 0.04 to 0.06 s."""
+LONG_S = 1e6
+"""Keeps a machine from standing for election, as a timeout that another one runs out before."""
 
 
 def late_answers(cluster: ScriptedCluster) -> None:
@@ -29,9 +35,11 @@
     cluster.cut_one_way(leader, *cluster.others(leader))
     cluster.run(0.001)
     cluster.heal()
-    cluster.run(0.15)
+    cluster.run(LONGEST_ROUND_S)
     cluster.cut_one_way(leader, *cluster.others(leader))
-    cluster.run(0.25)
+    cluster.run(0.2)
+    cluster.machines["b"].agreement._state.election_deadline += LONGEST_DELAY_S
+    cluster.machines["c"].agreement._state.election_deadline += LONG_S
     cluster.release_held()
     cluster.cut(leader)
     read_stale(cluster, leader)
@@ -69,17 +77,20 @@
 
 
 def former_leader_asks(cluster: ScriptedCluster, restarts: bool = False) -> None:
-    """A leader of before, blind now, asks the only voter that confirms the lease of its successor.
+    """The first leader, blind now, asks the only voter that confirms the lease of its successor.
 
     :param restarts: that voter restarts first
     """
-    blind = cluster.lead("a")
-    leader = cluster.lead("b")
-    hearing = cluster.machines["c"]
+    blind = cluster.first_leader()
+    hearing, successor = cluster.others(blind)
+    leader = cluster.lead(successor.name)
     cluster.cut(leader, blind)
-    cluster.run_until(lambda: _stands_within(blind, 0.05) and _heard_within(hearing, 0.01))
+    blind.agreement._state.election_deadline += LONG_S
+    cluster.run(cluster.world.options.timing.election_timeout_minimum_s)
+    cluster.run_until(lambda: _heard_within(hearing, 0.01))
     cluster.run(0.003)
     cluster.cut(leader, hearing)
+    blind.agreement._state.election_deadline = blind.local_now
     if restarts:
         hearing.kill_process()
         hearing.start()
@@ -144,8 +155,10 @@
 
 
 def handing_over(cluster: ScriptedCluster) -> None:
-    """A leader hands over and is cut off at the same moment."""
+    """A leader hands over, and hears nothing any more of its successor's candidacy."""
     leader = cluster.lead("a")
+    for other in cluster.others(leader):
+        cluster.cut_one_way(other, leader)
     leader.handle(LeadershipTransferRequested())
     cluster.run(0.0025)
     cluster.cut(leader)
--- a/features/support/agreement_scripts.py
+++ b/features/support/agreement_scripts.py
@@ -53,12 +53,17 @@
     "a replacement far behind": members.snapshot_to_learner,
 }
 ENDING_WITHOUT_LEADER = (storage.two_lost_disks,)
+SCRIPT_SEEDS = range(1, 13)
+"""Seeds of the random timeouts under each of which a script holds, and catches its mutant."""
 CLOCK_DRIFT = 0.1
+EARLIEST_ELECTION = {"election_timeout_maximum_s": 0.501}
+"""A millisecond over the shortest timeout: followers stand as soon as they may."""
 CLOCKS: dict[Script, tuple[dict[str, object], dict[str, float]]] = {
     lease.drifting_clocks: (
-        {"clock_drift_bound": CLOCK_DRIFT, "election_timeout_maximum_s": 0.501},
+        {"clock_drift_bound": CLOCK_DRIFT, **EARLIEST_ELECTION},
         {"a": 1 - CLOCK_DRIFT, "b": 1 + CLOCK_DRIFT, "c": 1 + CLOCK_DRIFT},
     ),
+    lease.late_answers: (EARLIEST_ELECTION, {}),
     election.old_term_entries: ({"maximum_batch_entries": 1}, {}),
 }
 
--- a/features/support/agreement_world.py
+++ b/features/support/agreement_world.py
@@ -57,7 +57,7 @@
 
 
 class ScriptedCluster:
-    """Three controllers on virtual time; messages take a millisecond unless held or cut.
+    """Three controllers on virtual time; messages take 0.5 to 2 ms unless held or cut.
 
     :param options: changes of the simulation's options
     :param clock_rates: rates of the machines' clocks by name, 1.0 for those not named
@@ -129,6 +129,11 @@
         """Return the leader of the highest term."""
         return current_leader(self.machines)
 
+    def first_leader(self) -> Machine:
+        """Return the first machine that leads, once it serves."""
+        assert self.run_until(lambda: self.leader() and self.serves(self.leader()))
+        return self.leader()
+
     def serves(self, machine: Machine) -> bool:
         """Tell whether a machine leads and serves reads."""
         return machine.is_up and isinstance(self.read(machine), ReadReady)
