Bind a voter that starts anew by its process's beginning, not by the end of its loading

Cause: after a loss of all machines a voter does not know when it last heard a leader and waits an election timeout as if it had heard one at the moment its agreement is made. By then the process has run for 0.2 s (loading its modules), in which it answered nobody.

Ruled out: trusting the unsynced note of the last contact (on the platform the same boot id goes on through a loss of power, so it is not kept there); a shorter election timeout.

Test that failed first: agreement, "A voter is bound to the leader that it may have heard before" (not noted: no later than its process began).

--- a/features/agreement.feature
+++ b/features/agreement.feature
@@ -60,6 +60,15 @@
       | two disks lost at once  |
       | a replacement far behind |
 
+  Scenario Outline: A voter is bound to the leader that it may have heard before: <why>
+    Then agreement: with the contact noted at <noted>, term <term> and a process begun at 100, it is <bound>
+
+    Examples:
+      | why                                              | noted | term | bound              |
+      | noted on its disk                                | 90    | 3    | bound from 90      |
+      | not noted: no later than its process began       | -     | 3    | bound from 100     |
+      | it never answered a leader                       | -     | 0    | not bound          |
+
   Scenario Outline: Random faults alone show the mutant that <mutant>
     Then agreement: seeds <seeds> hold, and break with the mutant that <mutant>
 
--- a/features/steps/agreement_steps.py
+++ b/features/steps/agreement_steps.py
@@ -16,6 +16,7 @@
     SettingsDisagree,
 )
 from limedyke.core.agreement.membership import change_configuration
+from limedyke.core.agreement.records import HardState, StoredState
 from limedyke.messages.agreement import (
     NO_CLUSTER,
     ClusterFounded,
@@ -96,6 +97,18 @@
     assert not missing, missing
 
 
+@then(
+    "agreement: with the contact noted at {noted}, term {term:d} and a process begun at "
+    "{began:g}, it is {bound}"
+)
+def step_bound_from(context, noted, term, began, bound):
+    heard_at = None if noted == NONE else float(noted)
+    stored = StoredState(hard_state=HardState(term, None), leader_heard_at=heard_at)
+    found = stored.after_process_start(began).leader_heard_at
+    expected = None if bound == "not bound" else float(bound.removeprefix("bound from "))
+    assert found == expected, found
+
+
 def identity(life: str) -> ControllerIdentity:
     """Return the identity written as a name and the number of its disk, as in "c2"."""
     return ControllerIdentity(life[0], life)
--- a/limedyke/controller/server.py
+++ b/limedyke/controller/server.py
@@ -73,6 +73,8 @@
     :param secrets: holds the cluster key and the operators' keys
     :param log: the open durable log
     :param edge: takes calls from outside; None where operators' links are all there is
+    :param process_started_at: when this process began, by ``boot_seconds``; given only where a
+        process is started once the one before it has ended, else None
     """
 
     def __init__(
@@ -81,8 +83,10 @@
         secrets: Secrets,
         log: DurableLog,
         edge: ControllerEdge | None = None,
+        process_started_at: float | None = None,
     ) -> None:
         self._settings = settings
+        self._process_started_at = process_started_at
         self._edge = edge
         self._calls: LeaderCalls | None = None
         self._log = log
@@ -183,6 +187,8 @@
 
     def _start_replica(self) -> None:
         stored = self._log.take_stored_state()
+        if self._process_started_at is not None:
+            stored = stored.after_process_start(self._process_started_at)
         self._network.cluster = stored.snapshot.configuration.cluster
         self._learn_stored_addresses(stored.entries)
         replica = Replica(
@@ -325,11 +331,14 @@
 
 
 def run_controller(
-    settings: ControllerSettings, secrets: Secrets, edge: ControllerEdge | None = None
+    settings: ControllerSettings,
+    secrets: Secrets,
+    edge: ControllerEdge | None = None,
+    process_started_at: float | None = None,
 ) -> int:
     """Run a controller process; return its exit status.
 
-    :param edge: see ``Controller``
+    :param edge: see ``Controller``, as for the others
     """
     keys = ControllerKeys(settings, secrets)
     if keys.missing():
@@ -345,6 +354,6 @@
     if log.torn_tail is not None:
         EVENTS.warning("torn-tail-cut", detail=log.torn_tail)
     try:
-        return curio.run(Controller(settings, secrets, log, edge).run)
+        return curio.run(Controller(settings, secrets, log, edge, process_started_at).run)
     finally:
         log.close()
--- a/limedyke/core/agreement/records.py
+++ b/limedyke/core/agreement/records.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import ormsgpack
 
@@ -58,6 +58,17 @@
     entries: tuple[LogEntry, ...] = ()
     leader_heard_at: float | None = None
 
+    def after_process_start(self, started_at: float) -> StoredState:
+        """Return the same with the latest moment at which a leader can have been heard.
+
+        An earlier process on this disk had ended before this one began, and this one has answered
+        nobody yet.
+
+        :param started_at: when this process began, by the clock that it reads
+        """
+        is_bounded = self.leader_heard_at is not None or self.hard_state.term == 0
+        return self if is_bounded else replace(self, leader_heard_at=started_at)
+
 
 def _pack_identity(identity: ControllerIdentity | None) -> list[str] | None:
     return None if identity is None else [identity.name, identity.incarnation]
