Dial the next controller when one is slow

Cause: a proxy without a leader asked one controller at a time. One that takes the connection and hangs held it up for 0.4 s (dial) or for the whole silence limit (after the hello), and one that refuses a proxy for a while held it up for as long as the refusal said, though others could serve it.

Ruled out: shorter limits for all (a controller in another region or under load answers late and would be left for nothing).

Change: a search of its own (LeaderSearch): the next controller is dialled when one has not answered for 0.15 s, two at once at most; the first that answers as the leader is taken, the links of the others are closed.

Test that failed first: control_proxies, "a controller that ... holds up nobody": with the leader within 400 ms, nothing left open at the other.

No rule broken. control_proxies: 46 scenarios passed.

--- a/features/control_proxies.feature
+++ b/features/control_proxies.feature
@@ -18,6 +18,17 @@
       | grants leases after they have run out    |
       | does not run                             |
 
+  Scenario Outline: proxies: a controller that <script> holds up nobody
+    Given proxies: a controller c1 that <script>, and a controller c2 that leads
+    When proxies: a proxy starts with the present state on its disk and finds c1 first
+    Then proxies: it was with c2 within 400 ms, and has left nothing open at c1
+
+    Examples:
+      | script                       |
+      | takes connections and hangs  |
+      | hangs after the hello        |
+      | refuses the proxy for a long while |
+
   Scenario Outline: proxies: it stays where all is well, and would stay wrongly without the limit
     Given proxies: a controller c1 that <script>, and a controller c2 that leads
     When proxies: a proxy with a silence limit of <limit> ms finds c1 first
--- a/features/steps/control_proxies_steps.py
+++ b/features/steps/control_proxies_steps.py
@@ -77,6 +77,14 @@
     assert indexes and set(indexes) == {PRESENT}, indexes
 
 
+@then("proxies: it was with c2 within {limit:d} ms, and has left nothing open at c1")
+def _(context, limit):
+    assert context.held, (len(context.c1.hellos), len(context.c2.hellos))
+    assert context.c2.first_hello_s < limit / 1_000, context.c2.first_hello_s
+    if context.c1.script == "hangs after the hello":
+        assert context.c1.closed_links == len(context.c1.hellos) == 1
+
+
 @when("proxies: a proxy with a silence limit of {limit:d} ms finds c1 first")
 def _(context, limit):
     _run_from_c1(context, lambda client: False, timeout_s=1.0, silence_ms=limit)
--- a/features/support/scripted_controller.py
+++ b/features/support/scripted_controller.py
@@ -37,6 +37,8 @@
 
 KEY = b"cluster-key"
 HEARTBEAT_MS = 50
+LONG_PAUSE_MS = 60_000
+HANGS_S = 3_600.0
 SILENCE_MS = 300
 LEASE_MS = 2_000
 SHORT_LEASE_MS = 200
@@ -72,16 +74,26 @@
     heartbeats: int = 0
     counter: int = 0
     answers_again_at: float = 0.0
+    closed_links: int = 0
+    started_at: float = 0.0
+    first_hello_s: float = 0.0
 
     async def run(self) -> None:
         """Serve until cancelled."""
+        self.started_at = time.monotonic()
         identity = LinkIdentity(PeerRole.CONTROLLER, self.name, KEY)
         listened = listen(self.address).expect("a free address")
+        if self.script == "takes connections and hangs":
+            await curio.sleep(HANGS_S)
         await serve_links(listened, identity, lambda role, name: KEY, self._serve)
 
     async def _serve(self, link: Link) -> None:
         hello = await link.receive()
         self.hellos.append(hello)
+        if not self.first_hello_s:
+            self.first_hello_s = time.monotonic() - self.started_at
+        if self.script == "hangs after the hello":
+            await self._wait_for_end(link)
         for message in self._first_messages(hello):
             await link.send(message)
         while True:
@@ -89,12 +101,21 @@
             if isinstance(message, ProxyHeartbeat):
                 await self._answer(link, message)
 
+    async def _wait_for_end(self, link: Link) -> None:
+        """Say nothing until the proxy closes the link."""
+        try:
+            await link.receive()
+        finally:
+            self.closed_links += 1
+
     def _first_messages(self, hello: ProxyHello) -> list[object]:
         match self.script:
             case "says that the other leads":
                 return [NotLeader(self.leader)]
             case "refuses the proxy for a while":
                 return [ProxyRefused(4009, "taken", HEARTBEAT_MS)]
+            case "refuses the proxy for a long while":
+                return [ProxyRefused(4009, "taken", LONG_PAUSE_MS)]
             case "sends an older snapshot":
                 return [a_snapshot(PRESENT - 10)]
             case "sends a kept snapshot and what follows":
--- a/limedyke/proxy/control_client.py
+++ b/limedyke/proxy/control_client.py
@@ -26,7 +26,7 @@
     MemberReport,
     NotLeader,
     PromoteOrder,
-    ProxyRefused,
+    ProxyHello,
     QuorumStamp,
     WritesPaused,
 )
@@ -40,13 +40,12 @@
 from limedyke.proxy.control_store import ControlStore, StoredControl
 from limedyke.proxy.control_view import ControlView
 from limedyke.proxy.controller_choice import ControllerChoice
+from limedyke.proxy.leader_search import FoundLeader, LeaderSearch
 from limedyke.proxy.quorum_watch import QuorumWatch
 from limedyke.settings.secrets import Secrets
-from limedyke.transport.link import Link, LinkClosedError, LinkIdentity, dial
+from limedyke.transport.link import Link, LinkClosedError, LinkIdentity
 from limedyke.transport.traffic import NO_METER, Place, TrafficMeter
 
-DIAL_TIMEOUT_S = 0.4
-"""A machine that is off answers nothing, and there are other controllers to dial."""
 EVENTS = EventLog("control_client")
 
 
@@ -71,7 +70,7 @@
         key = (secrets.get(settings.cluster_key) or "").encode()
         self._settings = settings
         place = Place(settings.zone, settings.region)
-        self._identity = LinkIdentity(PeerRole.PROXY, settings.name, key, place, meter)
+        identity = LinkIdentity(PeerRole.PROXY, settings.name, key, place, meter)
         self._handler = handler
         self._intake = ControlIntake(store, handler.control_changed)
         longest_pause_s = settings.control_retry_limit_ms / 1000
@@ -86,6 +85,9 @@
         self._link: Link | None = None
         self._address = ""
         self._silence_limit_s = settings.control_silence_limit_ms / 1000
+        self._search = LeaderSearch(
+            identity, settings.source_ip, self._choice, self._hello, self._silence_limit_s
+        )
         self._primary_lease_ends_at = 0.0
         self._heartbeats_sent_at: dict[int, float] = {}
         self.clients = 0
@@ -194,65 +196,34 @@
 
     async def _keep_connected(self) -> None:
         while True:
-            address = self._choice.next_address()
+            found = await self._search.find()
             try:
-                await self._serve_address(address)
+                await self._serve_link(found)
             except LinkClosedError as error:
-                EVENTS.info("control-link-closed", controller=address, reason=error)
+                EVENTS.info("control-link-closed", controller=found.address, reason=error)
             finally:
                 self._link = None
+                await found.link.close()
             await curio.sleep(self._choice.pause_s())
 
-    async def _serve_address(self, address: str) -> None:
-        dialled = await dial(
-            address, self._identity, self._key, self._settings.source_ip, DIAL_TIMEOUT_S
-        )
-        if isinstance(dialled, Err):
-            EVENTS.debug("control-dial-failed", controller=address, reason=dialled.err_value)
-            return
-        link = dialled.ok_value
-        try:
-            await self._serve_link(link, address)
-        finally:
-            await link.close()
-
-    def _key(self, role: PeerRole, name: str) -> bytes | None:
-        return self._identity.key if role is PeerRole.CONTROLLER else None
+    def _hello(self) -> ProxyHello:
+        return self._announcements.hello(self._stored, self._intake.newest)
 
-    async def _serve_link(self, link: Link, address: str) -> None:
-        first = await self._greet(link)
-        if isinstance(first, NotLeader):
-            self._choice.redirect(first.leader)
-            return
-        if isinstance(first, ProxyRefused):
-            EVENTS.warning("control-refused", controller=address, reason=first.detail)
-            await curio.sleep(random.uniform(0.5, 1.0) * first.retry_after_ms / 1000)
-            return
-        self._address = address
+    async def _serve_link(self, found: FoundLeader) -> None:
+        link = found.link
+        self._address = found.address
         self._intake.link_opened()
         self._leases.link_opened()
-        EVENTS.info("control-connected", controller=address, name=link.peer_name)
+        EVENTS.info("control-connected", controller=found.address, name=link.peer_name)
         self.links_opened += 1
         self._quorum.link_opened(time.monotonic())
         async with curio.TaskGroup(wait=any) as tasks:
-            await tasks.spawn(until_closed, self._receive_all, link, first)
+            await tasks.spawn(until_closed, self._receive_all, link, found.first)
             await tasks.spawn(until_closed, self._send_heartbeats, link)
             await tasks.spawn(until_closed, self._reports.watch_silence)
             await tasks.spawn(until_closed, self._leases.watch_lost)
         raise LinkClosedError(tasks.completed.result)
 
-    async def _greet(self, link: Link) -> object:
-        """Say hello; return the first answer.
-
-        :raises LinkClosedError: when the controller does not answer in time
-        """
-        await link.send(self._announcements.hello(self._stored, self._intake.newest))
-        async with curio.ignore_after(self._silence_limit_s) as timeout:
-            first = await link.receive()
-        if timeout.expired:
-            raise LinkClosedError("the controller does not answer")
-        return first
-
     async def _send_heartbeats(self, link: Link) -> None:
         """Send a heartbeat each interval; give up the link when the quorum stamp stands still."""
         interval_s = self._settings.heartbeat_interval_ms / 1000
--- /dev/null
+++ b/limedyke/proxy/leader_search.py
@@ -0,0 +1,139 @@
+"""Finds the controller that leads: dials one after the other, and the next one when one is slow."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import curio
+from result import Err
+
+from limedyke.event_log import EventLog
+from limedyke.messages.control import NotLeader, ProxyHello, ProxyRefused
+from limedyke.messages.handshake import PeerRole
+from limedyke.proxy.controller_choice import ControllerChoice
+from limedyke.transport.link import Link, LinkClosedError, LinkIdentity, dial
+
+DIAL_TIMEOUT_S = 0.4
+"""A machine that is off answers nothing, and there are other controllers to dial."""
+SLOW_S = 0.15
+"""A controller that has not answered for so long has no leader to name yet, is off or hangs: two
+round trips to another region and some work."""
+ATTEMPTS_AT_ONCE = 2
+EVENTS = EventLog("control_client")
+
+
+@dataclass(frozen=True, slots=True)
+class FoundLeader:
+    """An open link to a controller that answered as the leader.
+
+    :param first: its first message
+    """
+
+    link: Link
+    address: str
+    first: object
+
+
+class LeaderSearch:
+    """Searches for the leader whenever the proxy has none.
+
+    :param identity: proves this proxy on its links
+    :param source_ip: local address to connect from, or empty
+    :param choice: which controller is dialled next
+    :param hello: makes the first message on a link
+    :param answer_limit_s: how long a controller may take to answer it
+    """
+
+    def __init__(
+        self,
+        identity: LinkIdentity,
+        source_ip: str,
+        choice: ControllerChoice,
+        hello: Callable[[], ProxyHello],
+        answer_limit_s: float,
+    ) -> None:
+        self._identity = identity
+        self._source_ip = source_ip
+        self._choice = choice
+        self._hello = hello
+        self._answer_limit_s = answer_limit_s
+        self._dialling: set[str] = set()
+        self._links: set[Link] = set()
+
+    async def find(self) -> FoundLeader:
+        """Return the first controller that answers as the leader."""
+        found = None
+        try:
+            async with curio.TaskGroup() as attempts:
+                while found is None:
+                    await self._begin_attempt(attempts)
+                    found = await self._next_found(attempts)
+                await attempts.cancel_remaining()
+        finally:
+            for link in self._links - {found.link if found is not None else None}:
+                await link.close()
+            self._links.clear()
+            self._dialling.clear()
+        return found
+
+    async def _begin_attempt(self, attempts: curio.TaskGroup) -> None:
+        if len(self._dialling) >= ATTEMPTS_AT_ONCE:
+            return
+        address = self._choice.next_address()
+        if address not in self._dialling:
+            self._dialling.add(address)
+            await attempts.spawn(self._attempt, address)
+
+    async def _next_found(self, attempts: curio.TaskGroup) -> FoundLeader | None:
+        """Wait for an attempt to end, a short time; return the leader if it found one."""
+        ended = None
+        async with curio.ignore_after(SLOW_S):
+            ended = await attempts.next_done()
+        return ended.result if ended is not None else None
+
+    async def _attempt(self, address: str) -> FoundLeader | None:
+        """Ask one controller; after a pause return None if it does not lead."""
+        try:
+            found = await self._ask(address)
+        except LinkClosedError as error:
+            EVENTS.info("control-link-closed", controller=address, reason=error)
+            found = None
+        if found is None:
+            await curio.sleep(self._choice.pause_s())
+            self._dialling.discard(address)
+        return found
+
+    async def _ask(self, address: str) -> FoundLeader | None:
+        dialled = await dial(address, self._identity, self._key, self._source_ip, DIAL_TIMEOUT_S)
+        if isinstance(dialled, Err):
+            EVENTS.debug("control-dial-failed", controller=address, reason=dialled.err_value)
+            return None
+        link = dialled.ok_value
+        self._links.add(link)
+        first = await self._greet(link)
+        if not isinstance(first, NotLeader | ProxyRefused):
+            return FoundLeader(link, address, first)
+        await link.close()
+        if isinstance(first, NotLeader):
+            self._choice.redirect(first.leader)
+        else:
+            EVENTS.warning("control-refused", controller=address, reason=first.detail)
+            await curio.sleep(random.uniform(0.5, 1.0) * first.retry_after_ms / 1_000)
+        return None
+
+    async def _greet(self, link: Link) -> object:
+        """Say hello; return the first answer.
+
+        :raises LinkClosedError: when the controller does not answer in time
+        """
+        await link.send(self._hello())
+        async with curio.ignore_after(self._answer_limit_s) as timeout:
+            first = await link.receive()
+        if timeout.expired:
+            raise LinkClosedError("the controller does not answer")
+        return first
+
+    def _key(self, role: PeerRole, name: str) -> bytes | None:
+        return self._identity.key if role is PeerRole.CONTROLLER else None
