Take time budgets from what is observed, and try a slow read beside the first member

Cause: a read got half of what was left of its target latency (READ_ATTEMPT_SHARE), a connection was waited for during half of the target (CONNECTION_WAIT_SHARE) or 0.15 s, a home proxy that told nothing was given up after 0.6 of a read's time, and a member counted as silent after 0.1 s whatever its distance. With 45 ms one way to the primary a healthy answer takes longer than such a share: the read was broken off while its answer was on its way, and told that it had failed; so were connections that were still being opened.

Ruled out: larger shares (they serve near members worse when these hang, and are wrong at the next distance).

Change: TimeEstimate (sans-IO: usual time and spread, as TCP's retransmission timer) for each member's answers and for opening a connection to it; a new member starts from those of its zone, then from a cautious setting. Silence, probes, attempts to connect and given-up statements ask it. A read is no longer broken off: when it takes longer than its member's answers explain it is tried beside it at another member that has room, and the first answer counts (HedgedRead). A connection is waited for until an answer would come too late, and not at all where the requests before it take longer than that (expected_wait_s, from how long connections are lent). A home proxy's link is given up after the silence that its probes and its travel explain. READ_ATTEMPT_SHARE, CONNECTION_WAIT_SHARE, LEAST_CONNECTION_WAIT_S and PATIENCE_SHARE_OF_TIME are gone; HELD_SHARE_OF_TARGET, LATE_SHARE_OF_TIME, LEASE_WAIT_SHARE and the two shares of a home proxy's time stay, each with its reason.

Tests that failed first: statement_path "a primary 90 ms away serves the first statements after a start" (two of five rows before), "a slow answer of a primary ... is waited for", "a read that is slow at one member is tried beside it at another"; decisions tables of the estimates; far home proxies.

Far primaries still answer late: opening a connection takes two round trips there.

--- a/features/statement_decisions.feature
+++ b/features/statement_decisions.feature
@@ -33,6 +33,42 @@
       | a slow member's answer     | b      | 100   | 250    | no    |
       | several of a slow member's | b      | 100   | 310    | yes   |
 
+  Scenario Outline: decisions: a member that opened connections in <opened> ms and answered in <answers> ms: <why>
+    Given decisions: the primary a in z1, replicas b in z2 and c in z3, the proxy in z2
+    And decisions: b opened connections in <opened> ms and answered in <answers> ms
+    And decisions: b has been silent for <silent> ms
+    Then decisions: its answers take <usual> ms as a rule, and <longest> ms are explained
+    And decisions: b seems to hang: <hangs>
+
+    Examples:
+      | why                                    | opened | answers        | usual | longest | silent | hangs |
+      | nothing was seen: it may be far        | -      | -              | 20    | 260     | 250    | no    |
+      | nothing was seen, for very long        | -      | -              | 20    | 260     | 290    | yes   |
+      | far, no answer yet                     | 200    | -              | 100   | 340     | 390    | no    |
+      | a first answer                         | 20     | 20             | 20    | 60      | 110    | yes   |
+      | answers that hardly vary               | 20     | 20 20 20 20    | 20    | 37      | 90     | no    |
+      | far, and steady                        | 200    | 120 120 120 120 | 120  | 221     | 390    | no    |
+      | answers that vary                      | 20     | 20 200 20 200  | 79    | 375     | 370    | no    |
+      | slower all of a sudden                 | 20     | 20 20 300      | 76    | 378     | 370    | no    |
+
+  Scenario Outline: decisions: an answer given up after <waited> ms, of a member that answers in 100 ms
+    Given decisions: the primary a in z1, replicas b in z2 and c in z3, the proxy in z2
+    And decisions: b opened connections in 20 ms and answered in 100 100 100 ms
+    And decisions: an answer of b was given up after <waited> ms
+    Then decisions: its answers take <usual> ms as a rule, and <longest> ms are explained
+
+    Examples:
+      | waited | usual | longest |
+      | 40     | 100   | 213     |
+      | 300    | 140   | 424     |
+
+  Scenario: decisions: a new member in the zone of known ones is as far away as they are
+    Given decisions: the primary a in z1, replicas b in z2 and c in z3, the proxy in z2
+    And decisions: a opened connections in 200 ms and answered in 120 120 ms
+    And decisions: b is new in the zone of a
+    And decisions: b has been silent for 300 ms
+    Then decisions: b seems to hang: no
+
   Scenario Outline: decisions: a statement without a primary is held until <until>: <why>
     Given decisions: changes of primary took <times> ms lately
     When decisions: statements found no primary at <noticed> ms
--- a/features/statement_forwarding.feature
+++ b/features/statement_forwarding.feature
@@ -124,6 +124,24 @@
     Then statement path: it is told "done I" within 700 ms
     And statement path: "WRITE x 2" ran at b
 
+  Scenario Outline: statement homes: a home proxy <away> ms away before a primary as far away, "<asked>"
+    Given statement homes: a primary database, home proxies h1 in z2
+    And statement homes: h1 is <away> ms away, one way
+    And statement path: a is <away> ms away, one way
+    And statement path: a takes 30 ms for a read
+    And statement path: statements may take 1000 ms, aim at 400 ms and may be tried 2 times
+    When statement homes: links to all are open
+    And statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: the client asks "<asked>" and is told "<told>"
+    And statement path: the client asks "<asked>" and is told "<told>"
+    Then statement path: "<asked>" ran 2 times
+
+    Examples:
+      | away | asked     | told     |
+      | 45   | READ x    | 1 done I |
+      | 90   | READ x    | 1 done I |
+      | 90   | WRITE y 1 | done I   |
+
   Scenario Outline: statement homes: the answer's way is left out of a home proxy's time: <limit> s, <travel> s
     Then statement homes: of <limit> s with <travel> s on the way a home proxy gets <home> s
 
--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -85,6 +85,7 @@
     When statement path: the client asks "WRITE x 1" and is told "done I"
     And statement path: 100 ms pass
     And statement path: the client asks "READ x" and is told "1 done I"
+    And statement path: all answered within 300 ms lately
     And statement path: answers of b are 300 ms on their way
     And statement path: b begins to lead while another client's "READ y" runs there, and the proxy knows
     Then statement path: "READ y" ran at b
@@ -141,6 +142,61 @@
     And statement path: the client asks "READ x" and is told "1 done I"
     Then statement path: that took less than 200 ms
 
+  Scenario Outline: statement path: a primary <away> ms away serves the first statements after a start: "<first>", "<second>"
+    Given statement path: a primary database on primary a and replicas b c, the proxy beside b
+    And statement path: a is <away> ms away, one way
+    And statement path: a takes 30 ms for a read
+    And statement path: statements may take 1000 ms, aim at 400 ms and may be tried 2 times
+    When statement path: the client asks "<first>" and is told "<told first>"
+    And statement path: the client asks "<second>" and is told "<told second>"
+    And statement path: the client asks "<third>" and is told "<told third>"
+    Then statement path: "<second>" ran 1 times
+
+    Examples:
+      | away | first     | told first | second    | told second | third    | told third |
+      | 45   | READ x    | - done I   | READ y    | - done I    | READ z   | - done I   |
+      | 90   | READ x    | - done I   | READ y    | - done I    | READ z   | - done I   |
+      | 45   | WRITE x 1 | done I     | READ x    | 1 done I    | READ y   | - done I   |
+      | 90   | WRITE x 1 | done I     | WRITE x 2 | done I      | READ x   | 2 done I   |
+      | 90   | BEGIN     | done T     | WRITE x 2 | done T      | COMMIT   | done I     |
+
+  Scenario Outline: statement path: a slow answer of a primary <away> ms away is waited for, <clients> clients at once
+    Given statement path: a primary database on primary a and replicas b c, the proxy beside b
+    And statement path: a is <away> ms away, one way
+    And statement path: statements may take 1000 ms, aim at 400 ms and may be tried 2 times
+    When statement path: the client asks "READ x" and is told "- done I"
+    And statement path: a takes <work> ms for a read
+    And statement path: <clients> clients read at once
+    Then statement path: all are told "- done I"
+    And statement path: "READ x" ran <runs> times
+
+    Examples:
+      | away | work | clients | runs |
+      | 45   | 150  | 1       | 2    |
+      | 90   | 100  | 1       | 2    |
+      | 45   | 60   | 6       | 7    |
+
+  Scenario: statement path: a read that is slow at one member is tried beside it at another
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: statements may take 1000 ms, aim at 400 ms and may be tried 2 times
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: 100 ms pass
+    And statement path: the client asks "READ x" and is told "1 done I"
+    And statement path: b takes 900 ms for a read
+    And statement path: the client asks "READ x" and is told "1 done I"
+    Then statement path: that took less than 400 ms
+    And statement path: "READ x" ran 3 times
+
+  Scenario: statement path: a slow read is left alone where it may run only once
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: statements may take 1000 ms, aim at 400 ms and may be tried 1 times
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement path: 100 ms pass
+    And statement path: the client asks "READ x" and is told "1 done I"
+    And statement path: b takes 500 ms for a read
+    And statement path: the client asks "READ x" and is told "1 done I"
+    Then statement path: "READ x" ran 2 times
+
   Scenario Outline: statement path: a statement with too little time left is refused rather than sent: <asked>
     Given statement path: a primary database on primary a and replicas b c, the proxy beside b
     And statement path: a answered within 500 ms lately
--- a/features/steps/statement_decisions_steps.py
+++ b/features/steps/statement_decisions_steps.py
@@ -9,6 +9,7 @@
 from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.core.statements.primary_outage import OutageTimes, PrimaryOutage
 from limedyke.core.statements.routing import order_for_read
+from limedyke.core.statements.time_estimate import TimeEstimate
 from limedyke.messages.databases import AnnouncedMember, MemberState
 from limedyke.messages.work import LogPosition
 
@@ -30,15 +31,47 @@
     }
 
 
+def _seen(milliseconds):
+    """Return the estimate of times that vary by half."""
+    return TimeEstimate(milliseconds / 1_000, milliseconds / 2_000, True)
+
+
 @given("decisions: all answer in {latency:d} ms")
 def step_all_answer(context, latency):
-    for belief in context.beliefs.values():
-        belief.latency_s = latency / 1_000
+    for name in context.beliefs:
+        step_answers_in(context, name, latency)
 
 
 @given("decisions: {name:w} answers in {latency:d} ms")
 def step_answers_in(context, name, latency):
-    context.beliefs[name].latency_s = latency / 1_000
+    context.beliefs[name].answer = _seen(latency)
+    context.beliefs[name].opening = _seen(latency)
+
+
+@given("decisions: {name:w} opened connections in {opened} ms and answered in {answers} ms")
+def step_times_seen(context, name, opened, answers):
+    context.belief = context.beliefs[name]
+    for milliseconds in re.findall(r"\d+", opened):
+        context.belief.connected(NOW, int(milliseconds) / 1_000)
+    for milliseconds in re.findall(r"\d+", answers):
+        context.belief.served(int(milliseconds) / 1_000)
+
+
+@given("decisions: an answer of {name:w} was given up after {waited:d} ms")
+def step_given_up_after(context, name, waited):
+    context.beliefs[name].took_at_least(waited / 1_000)
+
+
+@given("decisions: {new:w} is new in the zone of {known:w}")
+def step_new_in_zone(context, new, known):
+    context.beliefs[new].resembles(context.beliefs[known])
+
+
+@then("decisions: its answers take {usual:d} ms as a rule, and {longest:d} ms are explained")
+def step_estimate(context, usual, longest):
+    answer = context.belief.answer
+    found = (round(answer.usual_s * 1_000), round(answer.longest_s * 1_000))
+    assert found == (usual, longest), found
 
 
 @given("decisions: {count:d} statements of this proxy are at {name:w}")
--- a/features/steps/statement_forwarding_steps.py
+++ b/features/steps/statement_forwarding_steps.py
@@ -106,6 +106,11 @@
     wait(context, lambda: len(run(context, dial_all)) == len(context.path.homes))
 
 
+@step("statement homes: {name:w} is {milliseconds:d} ms away, one way")
+def step_far_home(context, name, milliseconds):
+    run(context, context.path.move_home_away, name, milliseconds / 1_000)
+
+
 @step("statement homes: {name:w} drains")
 def step_drains(context, name):
     context.path.homes[name].server.draining = True
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -11,6 +11,7 @@
 
 from features.support.line_platform.member_session import ALWAYS
 from features.support.statement_path import GROUP, StatementPath, elapsed_ms, summary
+from limedyke.core.statements.time_estimate import TimeEstimate
 from limedyke.messages.control import ConnectionLease, MemberHealth
 from limedyke.messages.databases import Consistency
 from limedyke.proxy.statements.member_connection import MemberConnection
@@ -74,7 +75,29 @@
 
 @given("statement path: {name:w} answered within {milliseconds:d} ms lately")
 def step_answered(context, name, milliseconds):
-    context.path.groups.groups[GROUP].pools[name].belief.latency_s = milliseconds / 1_000
+    context.path.groups.groups[GROUP].pools[name].belief.answer.learn(milliseconds / 1_000)
+
+
+@given(
+    "statement path: statements may take {limit:d} ms, aim at {target:d} ms and may be tried "
+    "{tries:d} times"
+)
+def step_times(context, limit, target, tries):
+    context.path.statement_timeout_ms = limit
+    context.path.target_latency_ms = target
+    context.path.maximum_attempts = tries
+    run(context, context.path.tell_view)
+
+
+@given("statement path: {name:w} is {milliseconds:d} ms away, one way")
+def step_far(context, name, milliseconds):
+    run(context, context.path.move_away, name, milliseconds / 1_000)
+
+
+@step("statement path: all answered within {milliseconds:d} ms lately")
+def step_all_answered(context, milliseconds):
+    for pool in context.path.groups.groups[GROUP].pools.values():
+        pool.belief.answer = TimeEstimate(milliseconds / 1_000, milliseconds / 2_000, True)
 
 
 @given("statement path: another proxy has written {value} to {thing:w}")
@@ -83,7 +106,7 @@
     run(context, group.commit, group.primary, "elsewhere", ((thing, value),))
 
 
-@given("statement path: {name:w} takes {milliseconds:d} ms for a read")
+@step("statement path: {name:w} takes {milliseconds:d} ms for a read")
 def step_slow(context, name, milliseconds):
     context.path.group.members[name].faults.work_s = milliseconds / 1_000
 
--- a/features/support/statement_homes.py
+++ b/features/support/statement_homes.py
@@ -7,6 +7,7 @@
 import curio
 from curio import socket
 
+from features.support.far_address import FarAddress
 from features.support.statement_path import GROUP, NEVER, StatementPath
 from limedyke.messages.control import ConnectionLease, ProxyRecord, ProxyState
 from limedyke.messages.databases import Consistency
@@ -121,6 +122,15 @@
         for home in self.homes.values():
             await home.groups.control_changed(view)
 
+    async def move_home_away(self, name: str, one_way_s: float) -> None:
+        """Put a home proxy so far off, and have the proxy know its address there."""
+        home = self.homes[name]
+        far = FarAddress(home.address, one_way_s)
+        await curio.spawn(far.run, daemon=True)
+        home.address = far.address
+        self.proxies[name] = home.record()
+        await self.tell_view()
+
     def served(self, name: str) -> int:
         """Return how many statements a home proxy took."""
         return int(self.homes[name].metrics.forwarded_in._value.get())
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -8,6 +8,7 @@
 from curio import socket
 
 import features.support.platform_path  # noqa: F401
+from features.support.far_address import FarAddress
 from features.support.line_platform.group import StandInGroup
 from limedyke.messages.control import ConnectionLease, GroupPrimary, ProxyRecord
 from limedyke.messages.databases import (
@@ -111,6 +112,9 @@
         self.consistency = consistency
         self.staleness_ms = staleness_ms
         self.statement_timeout_ms = 800
+        self.target_latency_ms = 1_000
+        self.maximum_attempts = 2
+        self.far: dict[str, FarAddress] = {}
         self.group = StandInGroup(GROUP, ("a", "b", "c"))
         self.primary = "a"
         self.term = 1
@@ -167,9 +171,10 @@
             GROUP,
             self.consistency,
             self.statement_timeout_ms,
-            1_000,
+            self.target_latency_ms,
             1,
             self.staleness_ms,
+            self.maximum_attempts,
         )
         view = ControlView(
             control_index=self.index,
@@ -192,9 +197,14 @@
     def _record(self, name: str) -> AnnouncedMember:
         member = self.group.members[name]
         state = MemberState.DRAINING if name in self.draining else MemberState.READY
-        return AnnouncedMember(
-            name, GROUP, member.address, ZONES[name], "v1", 3, state, member.is_primary
-        )
+        address = self.far[name].address if name in self.far else member.address
+        return AnnouncedMember(name, GROUP, address, ZONES[name], "v1", 3, state, member.is_primary)
+
+    async def move_away(self, name: str, one_way_s: float) -> None:
+        """Put a member so far off, and have the proxy know its address there."""
+        self.far[name] = FarAddress(self.group.members[name].address, one_way_s)
+        await curio.spawn(self.far[name].run, daemon=True)
+        await self.tell_view()
 
     async def connect(self, database: str = "db") -> tuple[LineClient, str]:
         """Open a client's session; return the client and what it was told."""
--- a/limedyke/core/statements/member_belief.py
+++ b/limedyke/core/statements/member_belief.py
@@ -4,12 +4,19 @@
 
 from dataclasses import dataclass, field
 
+from limedyke.core.statements.time_estimate import TimeEstimate
 from limedyke.messages.control import MemberHealth
 from limedyke.messages.databases import AnnouncedMember, MemberState
 from limedyke.messages.work import LogPosition
 
-LATENCY_SMOOTHING = 0.2
-INITIAL_LATENCY_S = 0.02
+FIRST_ANSWER_S = 0.02
+"""Assumed of an answer until one was seen: quick, so that a new member is tried."""
+FIRST_OPENING_S = 0.04
+"""Assumed of opening a connection until one was opened: two round trips within a region and some
+work of the member."""
+FIRST_SPREAD_S = 0.06
+"""Assumed spread of both: a member at 45 ms one way isn't taken for silent before its first sign
+(2 round trips and 12 ms of work: 0.19 s)."""
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 1.0
 FIRST_BEHIND_S = 0.02
@@ -17,8 +24,15 @@
 TROUBLES_FOR_UNREACHABLE = 2
 LATELY_S = 0.5
 SILENT_S = 0.1
-"""A member silent for so long, and for several of its usual answers, seems to hang."""
-SILENT_ANSWERS = 3.0
+"""A member silent for so long, and for longer than its answers explain, seems to hang."""
+
+
+def _first_answer() -> TimeEstimate:
+    return TimeEstimate(FIRST_ANSWER_S, FIRST_SPREAD_S)
+
+
+def _first_opening() -> TimeEstimate:
+    return TimeEstimate(FIRST_OPENING_S, FIRST_SPREAD_S)
 
 
 @dataclass(slots=True)
@@ -27,7 +41,8 @@
 
     :ivar outstanding: connections of this proxy to it that are in use
     :ivar waiting: requests of this proxy that wait for a connection to it
-    :ivar latency_s: smoothed time of an answer, the network's part included
+    :ivar answer: how long its answers take, the network's part included
+    :ivar opening: how long a connection to it takes to open
     :ivar paused_until: no new work goes there before, unless nothing else is left
     :ivar behind_until: its log lacked a wanted position a moment ago
     :ivar position: the last one it told
@@ -38,7 +53,8 @@
     record: AnnouncedMember
     outstanding: int = 0
     waiting: int = 0
-    latency_s: float = INITIAL_LATENCY_S
+    answer: TimeEstimate = field(default_factory=_first_answer)
+    opening: TimeEstimate = field(default_factory=_first_opening)
     paused_until: float = 0.0
     behind_until: float = 0.0
     position: LogPosition = field(default_factory=LogPosition)
@@ -88,11 +104,16 @@
 
     def seems_silent(self, now: float) -> bool:
         """Whether the member seems to hang: nothing of what is awaited there comes."""
-        return self.silent_s(now) >= max(SILENT_S, SILENT_ANSWERS * self.latency_s)
+        return self.silent_s(now) >= max(SILENT_S, self.longest_sign_s)
+
+    @property
+    def longest_sign_s(self) -> float:
+        """How long a member that works may take to answer, or to take a connection."""
+        return max(self.answer.longest_s, self.opening.longest_s)
 
     def expected_s(self, now: float) -> float:
         """Return how long an answer takes lately, at least as long as the member is silent."""
-        return max(self.latency_s, self.silent_s(now))
+        return max(self.answer.usual_s, self.silent_s(now))
 
     def answered(self, now: float, position: LogPosition | None) -> None:
         """Take any sign that the member works."""
@@ -105,21 +126,35 @@
         if position is not None:
             self.position = position
 
-    def connected(self, now: float) -> None:
+    def connected(self, now: float, seconds: float) -> None:
         """Take that a connection was opened: a member that hangs may still take them.
 
         One that can't be reached counts as such until it answers a statement or question.
+
+        :param seconds: how long that took, with two round trips
         """
         self.contact_at = now
+        self.opening.learn(seconds)
+        self.answer.assume(seconds / 2)
         if self.health is MemberHealth.REACHABLE:
             self.paused_until = 0.0
             self._troubles = 0
 
     def served(self, seconds: float) -> None:
         """Take how long an answer took."""
-        self.latency_s += LATENCY_SMOOTHING * (seconds - self.latency_s)
+        self.answer.learn(seconds)
         self._behind_s = FIRST_BEHIND_S
 
+    def resembles(self, other: MemberBelief) -> None:
+        """Assume the times of another member, such as one in the same zone."""
+        for own, known in ((self.answer, other.answer), (self.opening, other.opening)):
+            if known.is_seen and not own.is_seen:
+                own.usual_s, own.spread_s = known.usual_s, known.spread_s
+
+    def took_at_least(self, seconds: float) -> None:
+        """Take that an answer was awaited for so long and then given up."""
+        self.answer.learn_at_least(seconds)
+
     def was_behind(self, now: float) -> None:
         """Take its word that its log lacks a position."""
         self.behind_until = now + self._behind_s
--- a/limedyke/proxy/forwarding_link.py
+++ b/limedyke/proxy/forwarding_link.py
@@ -29,6 +29,9 @@
 DOUBT_AFTER_S = 0.7
 """A link with work on it that has told nothing for so long, probes included, is doubtful."""
 LOOK_INTERVAL_S = 0.1
+LOADED_MACHINE_S = 0.15
+"""How much later than usual a link may tell something when a machine at either end is short of
+processor time: its share of a core is dealt out each tenth of a second."""
 RECENT_USE_S = 1.0
 """A link used this lately stays open above the limit of links too: its caller may not have got
 to use it yet, and closing it would only have it dialled again."""
@@ -91,6 +94,14 @@
         """Whether a unit or an open transaction is on the link, or one was given up unheard."""
         return bool(self._streams or self.transactions or self._owes_sign)
 
+    @property
+    def longest_silence_s(self) -> float:
+        """For how long a link with work on it may tell nothing while both ends work.
+
+        It is asked for a sign of life after a silence, which takes one more look and its travel.
+        """
+        return SILENCE_BEFORE_PROBE_S + LOOK_INTERVAL_S + self.travel_s + LOADED_MACHINE_S
+
     async def close_if_idle(self) -> None:
         """Close the link unless something is on it; no unit starts on it from now on."""
         if not self.is_busy:
--- a/limedyke/proxy/statements/attempt.py
+++ b/limedyke/proxy/statements/attempt.py
@@ -7,29 +7,27 @@
 
 import curio
 
-from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.core.statements.session import RunOnMember, StatementSession
 from limedyke.messages.statements import AnswerKind, StatementAnswer
 from limedyke.proxy.statements.giving_up import give_up
 from limedyke.proxy.statements.group import StatementGroup
+from limedyke.proxy.statements.member_pool import MemberPool
 from limedyke.proxy.statements.statement_log import NotSent, StatementLog, Try
 from limedyke.result_codes import ResultCode
 
 MS_PER_S = 1_000.0
 RETRY_PAUSE_S = 0.03
-LEAST_CONNECTION_WAIT_S = 0.15
-"""What was held for the next primary still gets the time in which a connection to it is opened."""
 WANTS_CONNECTION = frozenset({NotSent.NO_CONNECTION_FREE, AnswerKind.NO_CONNECTION})
 PAUSE_GROWTH = 1.5
 LONGEST_PAUSE_S = 0.1
 LEAST_ATTEMPT_S = 0.05
 LATE_SHARE_OF_TIME = 0.5
-"""While more of a statement's time is left it is sent, however slow the member is."""
+"""While more of a statement's time is left it is sent, however slow the member is: what an estimate
+says must not keep a member that got quicker from showing it."""
 HELD_SHARE_OF_TARGET = 0.2
-"""A statement that no member can run is held for so much of its target latency at most."""
-CONNECTION_WAIT_SHARE = 0.5
-"""A statement waits for a connection for so much of its target latency at most, as long as the
-connections of the member come back."""
+"""A statement that no member can run, and for which nothing says when one will, is held for so much
+of its target latency at most: its client may find another proxy in the rest (a refusal held
+longer helps nobody)."""
 
 
 @dataclass(slots=True)
@@ -76,14 +74,19 @@
         """Return the seconds left to the statement."""
         return self.deadline - time.monotonic()
 
-    def connection_wait_s(self, belief: MemberBelief) -> float:
-        """Return for how long a connection to a member may be waited for from now on."""
+    def connection_wait_s(self, pool: MemberPool) -> float:
+        """Return for how long a connection to a member may be waited for from now on.
+
+        As long as the member's connections come back, that is until an answer of it would no
+        longer come in time; not at all where so many wait that its turn would come later.
+        """
         now = time.monotonic()
+        belief = pool.belief
         self._connection_until = self.hold_until
         if not belief.seems_silent(now):
-            target_s = self.session.database.target_latency_ms / MS_PER_S
-            longest_until = self.began_at + CONNECTION_WAIT_SHARE * target_s
-            self._connection_until = max(longest_until, now + LEAST_CONNECTION_WAIT_S)
+            latest = self.deadline - max(LEAST_ATTEMPT_S, belief.answer.usual_s)
+            if now + pool.expected_wait_s() <= latest:
+                self._connection_until = latest
         return max(0.0, min(self._connection_until, self.deadline) - now)
 
     def held_until(self) -> float:
@@ -108,6 +111,11 @@
         least_s = min(max(LEAST_ATTEMPT_S, answer_s), LATE_SHARE_OF_TIME * self.whole_s)
         return self.time_left() < least_s
 
+    def may_run_again(self) -> bool:
+        """Tell whether a read that may run at one member may run at a further one too."""
+        is_time_left = self.time_left() > LEAST_ATTEMPT_S
+        return is_time_left and self.runs + 1 < self.session.database.maximum_attempts
+
     def failed(self, reason: AnswerKind | NotSent, member: str = "") -> None:
         """Note why a try failed; the log tells it when it is news.
 
--- a/limedyke/proxy/statements/forwarded_attempt.py
+++ b/limedyke/proxy/statements/forwarded_attempt.py
@@ -9,7 +9,7 @@
 
 from limedyke.core.statements.session import RunOnMember, StatementSession
 from limedyke.messages.statements import StatementAnswer
-from limedyke.proxy.forwarding_link import NEVER
+from limedyke.proxy.forwarding_link import NEVER, HomeLink
 from limedyke.proxy.statements.attempt import (
     HELD_SHARE_OF_TARGET,
     LEAST_ATTEMPT_S,
@@ -21,10 +21,8 @@
 from limedyke.result_codes import CODE_BY_NUMBER, Outcome, ResultCode
 
 LEASE_WAIT_SHARE = 0.7
-"""While no home proxy is reached, a statement waits so much of its time for one or for a lease."""
-PATIENCE_SHARE_OF_TIME = 0.6
-"""A home proxy whose link tells nothing for so much of a read's time is given up, so that another
-one can be tried."""
+"""While no home proxy is reached, a statement waits so much of its time for one or for a lease: all
+but what a statement over two regions takes (0.27 of 1 s at 45 ms one way)."""
 UNREACHED_TRIES = 3
 """After so many home proxies that can't reach the primary a statement waits for another primary."""
 _UNREACHED = ResultCode.PRIMARY_UNREACHED.value.number
@@ -81,11 +79,9 @@
         """Whether the statement must not be sent again when this try is not answered."""
         return self.run.writes or self.unanswered + 1 >= self.session.database.maximum_attempts
 
-    def patience_s(self) -> float:
-        """Return for how long the next home proxy may give no sign of life."""
-        if self.is_last_try:
-            return NEVER
-        return max(self.time_left() * PATIENCE_SHARE_OF_TIME, LEAST_ATTEMPT_S)
+    def patience_s(self, link: HomeLink) -> float:
+        """Return for how long a link may tell nothing before another home proxy is tried."""
+        return NEVER if self.is_last_try else link.longest_silence_s
 
     def may_be_sent_again(self) -> bool:
         """Tell whether an unanswered statement may go to another home proxy."""
--- a/limedyke/proxy/statements/forwarding.py
+++ b/limedyke/proxy/statements/forwarding.py
@@ -27,8 +27,10 @@
 OWN_LEASE_WAIT_S = 0.1
 """A home proxy that has no lease yet waits so long for it before it asks another one."""
 HOME_SHARE_OF_TIME = 0.95
-"""So much of a statement's time is left to the home proxy at most: its answer has to come back."""
+"""So much of a statement's time is left to the home proxy at most, however near it is: reading and
+passing on its answer takes processor time too (40 ms of 800 ms, at half a core)."""
 LEAST_HOME_SHARE_OF_TIME = 0.5
+"""However far the home proxy seems to be: a single slow opening of its link is no measure."""
 _TRY_ANOTHER = frozenset(
     code.value.number
     for code in (ResultCode.DRAINING, ResultCode.NO_LEASE, ResultCode.PRIMARY_UNREACHED)
@@ -78,7 +80,7 @@
     ) -> PlacedAnswer | None:
         """Try one home proxy; None when another one should be tried."""
         attempt.tried.add(link.home)
-        end = await self._run_at(link, unit, attempt.time_left(), attempt.patience_s())
+        end = await self._run_at(link, unit, attempt.time_left(), attempt.patience_s(link))
         if end is None:
             may_be_sent_again = attempt.may_be_sent_again()
             attempt.unanswered += 1
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -159,7 +159,7 @@
 
     async def _probe(self, pool: MemberPool) -> None:
         """Ask a member how it is; its belief learns from the answer, or from none."""
-        limit_s = self._settings.probe_timeout_ms / 1_000
+        limit_s = max(self._settings.probe_timeout_ms / 1_000, pool.belief.longest_sign_s)
         if pool.has_room:
             await self._runner.questions.ask_status(pool, limit_s)
         else:
@@ -214,11 +214,20 @@
         def make_pool(belief: MemberBelief) -> MemberPool:
             settings = self._settings
             timeout_s = settings.connect_timeout_ms / 1_000
+            neighbour = self._known_in(belief.record.zone)
+            if neighbour is not None:
+                belief.resembles(neighbour)
             count = MemberTraffic(self._meter, lambda: self._distance_to(belief.record.zone))
             return MemberPool(belief, self._make_codec, settings.source_ip, timeout_s, count)
 
         return StatementGroup(name, make_pool, self._primary_lease_ends_at, self._outage_times)
 
+    def _known_in(self, zone: str) -> MemberBelief | None:
+        """Return a member of a zone whose times are known: a new one there is as far away."""
+        pools = (pool for group in self.groups.values() for pool in group.pools.values())
+        beliefs = (pool.belief for pool in pools if pool.belief.record.zone == zone)
+        return next((belief for belief in beliefs if belief.opening.is_seen), None)
+
     def _distance_to(self, zone: str) -> Distance:
         """Return how far a zone is, whose region is that of the proxies there."""
         own = Place(self._settings.zone, self._settings.region)
--- /dev/null
+++ b/limedyke/proxy/statements/hedged_read.py
@@ -0,0 +1,124 @@
+"""One read at a member and, when that one takes longer than it ever does, beside it at another."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import curio
+
+from limedyke.messages.statements import NOT_RUN, AnswerKind, MemberAnswer
+from limedyke.messages.work import LogPosition
+from limedyke.proxy.statements.attempt import Attempt
+from limedyke.proxy.statements.member_exchange import MemberExchange
+from limedyke.proxy.statements.member_pool import MemberPool
+from limedyke.proxy.statements.pinned_connection import PinnedConnection
+
+LEAST_PATIENCE_S = 0.1
+"""A read is not sent to a second member sooner: a healthy machine pauses for up to a tenth of a
+second when its share of a core is spent."""
+UNANSWERED = frozenset({AnswerKind.LOST, AnswerKind.TIMED_OUT})
+
+
+@dataclass(frozen=True, slots=True)
+class SentRead:
+    """What a member answered to a read, and the connection that it ran on."""
+
+    pinned: PinnedConnection
+    answer: MemberAnswer
+
+    @property
+    def is_final(self) -> bool:
+        """Whether the read is over: it was served, or failed for good."""
+        return self.answer.kind not in NOT_RUN | UNANSWERED
+
+    async def put_back(self, attempt: Attempt) -> None:
+        """Give the connection of a read that is not over back, and note why it was not served."""
+        kind = self.answer.kind
+        attempt.failed(kind, self.pinned.identity)
+        if kind is AnswerKind.BEHIND:
+            self.pinned.pool.belief.was_behind(time.monotonic())
+        if kind in UNANSWERED:
+            attempt.runs += 1
+            await self.pinned.abandon()
+        else:
+            await self.pinned.release()
+
+
+@dataclass(frozen=True, slots=True)
+class SecondMember:
+    """Where a read may run beside the first member.
+
+    :param after: position that the member's log must hold; None at the primary
+    """
+
+    pool: MemberPool
+    after: LogPosition | None
+
+
+class HedgedRead:
+    """Runs one read at one member or two.
+
+    The first is not broken off while it may still answer sooner; the first answer counts.
+
+    :param choose_second: returns another member that has room, or None
+    """
+
+    def __init__(
+        self,
+        exchange: MemberExchange,
+        attempt: Attempt,
+        choose_second: Callable[[], SecondMember | None],
+    ) -> None:
+        self._exchange = exchange
+        self._attempt = attempt
+        self._choose_second = choose_second
+
+    async def run(self, pinned: PinnedConnection, after: LogPosition | None) -> SentRead:
+        """Return the first final answer, or the last one when none is final."""
+        if not self._attempt.may_run_again():
+            return await self._ask(pinned, after)
+        async with curio.TaskGroup() as reads:
+            await reads.spawn(self._ask, pinned, after)
+            ended = None
+            async with curio.ignore_after(_patience_s(pinned)):
+                ended = await reads.next_done()
+            if ended is None:
+                await self._begin_second(reads)
+                ended = await reads.next_done()
+            sent = await self._first_final(reads, ended)
+            await reads.cancel_remaining()
+        return sent
+
+    async def _first_final(self, reads: curio.TaskGroup, ended: curio.Task | None) -> SentRead:
+        sent: SentRead | None = None
+        while ended is not None:
+            found = ended.result
+            if found is not None and sent is not None:
+                await sent.put_back(self._attempt)
+            sent = found or sent
+            if sent is not None and sent.is_final:
+                break
+            ended = await reads.next_done()
+        return sent
+
+    async def _begin_second(self, reads: curio.TaskGroup) -> None:
+        second = self._choose_second()
+        if second is not None:
+            self._attempt.tried.add(second.pool.belief.record.identity)
+            await reads.spawn(self._connect_and_ask, second)
+
+    async def _connect_and_ask(self, second: SecondMember) -> SentRead | None:
+        wait_s = self._attempt.connection_wait_s(second.pool)
+        pinned = await self._exchange.connect(second.pool, self._attempt, wait_s)
+        return None if pinned is None else await self._ask(pinned, second.after)
+
+    async def _ask(self, pinned: PinnedConnection, after: LogPosition | None) -> SentRead:
+        attempt = self._attempt
+        answer = await self._exchange.run(pinned, attempt, after, attempt.time_left())
+        return SentRead(pinned, answer)
+
+
+def _patience_s(pinned: PinnedConnection) -> float:
+    return max(LEAST_PATIENCE_S, pinned.pool.belief.answer.longest_s)
--- a/limedyke/proxy/statements/member_connection.py
+++ b/limedyke/proxy/statements/member_connection.py
@@ -45,6 +45,7 @@
 
     :ivar values: session values set on the connection
     :ivar status: of the connection's transaction
+    :ivar lent_at: when it was last lent to a request
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.status = TransactionStatus.IDLE
         self.is_closed = False
         self.idle_since = time.monotonic()
+        self.lent_at = self.idle_since
 
     @classmethod
     async def open(
--- a/limedyke/proxy/statements/member_exchange.py
+++ b/limedyke/proxy/statements/member_exchange.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.messages.statements import AnswerKind, MemberAnswer
 from limedyke.messages.work import LogPosition, TransactionStatus
 from limedyke.proxy.statements.attempt import Attempt
@@ -19,7 +20,9 @@
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
 
 SILENCE_S = 0.35
-"""A member that answers nothing at all for so long while a statement waits is silent."""
+"""A member that answers nothing at all for so long while a statement waits, and for longer than its
+answers explain, is silent: three pauses of a tenth of a second of a machine that is short of
+processor time, and a little."""
 
 
 class MemberExchange:
@@ -83,13 +86,12 @@
                     run.statement, attempt.session.settings, run.begin, run.prepared, after
                 )
         except curio.TaskTimeout:
-            is_answered = belief.contact_at >= started_at
-            if limit_s >= SILENCE_S and not is_answered:
-                belief.was_silent(time.monotonic())
+            is_answered = _gave_up(belief, started_at)
             self._metrics.member_answered(AnswerKind.TIMED_OUT, False, limit_s)
             detail = f"no answer of {pinned.identity} in {limit_s:.3f} s"
             return MemberAnswer(AnswerKind.TIMED_OUT, detail=detail)
         except curio.CancelledError:
+            is_answered = _gave_up(belief, started_at)
             await pinned.abandon()
             raise
         finally:
@@ -128,3 +130,15 @@
                 group.learn_position(pinned.identity, started_at, answer.position, is_commit)
         elif answer.kind is AnswerKind.BUSY:
             belief.is_busy(now)
+
+
+def _gave_up(belief: MemberBelief, started_at: float) -> bool:
+    """Take that an answer is awaited no more; tell whether the member answered anything since."""
+    now = time.monotonic()
+    waited_s = now - started_at
+    is_answered = belief.contact_at >= started_at
+    if is_answered:
+        belief.took_at_least(waited_s)
+    elif waited_s >= max(SILENCE_S, belief.longest_sign_s):
+        belief.was_silent(now)
+    return is_answered
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/member_pool.py
@@ -11,7 +11,8 @@
 from result import Err, Ok, Result
 
 from limedyke.addresses import split_address
-from limedyke.core.statements.member_belief import MemberBelief
+from limedyke.core.statements.member_belief import FIRST_ANSWER_S, MemberBelief
+from limedyke.core.statements.time_estimate import TimeEstimate
 from limedyke.messages.statements import AnswerKind
 from limedyke.messages.work import TransactionStatus
 from limedyke.proxy.statements.connection_queue import (
@@ -78,6 +79,7 @@
         self._opening = 0
         self._idle: list[MemberConnection] = []
         self._queue = ConnectionQueue()
+        self._lending = TimeEstimate(FIRST_ANSWER_S, 0.0)
 
     async def getconn(
         self, values: dict[str, str], priority: int, timeout_s: float, since: float | None = None
@@ -101,6 +103,7 @@
                 connection = await self._wait(place, give_up_at)
             if connection is not None:
                 self.belief.outstanding += 1
+                connection.lent_at = time.monotonic()
                 return connection
 
     @property
@@ -113,6 +116,17 @@
         """Whether a connection can be had at once and without going beyond the usual share."""
         return bool(self._idle) or self._may_open(waited_s=0.0)
 
+    def expected_wait_s(self) -> float:
+        """Return how long a request that comes now is expected to wait for a connection.
+
+        Those before it get the connections that come back, or that may still be opened.
+        """
+        if self._idle:
+            return 0.0
+        if self._may_open():
+            return self.belief.opening.usual_s
+        return (self.belief.waiting + 1) * self._lending.usual_s / max(1, self.opened)
+
     @property
     def usual_limit(self) -> int:
         """Connections that are opened without a wait."""
@@ -145,6 +159,7 @@
     async def putconn(self, connection: MemberConnection) -> None:
         """Take a connection back; one that is closed or in a transaction is given up."""
         self.belief.outstanding -= 1
+        self._lending.learn(time.monotonic() - connection.lent_at)
         is_usable = not connection.is_closed and connection.status is TransactionStatus.IDLE
         if not is_usable or self.is_closed or self.opened > self.limit:
             await self._give_up(connection)
@@ -218,14 +233,16 @@
             await curio.spawn(self._open, daemon=True)
 
     async def _open(self) -> None:
-        self.belief.sent(time.monotonic())
+        began_at = time.monotonic()
+        self.belief.sent(began_at)
         try:
             opened = await self._try_to_open()
         finally:
             self.belief.ended()
             self._opening -= 1
         if isinstance(opened, Ok):
-            self.belief.connected(time.monotonic())
+            now = time.monotonic()
+            self.belief.connected(now, now - began_at)
             if self.is_closed or self.opened > self.limit:
                 await self._give_up(opened.ok_value)
             else:
@@ -240,7 +257,8 @@
         record = belief.record
         codec = self._make_codec()
         try:
-            async with curio.timeout_after(self._connect_timeout_s):
+            limit_s = max(self._connect_timeout_s, belief.opening.longest_s)
+            async with curio.timeout_after(limit_s):
                 connection = await MemberConnection.open(
                     record.address,
                     record.group,
--- a/limedyke/proxy/statements/read_runner.py
+++ b/limedyke/proxy/statements/read_runner.py
@@ -7,9 +7,9 @@
 from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.core.statements.routing import order_for_read
 from limedyke.messages.databases import Consistency
-from limedyke.messages.statements import NOT_RUN, AnswerKind
 from limedyke.messages.work import LogPosition
-from limedyke.proxy.statements.attempt import LEAST_ATTEMPT_S, MS_PER_S, Attempt
+from limedyke.proxy.statements.attempt import MS_PER_S, Attempt
+from limedyke.proxy.statements.hedged_read import UNANSWERED, HedgedRead, SecondMember
 from limedyke.proxy.statements.member_exchange import MemberExchange
 from limedyke.proxy.statements.member_pool import MemberPool
 from limedyke.proxy.statements.member_questions import MemberQuestions
@@ -18,9 +18,6 @@
 from limedyke.proxy.statements.statement_log import NotSent
 from limedyke.result_codes import ResultCode
 
-READ_ATTEMPT_SHARE = 0.5
-"""A first attempt to read gets so much of what is left of its target, or of its time once that has
-passed, so that another member can be tried."""
 STALENESS_MARGIN_S = 0.03
 CHOICE_INTERVAL_S = 0.06
 """A read waits so long for a connection to one member before it looks at all of them again: twice
@@ -57,7 +54,7 @@
                     return PlacedAnswer(attempt.give_up(ResultCode.NO_MEMBER))
                 continue
             pool = group.pools[able[0].record.identity]
-            wait_s = attempt.connection_wait_s(pool.belief)
+            wait_s = attempt.connection_wait_s(pool)
             if len(able) > 1:
                 wait_s = min(wait_s, CHOICE_INTERVAL_S)
             answer = await self._try_at(pool, attempt, required, wait_s)
@@ -80,26 +77,27 @@
         if required is None and not is_primary:
             await pinned.release()
             return None
-        after = None if is_primary else required
-        limit_s = self._limit_s(attempt)
-        answer = await self._exchange.run(pinned, attempt, after, limit_s)
-        if answer.kind is AnswerKind.BEHIND:
-            pool.belief.was_behind(time.monotonic())
-        if answer.kind in NOT_RUN:
-            attempt.failed(answer.kind, identity)
-            await pinned.release()
-            return None
-        if answer.kind in (AnswerKind.LOST, AnswerKind.TIMED_OUT) and self._may_repeat(attempt):
-            attempt.failed(answer.kind, identity)
-            await pinned.abandon()
+        hedged = HedgedRead(self._exchange, attempt, lambda: self._second(attempt, required))
+        sent = await hedged.run(pinned, None if is_primary else required)
+        is_given_up = sent.answer.kind in UNANSWERED and not attempt.may_run_again()
+        if sent.is_final or is_given_up:
+            return await settle_first(attempt.session, attempt.run, sent.pinned, sent.answer)
+        await sent.put_back(attempt)
+        return None
+
+    def _second(self, attempt: Attempt, required: LogPosition | None) -> SecondMember | None:
+        """Return another member that has room for a read that is slow at the first."""
+        if not attempt.may_run_again():
             return None
-        return await settle_first(attempt.session, attempt.run, pinned, answer)
-
-    def _may_repeat(self, attempt: Attempt) -> bool:
-        """Count a read that may have run; tell whether it may be run again."""
-        attempt.runs += 1
-        is_time_left = attempt.time_left() > LEAST_ATTEMPT_S
-        return is_time_left and attempt.runs < attempt.session.database.maximum_attempts
+        group = attempt.group
+        now = time.monotonic()
+        for belief in self._able(attempt, required):
+            identity = belief.record.identity
+            pool = group.pools[identity]
+            is_primary = group.is_surely_primary(identity)
+            if pool.has_usual_room and not belief.seems_silent(now):
+                return SecondMember(pool, None if is_primary else required)
+        return None
 
     def _able(self, attempt: Attempt, required: LogPosition | None) -> list[MemberBelief]:
         """Return the members that may serve the read now, the best first."""
@@ -144,17 +142,6 @@
             if not await attempt.pause():
                 return None
 
-    def _limit_s(self, attempt: Attempt) -> float:
-        """Return how long the next member's answer is waited for."""
-        left_s = attempt.time_left()
-        database = attempt.session.database
-        if attempt.runs + 1 >= database.maximum_attempts:
-            return left_s
-        target_left_s = attempt.began_at + database.target_latency_ms / MS_PER_S - time.monotonic()
-        if target_left_s * READ_ATTEMPT_SHARE > LEAST_ATTEMPT_S:
-            left_s = min(left_s, target_left_s)
-        return max(left_s * READ_ATTEMPT_SHARE, LEAST_ATTEMPT_S)
-
 
 def _oldest_allowed(attempt: Attempt) -> float:
     """Return the moment at which a position must have been the primary's at the earliest."""
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -62,7 +62,7 @@
                 break
             attempt.failed(answer.kind, pinned.identity)
             await curio.sleep(RETRY_PAUSE_S)
-            if attempt.is_too_late(pinned.pool.belief.latency_s):
+            if attempt.is_too_late(pinned.pool.belief.answer.usual_s):
                 break
         return await settle_in_transaction(attempt.session, attempt.run, pinned, answer)
 
@@ -77,9 +77,9 @@
                 if not await attempt.wait_for_primary():
                     return PlacedAnswer(attempt.give_up(ResultCode.NO_PRIMARY))
                 continue
-            wait_s = attempt.connection_wait_s(pool.belief)
+            wait_s = attempt.connection_wait_s(pool)
             pinned = await self._exchange.connect(pool, attempt, wait_s)
-            if attempt.is_too_late(pool.belief.latency_s):
+            if attempt.is_too_late(pool.belief.answer.usual_s):
                 if pinned is not None:
                     await pinned.release()
                 return PlacedAnswer(attempt.give_up(ResultCode.NO_PRIMARY))
