Remove the hollow fleet; prove on real processes what its tests proved

Removed: limedyke_lab/scale, `limedyke-lab scale`, `data-path`, `links`, `regions`, `make scale`, `make data-path`, docs/SCALE.md, and the tests of that code itself: scale.feature (slopes, percentiles, hollow groups, the made-up declaration), "A line is fitted" and the recorded lines of scale_links.feature, the judging of hollow regions in scale_regions.feature.

Moved, as strict: scale_links.feature is forwarding_links.feature; the descriptors of 30 links, counted on a real proxy before hollow peers, are counted on both ends of real links in one process, and that they are given back. scale_regions.feature and scale_run.feature are region_cuts.feature, with real proxies in place of hollow ones: the leader's zone cut off, every zone from every other (no quorum heard inside, no change taken, all current within 20 s of healing), 1 and 9 of 9 proxies killed, the leader killed, a zone's members killed. The operator client that measures the agreement stands beside those measurements.

--- a/features/forwarding_links.feature
+++ b/features/forwarding_links.feature
@@ -56,16 +56,8 @@
       | the home proxy | on        | false   |
       | the home proxy | off       | true    |
 
-  Scenario Outline: A line is fitted through costs: <case>
-    When links: a line is fitted through <costs> at 0, 100 and 400 links
-    Then links: it has the slope <slope>, the constant <constant> and the residual <residual>
-
-    Examples:
-      | case    | costs      | slope | constant | residual |
-      | exact   | 5, 15, 45  | 0.1   | 5        | 0        |
-      | level   | 7, 7, 7    | 0     | 7        | 0        |
-
-  Scenario: A real proxy's links are counted in both directions
-    When links: a real proxy is measured with 0 and 30 idle links
-    Then links: each link took one descriptor where dialled, one where accepted, two where both
-    And links: every value is in the recorded lines
+  Scenario: A link takes one descriptor at either end, and gives it back when it closes
+    Given links: a proxy that closes links idle for 2000 ms, and home proxies p1 to p30
+    When links: the links to all home proxies are used
+    Then links: 30 descriptors were taken where links were dialled, 30 where they were accepted, no others
+    And links: all of these descriptors are given back once the links have been idle
--- a/limedyke_lab/agreement_measurements/figures.py
+++ b/limedyke_lab/agreement_measurements/figures.py
@@ -14,8 +14,8 @@
 from limedyke.messages.declaration import Declaration, Tenant
 from limedyke.storage.durable_log import DurableLog
 from limedyke.storage.open_log import open_durable_log
+from limedyke_lab.agreement_measurements.operator_client import MeasuringOperator
 from limedyke_lab.agreement_measurements.trio import ControllerTrio
-from limedyke_lab.scale.operator_client import ScaleOperator
 
 ENTRY_BYTES = 200
 MILLISECONDS = 1000.0
@@ -121,7 +121,7 @@
     return Declaration(tenants=(Tenant("measured", (), client_limit=FIRST_CLIENT_LIMIT + number),))
 
 
-async def change_configuration(operator: ScaleOperator, first: int, count: int) -> list[float]:
+async def change_configuration(operator: MeasuringOperator, first: int, count: int) -> list[float]:
     """Plan and confirm changes one after the other; return how long each commit took."""
     durations = []
     for number in range(first, first + count):
@@ -131,7 +131,7 @@
     return durations
 
 
-async def _serves(operator: ScaleOperator, deadline: float) -> int:
+async def _serves(operator: MeasuringOperator, deadline: float) -> int:
     async with curio.timeout_after(deadline - time.monotonic()):
         return (await operator.status()).answer.revision
 
--- a/limedyke_lab/agreement_measurements/operator_client.py
+++ b/limedyke_lab/agreement_measurements/operator_client.py
@@ -42,7 +42,7 @@
     answer_bytes: int
 
 
-class ScaleOperator:
+class MeasuringOperator:
     """Sends requests to whichever controller leads, again until one answers."""
 
     def __init__(self, controllers: tuple[str, ...], name: str, key: bytes) -> None:
--- a/limedyke_lab/agreement_measurements/trio.py
+++ b/limedyke_lab/agreement_measurements/trio.py
@@ -10,6 +10,7 @@
 import yaml
 
 from limedyke.addresses import split_address
+from limedyke_lab.agreement_measurements.operator_client import MeasuringOperator
 from limedyke_lab.fleet.addresses import (
     CONTROLLER_HOST,
     CONTROLLER_PORT,
@@ -24,7 +25,6 @@
     OPERATOR_SECRET_NAME,
     process_secrets,
 )
-from limedyke_lab.scale.operator_client import ScaleOperator
 
 NAMES = ("controller-1", "controller-2", "controller-3")
 ZONE_NUMBER = 1
@@ -147,10 +147,10 @@
         ]
         return max(used.user + used.system for used in times)
 
-    def operator(self, *names: str) -> ScaleOperator:
+    def operator(self, *names: str) -> MeasuringOperator:
         """Return a client that asks the named controllers, or all, over one lasting link."""
         addresses = tuple(self.addresses[name] for name in names or NAMES)
-        return ScaleOperator(addresses, OPERATOR_NAME, OPERATOR_KEY.encode())
+        return MeasuringOperator(addresses, OPERATOR_NAME, OPERATOR_KEY.encode())
 
     def command(self, *arguments: str) -> str:
         """Run a command of the operator and return its standard output.
