Listen for clients before the proxy is loaded

Cause: after a loss of all machines a proxy listens only once its modules are loaded: 0.3 s at half a core, seconds on smaller machines.

Ruled out: loading less. Of 280 ms of processor time curio takes 50, pydantic 50, prometheus-client 20, the classes of 136 messages and records 45; nothing large is left that the first answer does not need.

Change: limedyke.transport.early_listeners (no imports that take time) opens the listening sockets; the platform's entry program does so for clients and readiness questions before it imports anything else, and `listen` takes a socket over that listens already. Who connects meanwhile waits in the backlog.

Test that failed first: platform_processes, "a client connects to the second proxy before it is loaded".

--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -22,3 +22,6 @@
     When platform: the second proxy is killed and started again
     Then platform: every proxy is ready within 8 s
     And platform: a client at the second proxy reads "2" from x within 3 s
+    When platform: the second proxy is killed and started again
+    Then platform: a client connects to the second proxy before it is loaded
+    And platform: that client's session at "db1" opens within 8 s
--- a/features/steps/forwarding_links_steps.py
+++ b/features/steps/forwarding_links_steps.py
@@ -117,7 +117,7 @@
 
 
 class _Links:
-    """The forwarding side of a proxy before home proxies behind one address, on a kernel of its own."""
+    """The forwarding side of a proxy, before home proxies behind one address, on its own kernel."""
 
     def __init__(self, folder, homes, **settings):
         self.kernel = curio.Kernel()
--- a/features/steps/platform_processes_steps.py
+++ b/features/steps/platform_processes_steps.py
@@ -17,6 +17,8 @@
 from features.support.statement_path import LineClient, summary
 
 RETRY_S = 0.1
+CONNECT_RETRY_S = 0.005
+LOADED = "event=loaded"
 
 
 def run(context, function, *arguments):
@@ -158,3 +160,33 @@
 def step_restart_proxy(context):
     context.deployment.kill(PROXIES[1])
     context.deployment.start_process(PROXIES[1], "run_proxy.py")
+
+
+@then("platform: a client connects to the second proxy before it is loaded")
+def step_connects_early(context):
+    times_loaded = context.deployment.log(PROXIES[1]).count(LOADED)
+
+    async def connect() -> socket.socket:
+        while True:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            try:
+                await sock.connect((PROXIES[1], FRONT_PORT))
+            except ConnectionRefusedError:
+                await sock.close()
+                await curio.sleep(CONNECT_RETRY_S)
+            else:
+                return sock
+
+    context.early_socket = run(context, connect)
+    assert context.deployment.log(PROXIES[1]).count(LOADED) == times_loaded
+
+
+@then('platform: that client\'s session at "{name}" opens within {limit:d} s')
+def step_early_opens(context, name, limit):
+    async def open_early() -> str:
+        await context.early_socket.sendall(f"START {name} u1\r\n".encode())
+        async with curio.timeout_after(limit):
+            line = await context.early_socket.as_stream().readline()
+        return summary([line.decode().rstrip()])
+
+    assert run(context, open_early) == "I"
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -96,6 +96,10 @@
         self._processes[ip].kill()
         self._processes[ip].wait()
 
+    def log(self, ip: str) -> str:
+        """Return what the processes of a machine have logged so far."""
+        return (self._folder / f"{ip}.log").read_text()
+
     def data_folder(self, ip: str) -> Path:
         """Return the data folder of a controller."""
         return self._folder / ip
--- a/limedyke/transport/link.py
+++ b/limedyke/transport/link.py
@@ -12,6 +12,7 @@
 
 import curio
 from curio import socket
+from curio.io import Socket
 from result import Err, Ok, Result
 
 from limedyke.addresses import split_address
@@ -26,6 +27,7 @@
 from limedyke.messages.registry import KIND_BY_CLASS
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.transport.compression import MessageCompressor
+from limedyke.transport.early_listeners import open_listener, take_listener
 from limedyke.transport.framing import FrameError, FrameReader, frame, stream_frame
 from limedyke.transport.traffic import (
     NO_METER,
@@ -40,7 +42,6 @@
 RECEIVE_BYTES = 256 * 1024
 NONCE_BYTES = 16
 HANDSHAKE_TIMEOUT_S = 5.0
-LISTEN_BACKLOG = 1_024
 
 KeyLookup = Callable[[PeerRole, str], bytes | None]
 
@@ -271,15 +272,16 @@
 
 
 def listen(address: str) -> Result[socket.socket, Failure]:
-    """Return a listening socket, or ADDRESS_IN_USE naming the address."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    """Return a listening socket, or ADDRESS_IN_USE naming the address.
+
+    One that listens there since before this process was loaded is taken over.
+    """
+    sock = take_listener(address)
     try:
-        sock.bind(split_address(address))
-        sock.listen(LISTEN_BACKLOG)
+        sock = sock or open_listener(*split_address(address))
     except OSError as error:
         return Err(Failure(ResultCode.ADDRESS_IN_USE, f"{address}: {error}"))
-    return Ok(sock)
+    return Ok(Socket(sock))
 
 
 async def serve_links(
