Ignore what a member says late at an address that has passed to another one

Cause: an announcement that a cut held up may arrive after its sender crashed and another member registered at its address. It was taken as news: the old identity was recorded again and displaced the new one, until that one announced itself anew (up to 1.2 s), whatever the numbers were.

Ruled out: the leader's memory alone (a new leader has none); comparing numbers (each member counts from its own start).

An announcement of that identity from that address changes nothing; from another address it counts.

--- a/features/announced_members.feature
+++ b/features/announced_members.feature
@@ -16,6 +16,10 @@
       | restarted: a lower number after long     | b says primary, number 0, after 4 s        | b primary      |
       | draining is not taken back               | b drains, then says replica                | -              |
       | its address has passed to another        | d says replica at the address of b         | d replica, without b |
+      | held up until its address had passed on  | d takes the address of b, then b says primary, number 0 | - |
+      | the same, with a high number             | d takes the address of b, then b says primary, number 99 | - |
+      | the same, before a new leader            | d takes the address of b, a new leader, then b says primary, number 2 | - |
+      | it came back somewhere else              | d takes the address of b, then b says primary from elsewhere, number 2 | b primary |
       | it ends                                  | b withdraws                                | without b      |
       | a word after its end                     | b withdraws, then says replica             | -              |
       | unknown ends                             | x withdraws                                | -              |
--- a/features/steps/announced_members_steps.py
+++ b/features/steps/announced_members_steps.py
@@ -12,6 +12,7 @@
     with_address_of,
 )
 from limedyke.core.control.announcements import AnnouncementBook
+from limedyke.core.control.displaced_members import DisplacedMembers
 from limedyke.core.control.events import AuthorityOutcome
 from limedyke.messages.control import MemberHealth
 from limedyke.messages.control_entries import RecordMembers
@@ -23,7 +24,8 @@
 def step_book(context, members):
     roles = dict(member.split(":") for member in members.split())
     context.members = {name: a_member(name, role) for name, role in roles.items()}
-    context.book = AnnouncementBook(context.members, NOW)
+    context.displaced = DisplacedMembers()
+    context.book = AnnouncementBook(context.members, context.displaced, NOW)
     for member in context.members.values():
         assert context.book.announced(member, 1, NOW) is None
     context.learned = None
@@ -34,6 +36,7 @@
     context.learned = entry
     if entry is None:
         return
+    context.displaced.apply(entry, context.members)
     for name in entry.removed:
         context.members.pop(name, None)
     context.members.update((member.identity, member) for member in entry.members)
@@ -56,6 +59,20 @@
     take(context, context.book.announced(member, 1, NOW + 1))
 
 
+@when("announced: d takes the address of b, {later}")
+def step_taken_then(context, later):
+    address = context.members["b"]
+    take(context, context.book.announced(with_address_of(a_member("d", "replica"), address), 1, 51))
+    if "a new leader, " in later:
+        context.displaced = DisplacedMembers(context.displaced.recorded())
+        context.book = AnnouncementBook(context.members, context.displaced, 52.0)
+    b = a_member("b", "primary")
+    if "from elsewhere" in later:
+        b = with_address_of(b, a_member("e", "replica"))
+    number = int(later.rpartition("number ")[2])
+    take(context, context.book.announced(b, number, 52.5))
+
+
 @when("announced: {name:w} withdraws")
 def step_withdraws(context, name):
     take(context, context.book.withdrawn(name, NOW + 1))
--- a/limedyke/core/control/announcements.py
+++ b/limedyke/core/control/announcements.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from limedyke.core.control.displaced_members import DisplacedMembers
 from limedyke.messages.control_entries import RecordMembers
 from limedyke.messages.databases import AnnouncedMember, MemberState
 
@@ -30,11 +31,15 @@
     """Decides which announcements change the log.
 
     :param members: the recorded members by identity, read only
+    :param displaced: those whose address has passed to another one, read only
     :param now: when this controller began to lead
     """
 
-    def __init__(self, members: Mapping[str, AnnouncedMember], now: float) -> None:
+    def __init__(
+        self, members: Mapping[str, AnnouncedMember], displaced: DisplacedMembers, now: float
+    ) -> None:
         self._members = members
+        self._displaced = displaced
         self._started_at = now
         self._heard: dict[str, _Heard] = {}
         self._withdrawn: dict[str, float] = {}
@@ -49,7 +54,7 @@
 
         :param sequence: rises with each announcement of the member
         """
-        if self._is_late(member.identity, sequence, now):
+        if self._displaced.is_displaced(member) or self._is_late(member.identity, sequence, now):
             return None
         self._heard[member.identity] = _Heard(now, sequence)
         known = self._members.get(member.identity)
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -89,7 +89,7 @@
         self.failover = FailoverCoordinator(
             state.primaries, state.switchover_targets, self.membership, timing, generator
         )
-        self.announcements = AnnouncementBook(state.announced, now)
+        self.announcements = AnnouncementBook(state.announced, state.displaced, now)
         self.authority = AuthorityFailover(
             state.primaries,
             state.announced,
--- a/limedyke/core/control/state.py
+++ b/limedyke/core/control/state.py
@@ -5,6 +5,7 @@
 from limedyke.core.control.answer_book import AnswerBook, decode_answer
 from limedyke.core.control.applied import Applied
 from limedyke.core.control.declaration_change import DeclaredState, is_empty
+from limedyke.core.control.displaced_members import DisplacedMembers
 from limedyke.core.control.plan_book import PlanBook, outcome_answer, refusal, summary_of
 from limedyke.core.control.plan_rules import refusal_of_change
 from limedyke.core.control.primary_table import PrimaryTable
@@ -56,6 +57,7 @@
     :ivar version: of the whole declaration in force; 0 when there was none
     :ivar document: that declaration as the operator sent it
     :ivar announced: members that announced themselves, by identity
+    :ivar displaced: those of earlier times whose address has passed to another one
     """
 
     def __init__(self) -> None:
@@ -70,6 +72,7 @@
         self.version = 0
         self.document = b""
         self.announced: dict[str, AnnouncedMember] = {}
+        self.displaced = DisplacedMembers()
         self.plans = PlanBook()
         self._primary_table = PrimaryTable()
         self._answers = AnswerBook()
@@ -162,6 +165,7 @@
                 version=self.version,
                 document=self.document,
                 announced=tuple(self.announced.values()),
+                displaced=self.displaced.recorded(),
             )
         )
 
@@ -192,6 +196,7 @@
         self.version = snapshot.version
         self.document = snapshot.document
         self.announced = {member.identity: member for member in snapshot.announced}
+        self.displaced = DisplacedMembers(snapshot.displaced)
 
     def _learn_controllers(self, controllers: tuple[ControllerAddress, ...]) -> None:
         self.controllers.update((found.name, found.address) for found in controllers)
@@ -220,6 +225,7 @@
         return Applied(DeclaredVersion(self.version), self._update_of(index, change))
 
     def _record_members(self, index: int, entry: RecordMembers) -> Applied:
+        self.displaced.apply(entry, self.announced)
         removed = tuple(name for name in entry.removed if self.announced.pop(name, None))
         changed = tuple(
             member for member in entry.members if self.announced.get(member.identity) != member
--- a/limedyke/messages/control_entries.py
+++ b/limedyke/messages/control_entries.py
@@ -289,6 +289,15 @@
     member: str
 
 
+@message(175)
+@dataclass(frozen=True, slots=True)
+class DisplacedMember:
+    """A member whose address has passed to another one."""
+
+    identity: str
+    address: str
+
+
 @message(174)
 @dataclass(frozen=True, slots=True)
 class ControlStateSnapshot:
@@ -311,6 +320,7 @@
     version: int = 0
     document: bytes = b""
     announced: tuple[AnnouncedMember, ...] = ()
+    displaced: tuple[DisplacedMember, ...] = ()
 
 
 def pack_entry(entry: object) -> bytes:
