Give the proxy's link to the controllers a room of its own

Cause: limedyke/proxy held 52 files flat; who asks what is sent to the controllers, or where a lease comes from, had to know fourteen names that began with control_ or did not.

The stand-in member takes a connection that is closed before its first line as what it is, in place of an error.

--- a/features/mutants/simulator_safeguards.py
+++ b/features/mutants/simulator_safeguards.py
@@ -30,7 +30,7 @@
 from limedyke.messages.work import LogPosition
 from limedyke.proxy import drain, local_executor, unit_write
 from limedyke.proxy.backend_connection import BackendConnection, ConnectionLostError
-from limedyke.proxy.control_intake import ControlIntake
+from limedyke.proxy.control.intake import ControlIntake
 from limedyke.proxy.held_leases import HeldLeases
 from limedyke.proxy.member_gate import MemberGate
 from limedyke.proxy.unit_context import UnitContext
--- a/features/steps/control_homes_steps.py
+++ b/features/steps/control_homes_steps.py
@@ -13,7 +13,7 @@
 from limedyke.core.home import HomeDirectory, connection_limits, home_proxies
 from limedyke.messages.control import ControlSnapshot, ControlUpdate, ProxyRecord, ProxyState
 from limedyke.messages.declaration import Declaration
-from limedyke.proxy.control_view import ControlViewBuilder
+from limedyke.proxy.control.view import ControlViewBuilder
 
 RANKED_SHARE = 0.03
 
--- a/features/steps/control_news_steps.py
+++ b/features/steps/control_news_steps.py
@@ -12,7 +12,7 @@
 from limedyke.messages.codec import decode, encode
 from limedyke.messages.control import ControlSnapshot
 from limedyke.messages.control_entries import ConfirmPlan, RecordProxies
-from limedyke.proxy.control_view import ControlViewBuilder
+from limedyke.proxy.control.view import ControlViewBuilder
 from limedyke.transport.framing import (
     MAXIMUM_FRAME_BYTES,
     FrameError,
--- a/features/steps/control_plans_steps.py
+++ b/features/steps/control_plans_steps.py
@@ -31,7 +31,7 @@
     TermGrant,
 )
 from limedyke.messages.operator import Confirmed, ControllerChanged
-from limedyke.proxy.control_view import ControlViewBuilder, snapshot_of
+from limedyke.proxy.control.view import ControlViewBuilder, snapshot_of
 from limedyke.result_codes import CODE_BY_NUMBER
 
 START = 1_000
--- a/features/steps/control_proxies_steps.py
+++ b/features/steps/control_proxies_steps.py
@@ -19,11 +19,11 @@
     run_client,
 )
 from limedyke.messages.control import MemberHealth, MemberReport
-from limedyke.proxy import control_store
-from limedyke.proxy.control_client import ControlClient
-from limedyke.proxy.control_intake import ControlIntake
-from limedyke.proxy.control_store import ControlStore, view_of
-from limedyke.proxy.urgent_silence import UrgentSilence
+from limedyke.proxy.control import store as control_store
+from limedyke.proxy.control.client import ControlClient
+from limedyke.proxy.control.intake import ControlIntake
+from limedyke.proxy.control.store import ControlStore, view_of
+from limedyke.proxy.control.urgent_silence import UrgentSilence
 
 SHORT_S = 0.3
 HALF_WRITTEN = b"\x00\x00\x10\x00half"
@@ -58,7 +58,9 @@
     controllers = (context.c1, context.c2)
     if not context.runs_first:
         context.c1.run = curio.Event().wait
-    with mock.patch("limedyke.proxy.controller_choice.Random.randrange", lambda self, n: n - 1):
+    with mock.patch(
+        "limedyke.proxy.control.controller_choice.Random.randrange", lambda self, n: n - 1
+    ):
         context.client, context.held = curio.run(
             run_client, folder, controllers, context.handler, until, timeout_s, silence_ms, report
         )
--- a/features/steps/forwarding_links_steps.py
+++ b/features/steps/forwarding_links_steps.py
@@ -22,7 +22,7 @@
     WorkUnit,
 )
 from limedyke.proxy import forwarding_link, forwarding_server
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.forwarding import ForwardingExecutor
 from limedyke.settings.proxy import ProxySettings
 from limedyke.settings.secrets import Secrets
--- a/features/support/back_end_lab.py
+++ b/features/support/back_end_lab.py
@@ -21,7 +21,7 @@
 from limedyke.messages.handshake import PeerRole
 from limedyke.messages.work import Access, LogPosition, WorkUnit
 from limedyke.proxy.back_ends import BackEnds
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.view import ControlView
 from limedyke.settings.proxy import ProxySettings
 from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkIdentity, listen, serve_links
--- a/features/support/line_platform/member_session.py
+++ b/features/support/line_platform/member_session.py
@@ -55,7 +55,10 @@
     async def _open(self) -> bool:
         member = self._member
         self._stream = self._socket.as_stream()
-        word, group, _, identity = (await self._line()).split(" ")
+        line = await self._line()
+        if not line:
+            return False
+        word, group, _, identity = line.split(" ")
         if (word, group, identity) != ("START", member.group.name, member.identity):
             await self._send(f"ERROR WRONGNODE {member.identity}")
             return False
--- a/features/support/scripted_controller.py
+++ b/features/support/scripted_controller.py
@@ -28,9 +28,9 @@
     QuorumStamp,
 )
 from limedyke.messages.handshake import PeerRole
-from limedyke.proxy.control_client import ControlClient
-from limedyke.proxy.control_store import ControlStore
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.client import ControlClient
+from limedyke.proxy.control.store import ControlStore
+from limedyke.proxy.control.view import ControlView
 from limedyke.settings.proxy import ProxySettings
 from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkIdentity, listen, serve_links
--- a/features/support/statement_homes.py
+++ b/features/support/statement_homes.py
@@ -14,7 +14,7 @@
 from limedyke.messages.handshake import PeerRole
 from limedyke.messages.statements import StatementUnit
 from limedyke.metrics import new_registry
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.forwarding_server import ForwardingServer
 from limedyke.proxy.statements.groups import StatementGroups
 from limedyke.proxy.statements.home_service import StatementHomeService, refuse_unit
--- a/limedyke/proxy/back_ends.py
+++ b/limedyke/proxy/back_ends.py
@@ -15,7 +15,7 @@
 from limedyke.metrics import PromotionOutcome
 from limedyke.proxy.backend_connection import MemberEndpoint
 from limedyke.proxy.backend_group import BackendGroup
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.executor import Relay
 from limedyke.proxy.forwarding import ForwardingExecutor
 from limedyke.proxy.forwarding_server import ForwardingServer
--- /dev/null
+++ b/limedyke/proxy/control/__init__.py
@@ -0,0 +1,1 @@
+"""The link to the leading controller: state, leases and reports."""
--- a/limedyke/proxy/control_announcements.py
+++ b/limedyke/proxy/control/announcements.py
@@ -9,9 +9,9 @@
     ProxyLeaving,
     ProxyState,
 )
-from limedyke.proxy.control_settings import ControlClientSettings
-from limedyke.proxy.control_store import StoredControl
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.settings import ControlClientSettings
+from limedyke.proxy.control.store import StoredControl
+from limedyke.proxy.control.view import ControlView
 
 
 class ControlAnnouncements:
--- a/limedyke/proxy/control_bridge.py
+++ b/limedyke/proxy/control/bridge.py
@@ -8,8 +8,8 @@
 
 from limedyke.messages.control import ConnectionLease, MemberReport, PromoteOrder, PromoteResult
 from limedyke.proxy.back_ends import BackEnds
-from limedyke.proxy.control_client import ControlClient
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.client import ControlClient
+from limedyke.proxy.control.view import ControlView
 
 ViewTaker = Callable[[ControlView], Awaitable[None]]
 
--- a/limedyke/proxy/control_client.py
+++ b/limedyke/proxy/control/client.py
@@ -31,17 +31,17 @@
     WritesPaused,
 )
 from limedyke.messages.handshake import PeerRole
-from limedyke.proxy.control_announcements import ControlAnnouncements
-from limedyke.proxy.control_handler import ControlHandler
-from limedyke.proxy.control_intake import ControlIntake
-from limedyke.proxy.control_leases import ControlLeases
-from limedyke.proxy.control_reports import ControlReports
-from limedyke.proxy.control_settings import ControlClientSettings
-from limedyke.proxy.control_store import ControlStore, StoredControl
-from limedyke.proxy.control_view import ControlView
-from limedyke.proxy.controller_choice import ControllerChoice
-from limedyke.proxy.leader_search import FoundLeader, LeaderSearch
-from limedyke.proxy.quorum_watch import QuorumWatch
+from limedyke.proxy.control.announcements import ControlAnnouncements
+from limedyke.proxy.control.controller_choice import ControllerChoice
+from limedyke.proxy.control.handler import ControlHandler
+from limedyke.proxy.control.intake import ControlIntake
+from limedyke.proxy.control.leader_search import FoundLeader, LeaderSearch
+from limedyke.proxy.control.leases import ControlLeases
+from limedyke.proxy.control.quorum_watch import QuorumWatch
+from limedyke.proxy.control.reports import ControlReports
+from limedyke.proxy.control.settings import ControlClientSettings
+from limedyke.proxy.control.store import ControlStore, StoredControl
+from limedyke.proxy.control.view import ControlView
 from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkClosedError, LinkIdentity
 from limedyke.transport.traffic import NO_METER, Place, TrafficMeter
--- a/limedyke/proxy/control_handler.py
+++ b/limedyke/proxy/control/handler.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from limedyke.messages.control import ConnectionLease, PromoteOrder, PromoteResult
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.view import ControlView
 
 
 class ControlHandler(Protocol):
--- a/limedyke/proxy/control_intake.py
+++ b/limedyke/proxy/control/intake.py
@@ -7,8 +7,8 @@
 from result import Err, Result
 
 from limedyke.messages.control import ControlSnapshot, ControlTarget, ControlUpdate
-from limedyke.proxy.control_store import ControlStore, StoredControl, view_of
-from limedyke.proxy.control_view import ControlView, snapshot_of
+from limedyke.proxy.control.store import ControlStore, StoredControl, view_of
+from limedyke.proxy.control.view import ControlView, snapshot_of
 from limedyke.result_codes import Failure
 from limedyke.transport.link import LinkClosedError
 
--- a/limedyke/proxy/control_reports.py
+++ b/limedyke/proxy/control/reports.py
@@ -7,7 +7,7 @@
 import curio
 
 from limedyke.messages.control import MemberReport
-from limedyke.proxy.urgent_silence import UrgentSilence
+from limedyke.proxy.control.urgent_silence import UrgentSilence
 from limedyke.transport.link import LinkClosedError
 
 
--- a/limedyke/proxy/control_store.py
+++ b/limedyke/proxy/control/store.py
@@ -21,7 +21,7 @@
 
 from limedyke.messages.codec import decode, encode
 from limedyke.messages.control import ControlSnapshot, ControlUpdate
-from limedyke.proxy.control_view import ControlView, ControlViewBuilder
+from limedyke.proxy.control.view import ControlView, ControlViewBuilder
 from limedyke.result_codes import Failure, ResultCode
 
 _FRAME = struct.Struct("!II")
--- a/limedyke/proxy/forwarding.py
+++ b/limedyke/proxy/forwarding.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from limedyke.messages.work import AbandonWork, Access, AnswerChunk, AnswerEnd, WorkUnit
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.executor import Relay, jittered, refusal, told_unanswered
 from limedyke.proxy.forwarding_link import HomeLink
 from limedyke.proxy.home_links import HomeLinks
--- a/limedyke/proxy/login_directory.py
+++ b/limedyke/proxy/login_directory.py
@@ -4,7 +4,7 @@
 
 from limedyke.messages.declaration import Tenant
 from limedyke.postgres.client_authentication import Verifier, parse_verifier
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.view import ControlView
 
 
 class LoginDirectory:
--- a/limedyke/proxy/server.py
+++ b/limedyke/proxy/server.py
@@ -24,10 +24,10 @@
 from limedyke.proxy.client_services import ClientServices
 from limedyke.proxy.client_tls import ClientTls, ReloadOnHangup
 from limedyke.proxy.client_watch import ClientWatch
-from limedyke.proxy.control_bridge import ControlBridge
-from limedyke.proxy.control_client import ControlClient
-from limedyke.proxy.control_store import ControlStore
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.bridge import ControlBridge
+from limedyke.proxy.control.client import ControlClient
+from limedyke.proxy.control.store import ControlStore
+from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.drain import drain_proxy
 from limedyke.proxy.login_directory import LoginDirectory
 from limedyke.proxy.metrics import ProxyMetrics
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -20,7 +20,7 @@
     PromoteResult,
 )
 from limedyke.messages.databases import AnnouncedMember
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.member_codec import MemberCodec
 from limedyke.proxy.statements.member_pool import MemberPool
--- a/limedyke/proxy/statements/memory_store.py
+++ b/limedyke/proxy/statements/memory_store.py
@@ -7,8 +7,8 @@
 from result import Ok, Result
 
 from limedyke.messages.control import ControlSnapshot, ControlUpdate
-from limedyke.proxy.control_store import StoredControl
-from limedyke.proxy.control_view import ControlViewBuilder
+from limedyke.proxy.control.store import StoredControl
+from limedyke.proxy.control.view import ControlViewBuilder
 from limedyke.result_codes import Failure
 
 ONLY_INCARNATION = 1
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -14,8 +14,8 @@
 from limedyke.messages.handshake import PeerRole
 from limedyke.messages.statements import StatementUnit
 from limedyke.metrics import TrafficCounter, new_registry
-from limedyke.proxy.control_client import ControlClient
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.client import ControlClient
+from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.forwarding_server import ForwardingServer
 from limedyke.proxy.home_links import HomeLinks
 from limedyke.proxy.statements.client import ClientServices, StatementClient
--- a/limedyke_lab/simulator/instruments.py
+++ b/limedyke_lab/simulator/instruments.py
@@ -13,8 +13,8 @@
 from limedyke.core.control.state import Applied, ControlState
 from limedyke.messages.declaration import Declaration
 from limedyke.proxy import unit_write
-from limedyke.proxy.control_bridge import ControlBridge
-from limedyke.proxy.control_view import ControlView
+from limedyke.proxy.control.bridge import ControlBridge
+from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.forwarding_link import HomeLink
 from limedyke.proxy.held_leases import HeldLeases
 from limedyke.proxy.unit_context import UnitContext
--- a/limedyke_lab/simulator/run.py
+++ b/limedyke_lab/simulator/run.py
@@ -16,7 +16,7 @@
 import logbook
 
 from limedyke.controller import snapshot_schedule
-from limedyke.proxy import control_store
+from limedyke.proxy.control import store as control_store
 from limedyke_lab.simulator.checkers import RunRecord, Violation, check_all
 from limedyke_lab.simulator.coverage import count
 from limedyke_lab.simulator.curio_process import CurioProcess, SpinningError
