Give forwarding between proxies a room of its own

Cause: as with the control room: six modules of one job lay among 38 others in limedyke/proxy.

Change: limedyke/proxy/forwarding holds executor, home_links, work_key, link, outbox and server; imports, tests and pages follow. The test that counts the descriptors of 30 links failed once beside other runs (54 in place of 60): sockets that earlier scenarios had left to the garbage collector were closed while it counted. They are closed before it counts now; nothing it demands has changed.

--- a/features/steps/forwarding_links_steps.py
+++ b/features/steps/forwarding_links_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import gc
 import time
 from unittest import mock
 
@@ -21,9 +22,10 @@
     TransactionStatus,
     WorkUnit,
 )
-from limedyke.proxy import forwarding_link, forwarding_server
 from limedyke.proxy.control.view import ControlView
-from limedyke.proxy.forwarding import ForwardingExecutor
+from limedyke.proxy.forwarding import link as forwarding_link
+from limedyke.proxy.forwarding import server as forwarding_server
+from limedyke.proxy.forwarding.executor import ForwardingExecutor
 from limedyke.settings.proxy import ProxySettings
 from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import LinkClosedError, LinkIdentity, listen, serve_links
@@ -348,7 +350,11 @@
 
 
 def _descriptors(links):
-    """Return the open descriptors: all, those of dialled links, those of accepted ones."""
+    """Return the open descriptors: all, those of dialled links, those of accepted ones.
+
+    Sockets that earlier scenarios left to the collector are closed first.
+    """
+    gc.collect()
     process = psutil.Process()
     address = tuple(links.homes.address.rsplit(":", 1))
     home = (address[0], int(address[1]))
--- a/features/steps/forwarding_work_steps.py
+++ b/features/steps/forwarding_work_steps.py
@@ -11,7 +11,8 @@
 from behave import given, then, when
 
 from limedyke.messages.work import AbandonWork, Access
-from limedyke.proxy import forwarding_link, forwarding_server
+from limedyke.proxy.forwarding import link as forwarding_link
+from limedyke.proxy.forwarding import server as forwarding_server
 from limedyke.result_codes import CODE_BY_NUMBER
 
 TRANSACTION = 9
--- a/features/support/statement_homes.py
+++ b/features/support/statement_homes.py
@@ -15,7 +15,7 @@
 from limedyke.messages.statements import StatementUnit
 from limedyke.metrics import new_registry
 from limedyke.proxy.control.view import ControlView
-from limedyke.proxy.forwarding_server import ForwardingServer
+from limedyke.proxy.forwarding.server import ForwardingServer
 from limedyke.proxy.statements.groups import StatementGroups
 from limedyke.proxy.statements.home_service import StatementHomeService, refuse_unit
 from limedyke.proxy.statements.runner import StatementRunner
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -21,7 +21,7 @@
 from limedyke.messages.declaration import Group, PromotionMode, TenantAccess
 from limedyke.metrics import TrafficCounter, new_registry
 from limedyke.proxy.control.view import ControlView
-from limedyke.proxy.home_links import HomeLinks
+from limedyke.proxy.forwarding.home_links import HomeLinks
 from limedyke.proxy.statements.client import ClientServices, StatementClient
 from limedyke.proxy.statements.executor import StatementExecutor
 from limedyke.proxy.statements.forwarding import StatementForwarding
--- a/limedyke/proxy/back_ends.py
+++ b/limedyke/proxy/back_ends.py
@@ -17,11 +17,11 @@
 from limedyke.proxy.backend_group import BackendGroup
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.executor import Relay
-from limedyke.proxy.forwarding import ForwardingExecutor
-from limedyke.proxy.forwarding_server import ForwardingServer
+from limedyke.proxy.forwarding.executor import ForwardingExecutor
+from limedyke.proxy.forwarding.server import ForwardingServer
+from limedyke.proxy.forwarding.work_key import LOCAL_ORIGIN, WorkKey
 from limedyke.proxy.local_executor import LocalExecutor
 from limedyke.proxy.metrics import ProxyMetrics
-from limedyke.proxy.work_key import LOCAL_ORIGIN, WorkKey
 from limedyke.result_codes import ResultCode
 from limedyke.settings.proxy import ProxySettings
 from limedyke.settings.secrets import Secrets
--- a/limedyke/proxy/forwarding.py
+++ b/limedyke/proxy/forwarding/executor.py
@@ -8,8 +8,8 @@
 from limedyke.messages.work import AbandonWork, Access, AnswerChunk, AnswerEnd, WorkUnit
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.executor import Relay, jittered, refusal, told_unanswered
-from limedyke.proxy.forwarding_link import HomeLink
-from limedyke.proxy.home_links import HomeLinks
+from limedyke.proxy.forwarding.home_links import HomeLinks
+from limedyke.proxy.forwarding.link import HomeLink
 from limedyke.proxy.unit_context import may_end_transaction
 from limedyke.result_codes import ResultCode
 from limedyke.settings.proxy import ProxySettings
--- a/limedyke/proxy/home_links.py
+++ b/limedyke/proxy/forwarding/home_links.py
@@ -15,7 +15,7 @@
 from limedyke.messages.control import ProxyRecord, ProxyState
 from limedyke.messages.handshake import PeerRole
 from limedyke.proxy.control.view import ControlView
-from limedyke.proxy.forwarding_link import HomeLink, surplus_links
+from limedyke.proxy.forwarding.link import HomeLink, surplus_links
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkIdentity, dial
--- a/limedyke/proxy/forwarding_link.py
+++ b/limedyke/proxy/forwarding/link.py
@@ -20,7 +20,7 @@
     WorkUnit,
 )
 from limedyke.proxy.executor import Relay
-from limedyke.proxy.forwarding_outbox import Outbox
+from limedyke.proxy.forwarding.outbox import Outbox
 from limedyke.transport.link import Link, LinkClosedError
 
 SILENCE_BEFORE_PROBE_S = 0.25
--- a/limedyke/proxy/forwarding_server.py
+++ b/limedyke/proxy/forwarding/server.py
@@ -18,9 +18,9 @@
     WorkUnit,
 )
 from limedyke.proxy.executor import Relay, refusal
-from limedyke.proxy.forwarding_link import ForwardedEnd, ForwardedUnit
-from limedyke.proxy.forwarding_outbox import Outbox
-from limedyke.proxy.work_key import WorkKey
+from limedyke.proxy.forwarding.link import ForwardedEnd, ForwardedUnit
+from limedyke.proxy.forwarding.outbox import Outbox
+from limedyke.proxy.forwarding.work_key import WorkKey
 from limedyke.result_codes import ResultCode
 from limedyke.transport.link import Link, LinkClosedError
 
--- a/limedyke/proxy/local_executor.py
+++ b/limedyke/proxy/local_executor.py
@@ -10,6 +10,7 @@
 from limedyke.proxy.backend_connection import MemberEndpoint
 from limedyke.proxy.backend_group import BackendGroup
 from limedyke.proxy.executor import Relay, refusal
+from limedyke.proxy.forwarding.work_key import LOCAL_ORIGIN, WorkKey
 from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.proxy.open_transactions import OpenTransactions, RunningUnit
 from limedyke.proxy.unit_context import UnitContext
@@ -17,7 +18,6 @@
 from limedyke.proxy.unit_read import UnitRead
 from limedyke.proxy.unit_transaction import UnitInTransaction, roll_back
 from limedyke.proxy.unit_write import UnitWrite
-from limedyke.proxy.work_key import LOCAL_ORIGIN, WorkKey
 from limedyke.result_codes import Outcome, ResultCode
 from limedyke.settings.proxy import ProxySettings
 
--- a/limedyke/proxy/open_transactions.py
+++ b/limedyke/proxy/open_transactions.py
@@ -6,8 +6,8 @@
 
 from limedyke.messages.work import Access, TransactionStatus, WorkUnit
 from limedyke.proxy.backend_connection import BackendConnection
+from limedyke.proxy.forwarding.work_key import WorkKey
 from limedyke.proxy.member_gate import MemberGate
-from limedyke.proxy.work_key import WorkKey
 
 
 @dataclass(slots=True, eq=False)
--- a/limedyke/proxy/statements/forwarded_attempt.py
+++ b/limedyke/proxy/statements/forwarded_attempt.py
@@ -9,7 +9,7 @@
 
 from limedyke.core.statements.session import RunOnMember, StatementSession
 from limedyke.messages.statements import StatementAnswer
-from limedyke.proxy.forwarding_link import NEVER, HomeLink
+from limedyke.proxy.forwarding.link import NEVER, HomeLink
 from limedyke.proxy.statements.attempt import (
     HELD_SHARE_OF_TARGET,
     LEAST_ATTEMPT_S,
--- a/limedyke/proxy/statements/forwarding.py
+++ b/limedyke/proxy/statements/forwarding.py
@@ -14,8 +14,8 @@
     StatementUnitEnd,
 )
 from limedyke.messages.work import AbandonWork, SessionSetting, TransactionStatus
-from limedyke.proxy.forwarding_link import NEVER, HomeLink
-from limedyke.proxy.home_links import HomeLinks
+from limedyke.proxy.forwarding.home_links import HomeLinks
+from limedyke.proxy.forwarding.link import NEVER, HomeLink
 from limedyke.proxy.statements.attempt import MS_PER_S
 from limedyke.proxy.statements.forwarded_attempt import UNREACHED_TRIES, ForwardedAttempt
 from limedyke.proxy.statements.giving_up import RETRY_AFTER_MS
--- a/limedyke/proxy/statements/placed_answer.py
+++ b/limedyke/proxy/statements/placed_answer.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from limedyke.messages.statements import StatementAnswer
-from limedyke.proxy.forwarding_link import HomeLink
+from limedyke.proxy.forwarding.link import HomeLink
 from limedyke.proxy.statements.pinned_connection import PinnedConnection
 
 
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -16,8 +16,8 @@
 from limedyke.metrics import TrafficCounter, new_registry
 from limedyke.proxy.control.client import ControlClient
 from limedyke.proxy.control.view import ControlView
-from limedyke.proxy.forwarding_server import ForwardingServer
-from limedyke.proxy.home_links import HomeLinks
+from limedyke.proxy.forwarding.home_links import HomeLinks
+from limedyke.proxy.forwarding.server import ForwardingServer
 from limedyke.proxy.statements.client import ClientServices, StatementClient
 from limedyke.proxy.statements.client_codec import ClientCodec
 from limedyke.proxy.statements.executor import StatementExecutor
--- a/limedyke/proxy/unit_context.py
+++ b/limedyke/proxy/unit_context.py
@@ -13,11 +13,11 @@
 from limedyke.proxy.backend_connection import BackendConnection, OwnAnswer
 from limedyke.proxy.backend_group import BackendGroup
 from limedyke.proxy.executor import Relay, jittered
+from limedyke.proxy.forwarding.work_key import WorkKey
 from limedyke.proxy.member_gate import Grant, MemberGate
 from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.proxy.open_transactions import OpenTransaction, OpenTransactions, RunningUnit
 from limedyke.proxy.unit_exchange import Exchange, ExchangePlan
-from limedyke.proxy.work_key import WorkKey
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.settings.proxy import ProxySettings
 
