--- a/features/steps/client_drain_steps.py
+++ b/features/steps/client_drain_steps.py
@@ -22,7 +22,7 @@
     message,
     startup_packet,
 )
-from limedyke.proxy.client_watch import ClientWatch
+from limedyke.proxy.clients.watch import ClientWatch
 from limedyke.proxy.drain import drain_proxy
 
 WORK_S = 10.0
--- a/features/support/client_side_process.py
+++ b/features/support/client_side_process.py
@@ -27,14 +27,14 @@
 from limedyke.messages.declaration import Group, Tenant, TenantAccess, User
 from limedyke.messages.work import AnswerEnd
 from limedyke.postgres.frontend import LoginPolicy
-from limedyke.proxy.client_connection import ClientConnection
-from limedyke.proxy.client_registry import ClientRegistry
-from limedyke.proxy.client_services import ClientServices
-from limedyke.proxy.client_tls import ClientTls, ReloadOnHangup
-from limedyke.proxy.client_watch import ClientWatch
+from limedyke.proxy.clients.connection import ClientConnection
+from limedyke.proxy.clients.login_directory import LoginDirectory
+from limedyke.proxy.clients.registry import ClientRegistry
+from limedyke.proxy.clients.services import ClientServices
+from limedyke.proxy.clients.tls import ClientTls, ReloadOnHangup
+from limedyke.proxy.clients.watch import ClientWatch
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.drain import drain_proxy
-from limedyke.proxy.login_directory import LoginDirectory
 from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.scram_verifier import make_verifier
--- /dev/null
+++ b/limedyke/proxy/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the PostgreSQL protocol: their connections, limits and logins."""
--- a/limedyke/proxy/client_socket.py
+++ b/limedyke/proxy/clients/client_socket.py
@@ -7,7 +7,7 @@
 
 from curio import socket
 
-from limedyke.proxy.client_tls import ClientTls
+from limedyke.proxy.clients.tls import ClientTls
 
 RECEIVE_BYTES = 65_536
 SEND_BUFFER_BYTES = 16_384
--- a/limedyke/proxy/client_connection.py
+++ b/limedyke/proxy/clients/connection.py
@@ -38,8 +38,8 @@
 from limedyke.postgres.client_framing import ClientFramer, FramingError
 from limedyke.postgres.client_messages import failure_response
 from limedyke.postgres.frontend import Frontend, refuse
-from limedyke.proxy.client_services import ClientServices, present_moment
-from limedyke.proxy.client_socket import ClientGoneError, ClientSocket
+from limedyke.proxy.clients.client_socket import ClientGoneError, ClientSocket
+from limedyke.proxy.clients.services import ClientServices, present_moment
 from limedyke.result_codes import Failure, ResultCode
 
 LINGER_S = 2.0
--- a/limedyke/proxy/client_registry.py
+++ b/limedyke/proxy/clients/registry.py
@@ -12,7 +12,7 @@
 from limedyke.result_codes import Failure, ResultCode
 
 if TYPE_CHECKING:
-    from limedyke.proxy.client_connection import ClientConnection
+    from limedyke.proxy.clients.connection import ClientConnection
 
 PROXY_BITS = 11
 CLIENT_BITS = 20
--- a/limedyke/proxy/client_services.py
+++ b/limedyke/proxy/clients/services.py
@@ -11,8 +11,8 @@
 from limedyke.core.session_context import SessionContext
 from limedyke.messages.work import Access, AnswerEnd, WorkUnit
 from limedyke.postgres.frontend import LoginPolicy
-from limedyke.proxy.client_registry import ClientRegistry
-from limedyke.proxy.client_tls import ClientTls
+from limedyke.proxy.clients.registry import ClientRegistry
+from limedyke.proxy.clients.tls import ClientTls
 from limedyke.proxy.executor import Executor
 from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.result_codes import CODE_BY_NUMBER
--- a/limedyke/proxy/client_watch.py
+++ b/limedyke/proxy/clients/watch.py
@@ -9,8 +9,8 @@
 
 from limedyke.core.client_exchange import AbandonUnit
 from limedyke.event_log import EventLog
-from limedyke.proxy.client_connection import ClientConnection
-from limedyke.proxy.client_services import ClientServices, present_moment
+from limedyke.proxy.clients.connection import ClientConnection
+from limedyke.proxy.clients.services import ClientServices, present_moment
 from limedyke.result_codes import Failure, ResultCode
 
 WATCH_INTERVAL_S = 0.1
--- a/limedyke/proxy/drain.py
+++ b/limedyke/proxy/drain.py
@@ -8,9 +8,9 @@
 import curio
 
 from limedyke.event_log import EventLog
-from limedyke.proxy.client_connection import ClientConnection
-from limedyke.proxy.client_services import ClientServices
-from limedyke.proxy.client_watch import ClientWatch
+from limedyke.proxy.clients.connection import ClientConnection
+from limedyke.proxy.clients.services import ClientServices
+from limedyke.proxy.clients.watch import ClientWatch
 from limedyke.result_codes import Failure, ResultCode
 
 CHECK_INTERVAL_S = 0.02
--- a/limedyke/proxy/server.py
+++ b/limedyke/proxy/server.py
@@ -19,17 +19,17 @@
 from limedyke.postgres.client_messages import failure_response
 from limedyke.postgres.frontend import LoginPolicy
 from limedyke.proxy.back_ends import BackEnds
-from limedyke.proxy.client_connection import ClientConnection
-from limedyke.proxy.client_registry import ClientRegistry
-from limedyke.proxy.client_services import ClientServices
-from limedyke.proxy.client_tls import ClientTls, ReloadOnHangup
-from limedyke.proxy.client_watch import ClientWatch
+from limedyke.proxy.clients.connection import ClientConnection
+from limedyke.proxy.clients.login_directory import LoginDirectory
+from limedyke.proxy.clients.registry import ClientRegistry
+from limedyke.proxy.clients.services import ClientServices
+from limedyke.proxy.clients.tls import ClientTls, ReloadOnHangup
+from limedyke.proxy.clients.watch import ClientWatch
 from limedyke.proxy.control.bridge import ControlBridge
 from limedyke.proxy.control.client import ControlClient
 from limedyke.proxy.control.store import ControlStore
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.drain import drain_proxy
-from limedyke.proxy.login_directory import LoginDirectory
 from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.proxy.pool_gauges import PoolGauges
 from limedyke.result_codes import Failure, ResultCode
