Let listen make its sockets by the module that the simulator replaces

Change: listen makes its socket as before, and only takes over one that listens early. simulator: all processes run again; foundation_link passes.

--- a/limedyke/transport/early_listeners.py
+++ b/limedyke/transport/early_listeners.py
@@ -14,32 +14,21 @@
 _listening: dict[str, socket.socket] = {}
 
 
-def open_listener(host: str, port: int) -> socket.socket:
-    """Return a listening socket.
-
-    :raises OSError: when the address is in use, or not of this machine
-    """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((host, port))
-        sock.listen(LISTEN_BACKLOG)
-    except OSError:
-        sock.close()
-        raise
-    return sock
-
-
 def listen_early(address: str) -> None:
     """Listen at an address from now on; ``take_listener`` gives the socket away.
 
     An address that can't be had is left alone: who takes the listener tries again, and reports it.
     """
     host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        _listening[address] = open_listener(host, int(port))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind((host, int(port)))
+        sock.listen(LISTEN_BACKLOG)
     except (OSError, ValueError):
-        _listening.pop(address, None)
+        sock.close()
+        return
+    _listening[address] = sock
 
 
 def take_listener(address: str) -> socket.socket | None:
--- a/limedyke/transport/link.py
+++ b/limedyke/transport/link.py
@@ -27,7 +27,7 @@
 from limedyke.messages.registry import KIND_BY_CLASS
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.transport.compression import MessageCompressor
-from limedyke.transport.early_listeners import open_listener, take_listener
+from limedyke.transport.early_listeners import LISTEN_BACKLOG, take_listener
 from limedyke.transport.framing import FrameError, FrameReader, frame, stream_frame
 from limedyke.transport.traffic import (
     NO_METER,
@@ -278,12 +278,17 @@
 
     One that listens there since before this process was loaded is taken over.
     """
-    sock = take_listener(address)
+    early = take_listener(address)
+    if early is not None:
+        return Ok(Socket(early))
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     try:
-        sock = sock or open_listener(*split_address(address))
+        sock.bind(split_address(address))
+        sock.listen(LISTEN_BACKLOG)
     except OSError as error:
         return Err(Failure(ResultCode.ADDRESS_IN_USE, f"{address}: {error}"))
-    return Ok(Socket(sock))
+    return Ok(sock)
 
 
 async def serve_links(
