--- a/features/mutants/simulator_safeguards.py
+++ b/features/mutants/simulator_safeguards.py
@@ -29,10 +29,10 @@
 from limedyke.messages.control import ControlSnapshot
 from limedyke.messages.work import LogPosition
 from limedyke.proxy import drain, local_executor, unit_write
-from limedyke.proxy.backend_connection import BackendConnection, ConnectionLostError
 from limedyke.proxy.control.intake import ControlIntake
-from limedyke.proxy.held_leases import HeldLeases
-from limedyke.proxy.member_gate import MemberGate
+from limedyke.proxy.members.connection import BackendConnection, ConnectionLostError
+from limedyke.proxy.members.gate import MemberGate
+from limedyke.proxy.members.held_leases import HeldLeases
 from limedyke.proxy.unit_context import UnitContext
 from limedyke.proxy.unit_exchange import ExchangePlan
 from limedyke.proxy.unit_read import UnitRead
--- a/features/steps/failover_health_steps.py
+++ b/features/steps/failover_health_steps.py
@@ -12,7 +12,7 @@
 from limedyke.core.promotion import Promised, Promotion
 from limedyke.messages.control import MemberHealth
 from limedyke.messages.work import LogPosition
-from limedyke.proxy.member_monitor import MAXIMUM_PROBES
+from limedyke.proxy.members.monitor import MAXIMUM_PROBES
 
 MS_PER_S = 1_000.0
 STEP_S = 0.005
--- a/features/steps/failover_monitor_steps.py
+++ b/features/steps/failover_monitor_steps.py
@@ -11,8 +11,8 @@
 
 from features.support.back_end_lab import PASSWORDS, BackEndLab, MemberGroup, shared_members
 from limedyke.messages.control import MemberHealth, MemberReport
-from limedyke.proxy.backend_connection import BackendConnection, MemberEndpoint
-from limedyke.proxy.member_probe import ADMIN_USER, MemberProbe
+from limedyke.proxy.members.connection import BackendConnection, MemberEndpoint
+from limedyke.proxy.members.probe import ADMIN_USER, MemberProbe
 from limedyke.result_codes import Failure, ResultCode
 
 PROBE_FOR_S = 0.2
--- a/features/steps/foundation_metrics_steps.py
+++ b/features/steps/foundation_metrics_steps.py
@@ -29,8 +29,8 @@
 )
 from limedyke.metrics import new_registry
 from limedyke.proxy.back_ends import BackEndStats
+from limedyke.proxy.members.pool_gauges import PoolGauges
 from limedyke.proxy.metrics import ProxyMetrics
-from limedyke.proxy.pool_gauges import PoolGauges
 
 ROOT = Path(__file__).resolve().parents[2]
 CLASSES = {"proxy": ProxyMetrics, "controller": ControllerMetrics}
--- a/features/steps/pool_members_steps.py
+++ b/features/steps/pool_members_steps.py
@@ -20,8 +20,8 @@
 from limedyke.core.slot_use import SlotUse
 from limedyke.messages.declaration import Priority
 from limedyke.messages.work import Access
-from limedyke.proxy.backend_pool import BackendPool
-from limedyke.proxy.member_gate import MemberGate
+from limedyke.proxy.members.gate import MemberGate
+from limedyke.proxy.members.pool import BackendPool
 from limedyke.proxy.unit_transaction import UnitInTransaction
 
 LOGINS = {"one": "app", "two": "app2"}
--- a/features/support/careless_back_end.py
+++ b/features/support/careless_back_end.py
@@ -8,7 +8,7 @@
 from limedyke.postgres import member_frames as frames
 from limedyke.postgres.member_answer import AnswerReader
 from limedyke.proxy import unit_write
-from limedyke.proxy.backend_connection import BackendConnection, ConnectionLostError
+from limedyke.proxy.members.connection import BackendConnection, ConnectionLostError
 from limedyke.proxy.unit_context import UnitContext
 from limedyke.proxy.unit_exchange import Exchange
 from limedyke.proxy.unit_write import UnitWrite
--- a/features/support/careless_proxy.py
+++ b/features/support/careless_proxy.py
@@ -14,7 +14,7 @@
 from limedyke import cli
 from limedyke.messages.work import LogPosition
 from limedyke.proxy import drain, local_executor, unit_write
-from limedyke.proxy.backend_connection import ConnectionLostError
+from limedyke.proxy.members.connection import ConnectionLostError
 from limedyke.proxy.unit_read import UnitRead
 from limedyke.proxy.unit_write import UnitWrite
 from limedyke.result_codes import Failure, ResultCode
--- a/features/support/lease_mutants.py
+++ b/features/support/lease_mutants.py
@@ -11,7 +11,7 @@
 from limedyke.core.control.group_leases import GroupLeases, LeaseChange
 from limedyke.core.control.lease_table import LeaseTable
 from limedyke.messages.control import ConnectionLease
-from limedyke.proxy.held_leases import HeldLeases
+from limedyke.proxy.members.held_leases import HeldLeases
 
 ROUND_TRIP_S = 2 * LONGEST_DELAY_S
 _UPDATE = HeldLeases.update
--- a/features/support/lease_world.py
+++ b/features/support/lease_world.py
@@ -38,7 +38,7 @@
 )
 from limedyke.messages.control_entries import ConfirmPlan
 from limedyke.messages.operator import Plan
-from limedyke.proxy.held_leases import HeldLeases
+from limedyke.proxy.members.held_leases import HeldLeases
 
 LEASE_S = 5.0
 STEP_S = 0.25
--- a/features/support/takeover_lab.py
+++ b/features/support/takeover_lab.py
@@ -15,7 +15,7 @@
 from limedyke.core.promotion import Promotion
 from limedyke.messages.control import PromoteOrder, PromoteResult
 from limedyke.proxy import unit_write
-from limedyke.proxy.promotion_executor import PromotionExecutor
+from limedyke.proxy.members.promotion_executor import PromotionExecutor
 
 ADMIN = "limedyke_admin"
 ROWS_SETTLE_S = 20.0
--- a/limedyke/proxy/back_ends.py
+++ b/limedyke/proxy/back_ends.py
@@ -13,14 +13,14 @@
 from limedyke.messages.control import ConnectionLease, MemberReport, PromoteOrder, PromoteResult
 from limedyke.messages.work import AbandonWork, AnswerEnd, WorkUnit
 from limedyke.metrics import PromotionOutcome
-from limedyke.proxy.backend_connection import MemberEndpoint
-from limedyke.proxy.backend_group import BackendGroup
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.executor import Relay
 from limedyke.proxy.forwarding.executor import ForwardingExecutor
 from limedyke.proxy.forwarding.server import ForwardingServer
 from limedyke.proxy.forwarding.work_key import LOCAL_ORIGIN, WorkKey
 from limedyke.proxy.local_executor import LocalExecutor
+from limedyke.proxy.members.connection import MemberEndpoint
+from limedyke.proxy.members.group import BackendGroup
 from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.result_codes import ResultCode
 from limedyke.settings.proxy import ProxySettings
--- a/limedyke/proxy/control/leases.py
+++ b/limedyke/proxy/control/leases.py
@@ -9,7 +9,7 @@
 
 from limedyke.event_log import EventLog
 from limedyke.messages.control import ConnectionLease, LeaseUpdate
-from limedyke.proxy.held_leases import HeldLeases
+from limedyke.proxy.members.held_leases import HeldLeases
 from limedyke.transport.link import LinkClosedError
 
 EVENTS = EventLog("control_client")
--- a/limedyke/proxy/local_executor.py
+++ b/limedyke/proxy/local_executor.py
@@ -7,10 +7,10 @@
 import curio
 
 from limedyke.messages.work import AbandonWork, Access, AnswerEnd, WorkUnit
-from limedyke.proxy.backend_connection import MemberEndpoint
-from limedyke.proxy.backend_group import BackendGroup
 from limedyke.proxy.executor import Relay, refusal
 from limedyke.proxy.forwarding.work_key import LOCAL_ORIGIN, WorkKey
+from limedyke.proxy.members.connection import MemberEndpoint
+from limedyke.proxy.members.group import BackendGroup
 from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.proxy.open_transactions import OpenTransactions, RunningUnit
 from limedyke.proxy.unit_context import UnitContext
--- /dev/null
+++ b/limedyke/proxy/members/__init__.py
@@ -0,0 +1,1 @@
+"""Members that speak PostgreSQL: connections under leases, watching, promotion."""
--- a/limedyke/proxy/members/connection.py
+++ b/limedyke/proxy/members/connection.py
@@ -20,7 +20,7 @@
 from limedyke.postgres.member_frames import Frame, PositionAnswer
 from limedyke.postgres.member_login import MemberCredentials, MemberLogin
 from limedyke.postgres.own_answer import OwnAnswer, OwnAnswerReader
-from limedyke.proxy.backend_state import BackendState
+from limedyke.proxy.members.connection_state import BackendState
 from limedyke.result_codes import Failure, ResultCode
 
 RECEIVE_BYTES = 64 * 1024
--- a/limedyke/proxy/members/gate.py
+++ b/limedyke/proxy/members/gate.py
@@ -17,9 +17,9 @@
 from limedyke.messages.declaration import Priority
 from limedyke.messages.work import SessionSetting, WorkUnit
 from limedyke.postgres.member_login import MemberCredentials
-from limedyke.proxy.backend_connection import BackendConnection, MemberEndpoint
-from limedyke.proxy.backend_pool import BackendPool, ConnectLimit
 from limedyke.proxy.executor import jittered
+from limedyke.proxy.members.connection import BackendConnection, MemberEndpoint
+from limedyke.proxy.members.pool import BackendPool, ConnectLimit
 from limedyke.result_codes import Failure, ResultCode
 
 QUEUE_WAIT_LIMIT_S = 3.0
--- a/limedyke/proxy/members/group.py
+++ b/limedyke/proxy/members/group.py
@@ -21,11 +21,11 @@
 from limedyke.messages.declaration import Group
 from limedyke.messages.work import LogPosition, WorkUnit
 from limedyke.postgres.member_login import MemberCredentials
-from limedyke.proxy.backend_connection import MemberEndpoint
-from limedyke.proxy.member_gate import MemberGate
-from limedyke.proxy.member_monitor import MemberMonitor
-from limedyke.proxy.member_probe import MemberProbe
-from limedyke.proxy.promotion_executor import PromotionExecutor
+from limedyke.proxy.members.connection import MemberEndpoint
+from limedyke.proxy.members.gate import MemberGate
+from limedyke.proxy.members.monitor import MemberMonitor
+from limedyke.proxy.members.probe import MemberProbe
+from limedyke.proxy.members.promotion_executor import PromotionExecutor
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.settings.proxy import ProxySettings
 from limedyke.settings.secrets import Secrets
--- a/limedyke/proxy/members/monitor.py
+++ b/limedyke/proxy/members/monitor.py
@@ -15,7 +15,7 @@
 from limedyke.messages.control import MemberHealth, MemberReport
 from limedyke.messages.work import LogPosition
 from limedyke.postgres.member_frames import PositionAnswer
-from limedyke.proxy.member_probe import MemberProbe, is_overload, is_silence
+from limedyke.proxy.members.probe import MemberProbe, is_overload, is_silence
 from limedyke.result_codes import Failure, ResultCode
 
 TRAFFIC_SILENCE_S = 0.1
--- a/limedyke/proxy/members/pool.py
+++ b/limedyke/proxy/members/pool.py
@@ -14,7 +14,7 @@
 from limedyke.event_log import EventLog
 from limedyke.messages.work import SessionSetting
 from limedyke.postgres.member_login import MemberCredentials
-from limedyke.proxy.backend_connection import (
+from limedyke.proxy.members.connection import (
     BackendConnection,
     ConnectionLostError,
     MemberEndpoint,
--- a/limedyke/proxy/members/probe.py
+++ b/limedyke/proxy/members/probe.py
@@ -11,7 +11,7 @@
 from limedyke.postgres.member_answer import AnswerViolationError
 from limedyke.postgres.member_frames import PositionAnswer
 from limedyke.postgres.member_login import MemberCredentials
-from limedyke.proxy.backend_connection import (
+from limedyke.proxy.members.connection import (
     BackendConnection,
     ConnectionLostError,
     MemberEndpoint,
--- a/limedyke/proxy/members/promotion_executor.py
+++ b/limedyke/proxy/members/promotion_executor.py
@@ -13,8 +13,8 @@
 from limedyke.messages.control import PromoteOrder, PromoteResult
 from limedyke.messages.work import LogPosition
 from limedyke.postgres.member_frames import parse_position, quote_literal
-from limedyke.proxy.backend_connection import OwnAnswer
-from limedyke.proxy.member_probe import MemberProbe
+from limedyke.proxy.members.connection import OwnAnswer
+from limedyke.proxy.members.probe import MemberProbe
 from limedyke.result_codes import Failure, ResultCode
 
 ORDER_TIMEOUT_S = 1.4
--- a/limedyke/proxy/open_transactions.py
+++ b/limedyke/proxy/open_transactions.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass
 
 from limedyke.messages.work import Access, TransactionStatus, WorkUnit
-from limedyke.proxy.backend_connection import BackendConnection
 from limedyke.proxy.forwarding.work_key import WorkKey
-from limedyke.proxy.member_gate import MemberGate
+from limedyke.proxy.members.connection import BackendConnection
+from limedyke.proxy.members.gate import MemberGate
 
 
 @dataclass(slots=True, eq=False)
--- a/limedyke/proxy/server.py
+++ b/limedyke/proxy/server.py
@@ -30,8 +30,8 @@
 from limedyke.proxy.control.store import ControlStore
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.drain import drain_proxy
+from limedyke.proxy.members.pool_gauges import PoolGauges
 from limedyke.proxy.metrics import ProxyMetrics
-from limedyke.proxy.pool_gauges import PoolGauges
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.settings.base import EXIT_SETTINGS_INVALID
 from limedyke.settings.proxy import ProxySettings
--- a/limedyke/proxy/unit_context.py
+++ b/limedyke/proxy/unit_context.py
@@ -10,11 +10,11 @@
 from result import Result
 
 from limedyke.messages.work import Access, AnswerEnd, LogPosition, TransactionStatus, WorkUnit
-from limedyke.proxy.backend_connection import BackendConnection, OwnAnswer
-from limedyke.proxy.backend_group import BackendGroup
 from limedyke.proxy.executor import Relay, jittered
 from limedyke.proxy.forwarding.work_key import WorkKey
-from limedyke.proxy.member_gate import Grant, MemberGate
+from limedyke.proxy.members.connection import BackendConnection, OwnAnswer
+from limedyke.proxy.members.gate import Grant, MemberGate
+from limedyke.proxy.members.group import BackendGroup
 from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.proxy.open_transactions import OpenTransaction, OpenTransactions, RunningUnit
 from limedyke.proxy.unit_exchange import Exchange, ExchangePlan
--- a/limedyke/proxy/unit_exchange.py
+++ b/limedyke/proxy/unit_exchange.py
@@ -10,8 +10,8 @@
 from limedyke.postgres import member_frames as frames
 from limedyke.postgres.member_answer import AnswerReader, AnswerViolationError
 from limedyke.postgres.member_frames import PositionAnswer
-from limedyke.proxy.backend_connection import BackendConnection, ConnectionLostError
 from limedyke.proxy.executor import Relay
+from limedyke.proxy.members.connection import BackendConnection, ConnectionLostError
 from limedyke.result_codes import Failure, ResultCode
 
 HOLD_BYTES = 64 * 1024
--- a/limedyke/proxy/unit_once.py
+++ b/limedyke/proxy/unit_once.py
@@ -14,7 +14,7 @@
 
 from limedyke.postgres import member_frames as frames
 from limedyke.postgres.member_batch import batch_digest
-from limedyke.proxy.backend_connection import BackendConnection, OwnAnswer
+from limedyke.proxy.members.connection import BackendConnection, OwnAnswer
 from limedyke.result_codes import Failure, ResultCode
 
 TABLE = "limedyke_once"
--- a/limedyke/proxy/unit_once_write.py
+++ b/limedyke/proxy/unit_once_write.py
@@ -5,7 +5,7 @@
 from limedyke.messages.work import TransactionStatus
 from limedyke.postgres import member_frames as frames
 from limedyke.postgres.member_batch import repeated_answer
-from limedyke.proxy.backend_connection import BackendConnection, ConnectionLostError, OwnAnswer
+from limedyke.proxy.members.connection import BackendConnection, ConnectionLostError, OwnAnswer
 from limedyke.proxy.unit_context import UnitContext, may_end_transaction
 from limedyke.proxy.unit_exchange import Exchange, ExchangePlan
 from limedyke.proxy.unit_once import (
--- a/limedyke/proxy/unit_read.py
+++ b/limedyke/proxy/unit_read.py
@@ -11,9 +11,9 @@
 from limedyke.core.routing import FIRST_TERM, RoutingDecision, RoutingRequest, choose_member
 from limedyke.messages.work import AnswerEnd, LogPosition
 from limedyke.postgres.member_frames import PositionAnswer
-from limedyke.proxy.backend_connection import BackendConnection, ConnectionLostError
 from limedyke.proxy.executor import jittered, told_unanswered
-from limedyke.proxy.member_gate import Grant, MemberGate
+from limedyke.proxy.members.connection import BackendConnection, ConnectionLostError
+from limedyke.proxy.members.gate import Grant, MemberGate
 from limedyke.proxy.metrics import RetryCause
 from limedyke.proxy.unit_context import UnitContext
 from limedyke.proxy.unit_exchange import Accept, Exchange, ExchangePlan
--- a/limedyke/proxy/unit_transaction.py
+++ b/limedyke/proxy/unit_transaction.py
@@ -6,8 +6,8 @@
 
 from limedyke.messages.work import Access, AnswerEnd, LogPosition, TransactionStatus
 from limedyke.postgres.member_batch import repeated_answer
-from limedyke.proxy.backend_connection import ConnectionLostError
-from limedyke.proxy.member_gate import Grant
+from limedyke.proxy.members.connection import ConnectionLostError
+from limedyke.proxy.members.gate import Grant
 from limedyke.proxy.open_transactions import OpenTransaction
 from limedyke.proxy.unit_context import UnitContext, may_end_transaction, may_set_transaction
 from limedyke.proxy.unit_exchange import Exchange, ExchangePlan
--- a/limedyke/proxy/unit_write.py
+++ b/limedyke/proxy/unit_write.py
@@ -10,9 +10,9 @@
 from limedyke.core.group_view import GroupView
 from limedyke.messages.work import AnswerEnd, LogPosition, TransactionStatus
 from limedyke.postgres.member_frames import PositionAnswer
-from limedyke.proxy.backend_connection import BackendConnection, ConnectionLostError
 from limedyke.proxy.executor import jittered
-from limedyke.proxy.member_gate import Grant, MemberGate
+from limedyke.proxy.members.connection import BackendConnection, ConnectionLostError
+from limedyke.proxy.members.gate import Grant, MemberGate
 from limedyke.proxy.unit_context import UnitContext
 from limedyke.proxy.unit_exchange import Exchange, ExchangePlan
 from limedyke.result_codes import Failure, ResultCode
--- a/limedyke_lab/simulator/instruments.py
+++ b/limedyke_lab/simulator/instruments.py
@@ -16,7 +16,7 @@
 from limedyke.proxy.control.bridge import ControlBridge
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.forwarding.link import HomeLink
-from limedyke.proxy.held_leases import HeldLeases
+from limedyke.proxy.members.held_leases import HeldLeases
 from limedyke.proxy.unit_context import UnitContext
 from limedyke_lab.simulator.curio_process import CurioProcess
 from limedyke_lab.simulator.environment import Environment
