Put connections that go silent into the soak; give the simulator a seed for a path

Cause: the soak silenced a member's links whole, for a while; open connections that go silent for good while new ones work were not in it. And simulator.feature failed: the signs of life between controllers moved the random draws, so that none of the fixed seeds truncated a member's log any more.

--- a/features/simulator.feature
+++ b/features/simulator.feature
@@ -5,9 +5,9 @@
     Then simulator: seed 1 has the same trace in both
 
   Scenario: simulator: the fixed seeds hold every promise and exercise every path
-    When simulator: the command runs seeds "1-8,35,42,48" on 4 cores
+    When simulator: the command runs seeds "1-8,24,35,42,48" on 4 cores
     Then simulator: it exits with 0
-    And simulator: its last line tells the seeds "1-8,35,42,48", the events and 0 violations
+    And simulator: its last line tells the seeds "1-8,24,35,42,48", the events and 0 violations
     And simulator: it tells that nothing was left out
     And simulator: it exercised every kind of fault
     And simulator: it exercised these paths
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -33,6 +33,8 @@
     CUT_TO_MEMBER = "cut-to-member"
     CUT_FROM_MEMBER = "cut-from-member"
     SILENCE_LINK = "silence-link"
+    SILENCE_OPEN = "silence-open-connections"
+    """Those that are open now, for good, while new ones work."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/features/soak/relay.py
+++ b/features/soak/relay.py
@@ -25,6 +25,13 @@
     cut_from_member: bool = False
 
 
+@dataclass(slots=True, eq=False)
+class _Passage:
+    """One connection through a relay; once silent it passes nothing on, and stays open."""
+
+    is_silent: bool = False
+
+
 class MemberRelay:
     """Passes connections on to one member.
 
@@ -36,6 +43,7 @@
         self.address = ""
         self._member = member
         self._sockets: set[socket.socket] = set()
+        self._passages: set[_Passage] = set()
 
     async def start(self) -> None:
         """Listen on loopback."""
@@ -51,6 +59,11 @@
         for sock in list(self._sockets):
             await self._reset(sock)
 
+    def silence_open(self) -> None:
+        """Let the connections that are open now go silent for good; new ones work."""
+        for passage in self._passages:
+            passage.is_silent = True
+
     async def _accept(self, listener: socket.socket) -> None:
         while True:
             client, _ = await listener.accept()
@@ -59,22 +72,29 @@
     async def _relay(self, client: socket.socket) -> None:
         member = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self._sockets |= {client, member}
+        passage = _Passage()
+        self._passages.add(passage)
         try:
             await member.connect(split_address(self._member.address))
             async with curio.TaskGroup(wait=any) as tasks:
-                await tasks.spawn(self._pass_on, client, member, True)
-                await tasks.spawn(self._pass_on, member, client, False)
+                await tasks.spawn(self._pass_on, client, member, passage, True)
+                await tasks.spawn(self._pass_on, member, client, passage, False)
         except OSError:
             pass
         finally:
+            self._passages.discard(passage)
             for sock in (client, member):
                 self._sockets.discard(sock)
                 await self._reset(sock)
                 await sock.close()
 
-    async def _pass_on(self, source: socket.socket, target: socket.socket, to_member: bool) -> None:
+    async def _pass_on(
+        self, source: socket.socket, target: socket.socket, passage: _Passage, to_member: bool
+    ) -> None:
         try:
             while data := await source.recv(RECEIVE_BYTES):
+                if passage.is_silent:
+                    continue
                 if self.trouble.delay_s:
                     await curio.sleep(self.trouble.delay_s)
                 while self._is_cut(to_member):
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -173,6 +173,9 @@
             case FaultKind.RESET_LINK:
                 await relay.reset_all()
                 return
+            case FaultKind.SILENCE_OPEN:
+                relay.silence_open()
+                return
             case FaultKind.DELAY_LINK:
                 trouble.delay_s = DELAY_S
             case FaultKind.CUT_TO_MEMBER:
