--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -186,6 +186,7 @@
     And statement path: the client asks "READ x" and is told "1 done I"
     Then statement path: that took less than 400 ms
     And statement path: "READ x" ran 3 times
+    And statement path: 1 read was hedged
 
   Scenario: statement path: a slow read is left alone where it may run only once
     Given statement path: a session database on primary a and replicas b c, the proxy beside b
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -630,3 +630,9 @@
 @then("statement path: that took less than {limit:d} ms")
 def step_took(context, limit):
     assert context.took_ms < limit, context.took_ms
+
+
+@then("statement path: {count:d} read was hedged")
+def step_hedged(context, count):
+    found = context.path.registry.get_sample_value("limedyke_statements_hedged_reads_total")
+    assert found == count, found
--- a/limedyke/proxy/statements/hedged_read.py
+++ b/limedyke/proxy/statements/hedged_read.py
@@ -107,6 +107,7 @@
         second = self._choose_second()
         if second is not None:
             self._attempt.tried.add(second.pool.belief.record.identity)
+            self._exchange.second_begun()
             await reads.spawn(self._connect_and_ask, second)
 
     async def _connect_and_ask(self, second: SecondMember) -> SentRead | None:
--- a/limedyke/proxy/statements/member_exchange.py
+++ b/limedyke/proxy/statements/member_exchange.py
@@ -63,6 +63,10 @@
             self._metrics.waited_for_connection(time.monotonic() - began_at)
         return PinnedConnection(pool, connection)
 
+    def second_begun(self) -> None:
+        """Count a slow read that is tried at a second member too."""
+        self._metrics.hedged_reads.inc()
+
     async def run(
         self,
         pinned: PinnedConnection,
--- a/limedyke/proxy/statements/statement_metrics.py
+++ b/limedyke/proxy/statements/statement_metrics.py
@@ -67,6 +67,11 @@
         self.forwarded_in = Counter(
             f"{PREFIX}forwarded_in", "Statements run for other proxies.", registry=registry
         )
+        self.hedged_reads = Counter(
+            f"{PREFIX}hedged_reads",
+            "Slow reads that were tried at a second member beside the first.",
+            registry=registry,
+        )
         self.lines_left_out = Counter(
             f"{PREFIX}log_lines_left_out", "Log lines beyond the budget.", registry=registry
         )
