Give back the connection of a hedged read whose answer came at the same moment

Cause, found on reading the change: when both members had answered before the first answer was taken, or the client left at that moment, the other answer was never looked at again, and its connection stayed lent for as long as the process lived: the pool had one connection less.

Change: a hedged read keeps what was answered, and gives back all connections but that of the answer it returns, also when it is cancelled; none that went back already, as another client may use it by now.

--- /dev/null
+++ b/features/steps/hedged_reads_steps.py
@@ -0,0 +1,147 @@
+"""Steps on reads that run at two members, with members that answer by the clock alone."""
+
+from __future__ import annotations
+
+import time
+from types import SimpleNamespace
+
+import curio
+from behave import then, when
+
+from limedyke.core.statements.member_belief import MemberBelief
+from limedyke.core.statements.time_estimate import TimeEstimate
+from limedyke.messages.databases import AnnouncedMember, MemberState
+from limedyke.messages.statements import AnswerKind, MemberAnswer
+from limedyke.messages.work import TransactionStatus
+from limedyke.proxy.statements.hedged_read import HedgedRead, SecondMember
+from limedyke.proxy.statements.pinned_connection import PinnedConnection
+
+USUAL_S = 0.02
+WHOLE_S = 1.0
+PATIENCE_S = 0.1
+
+
+class _Connection:
+    """A connection that only knows whether it was closed."""
+
+    def __init__(self):
+        self.status = TransactionStatus.IDLE
+        self.is_closed = False
+
+    async def close(self):
+        """Close it."""
+        self.is_closed = True
+
+
+class _Pool:
+    """A pool that counts what it lends."""
+
+    def __init__(self, name):
+        record = AnnouncedMember(name, "g", "h:1", "z", "v1", 3, MemberState.READY, False)
+        self.belief = MemberBelief(record)
+        self.belief.answer = TimeEstimate(USUAL_S, 0.0, True)
+        self.lent = []
+        self.given_back = []
+
+    def lend(self):
+        """Lend a connection."""
+        connection = _Connection()
+        self.lent.append(connection)
+        return PinnedConnection(self, connection)
+
+    async def putconn(self, connection):
+        """Take a connection back; another client begins a transaction on it at once."""
+        self.given_back.append(connection)
+        connection.status = TransactionStatus.IN_TRANSACTION
+
+    @property
+    def state(self):
+        """Say what became of the connection."""
+        if not self.lent:
+            return "never lent"
+        if not self.given_back:
+            return "lent"
+        return "closed" if self.lent[0].is_closed else "given back"
+
+
+class _Exchange:
+    """Answers at given moments."""
+
+    def __init__(self, answers):
+        self._answers = answers
+        self.began_at = time.monotonic()
+
+    def second_begun(self):
+        """Count nothing."""
+
+    async def connect(self, pool, _attempt, _wait_s):
+        """Lend a connection at once."""
+        return pool.lend()
+
+    async def run(self, pinned, _attempt, _after, _limit_s):
+        """Answer when it is time."""
+        kind, after_s = self._answers[pinned.identity]
+        try:
+            await curio.sleep(after_s)
+        except curio.CancelledError:
+            await pinned.abandon()
+            raise
+        return MemberAnswer(AnswerKind(kind))
+
+
+def _read(first, second):
+    """Return a hedged read, its two pools and the connection of the first."""
+    pools = _Pool("first"), _Pool("second")
+    attempt = SimpleNamespace(
+        tried=set(),
+        runs=0,
+        may_run_again=lambda: True,
+        time_left=lambda: WHOLE_S,
+        connection_wait_s=lambda pool: WHOLE_S,
+        failed=lambda reason, member: None,
+    )
+    exchange = _Exchange({"first": first, "second": second})
+    read = HedgedRead(exchange, attempt, lambda: SecondMember(pools[1], None))
+    return read, pools, pools[0].lend()
+
+
+@when(
+    'hedged reads: the first answers "{first}" after {first_ms:d} ms, the second "{second}" after '
+    "{second_ms:d} ms"
+)
+def step_read(context, first, first_ms, second, second_ms):
+    answers = (first, first_ms / 1_000), (second, second_ms / 1_000)
+    read, context.pools, pinned = _read(*answers)
+    context.sent = curio.run(read.run, pinned, None)
+
+
+@then("hedged reads: the answer of the {winner:w} is returned, with its connection lent")
+def step_returned(context, winner):
+    assert context.sent.pinned.identity == winner, context.sent
+    pool = next(pool for pool in context.pools if pool.belief.record.identity == winner)
+    assert pool.state == "lent", pool.state
+
+
+@then("hedged reads: the connection of the other is {state}")
+def step_other(context, state):
+    winner = context.sent.pinned.identity
+    pool = next(pool for pool in context.pools if pool.belief.record.identity != winner)
+    assert pool.state == state, pool.state
+
+
+@when('hedged reads: both answer "done" at the moment at which the client leaves')
+def step_leaves(context):
+    read, context.pools, pinned = _read(("done", 0.2), ("done", 0.1))
+
+    async def leave():
+        task = await curio.spawn(read.run, pinned, None)
+        await curio.sleep(0.2)
+        await task.cancel()
+
+    curio.run(leave)
+
+
+@then("hedged reads: no connection stays lent")
+def step_none_lent(context):
+    states = [pool.state for pool in context.pools]
+    assert "lent" not in states, states
--- a/limedyke/proxy/statements/hedged_read.py
+++ b/limedyke/proxy/statements/hedged_read.py
@@ -74,11 +74,20 @@
         self._exchange = exchange
         self._attempt = attempt
         self._choose_second = choose_second
+        self._answered: list[SentRead] = []
 
     async def run(self, pinned: PinnedConnection, after: LogPosition | None) -> SentRead:
         """Return the first final answer, or the last one when none is final."""
         if not self._attempt.may_run_again():
             return await self._ask(pinned, after)
+        sent: SentRead | None = None
+        try:
+            sent = await self._run_beside(pinned, after)
+        finally:
+            await self._give_back_all_but(sent)
+        return sent
+
+    async def _run_beside(self, pinned: PinnedConnection, after: LogPosition | None) -> SentRead:
         async with curio.TaskGroup() as reads:
             await reads.spawn(self._ask, pinned, after)
             ended = None
@@ -91,6 +100,12 @@
             await reads.cancel_remaining()
         return sent
 
+    async def _give_back_all_but(self, chosen: SentRead | None) -> None:
+        """Give back connections of answers that came too late to count, at the same moment even."""
+        for sent in self._answered:
+            if sent is not chosen and not sent.pinned.is_given_back:
+                await sent.pinned.release()
+
     async def _first_final(self, reads: curio.TaskGroup, ended: curio.Task | None) -> SentRead:
         sent: SentRead | None = None
         while ended is not None:
@@ -118,7 +133,9 @@
     async def _ask(self, pinned: PinnedConnection, after: LogPosition | None) -> SentRead:
         attempt = self._attempt
         answer = await self._exchange.run(pinned, attempt, after, attempt.time_left())
-        return SentRead(pinned, answer)
+        sent = SentRead(pinned, answer)
+        self._answered.append(sent)
+        return sent
 
 
 def _patience_s(pinned: PinnedConnection) -> float:
