Check idle connections that may be silent one after the other

Cause, found on reading the change: a member that answered on a new connection was asked on all idle connections at once, each question taking one of its few slots; and a new connection whose opening was cancelled stayed counted.

Change: they are asked one after the other, and once one is silent the others are closed unasked. The count is taken back when the opening is cancelled.

--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -270,6 +270,19 @@
       | WRITE x 2 | ABORTED E |
       | COMMIT    | INDOUBT I |
 
+  Scenario: statement path: all idle connections that went silent are replaced after the first
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: the lease is for 8 connections
+    And statement path: the members are watched from now on
+    When statement path: 4 clients hold transactions open, each with a write
+    And statement path: those clients roll back
+    And statement path: a has 4 connections
+    And statement path: all open connections to a go silent
+    And statement path: the client asks "WRITE x 2" and is told "TIMEOUT I"
+    And statement path: 3 clients write at once
+    Then statement path: that took less than 100 ms
+    And statement path: all are told "done I"
+
   Scenario: statement path: a read whose member's connections went silent is served beside it
     Given statement path: a session database on primary a and replicas b c, the proxy beside b
     And statement path: the members are watched from now on
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -364,7 +364,9 @@
         tasks = [await curio.spawn(client.ask, text) for client in clients]
         return [await task.join() for task in tasks]
 
+    began_at = time.monotonic()
     context.all_told = run(context, ask_all)
+    context.took_ms = elapsed_ms(began_at)
 
 
 @when("statement path: {count:d} clients write at once")
@@ -396,10 +398,18 @@
             client, _ = await context.path.connect()
             assert await client.ask("BEGIN") == "done T"
             assert await client.ask("WRITE x 1") == "done T"
+            context.holders.append(client)
 
+    context.holders = []
     run(context, hold)
 
 
+@step("statement path: those clients roll back")
+def step_holders_roll_back(context):
+    for client in context.holders:
+        assert run(context, client.ask, "ROLLBACK") == "done I"
+
+
 @when("statement path: {count:d} clients hold transactions that read open at {name:w}")
 def step_hold_reads(context, count, name):
     async def hold():
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/member_pool.py
@@ -123,7 +123,11 @@
         if self.opened >= self.limit:
             return None
         self.opened += 1
-        opened = await self._try_to_open()
+        try:
+            opened = await self._try_to_open()
+        except curio.CancelledError:
+            self.opened -= 1
+            raise
         if isinstance(opened, Err):
             self.opened -= 1
             raise opened.err_value
--- a/limedyke/proxy/statements/member_questions.py
+++ b/limedyke/proxy/statements/member_questions.py
@@ -115,8 +115,23 @@
         if connection.is_closed:
             pool.belief.was_silent(time.monotonic())
             return
-        for unheard in pool.take_unheard(silent_since):
-            await curio.spawn(self._ask_on, pool, unheard, limit_s, daemon=True)
+        await self._check_unheard(pool, pool.take_unheard(silent_since), limit_s)
+
+    async def _check_unheard(
+        self, pool: MemberPool, unheard: list[MemberConnection], limit_s: float
+    ) -> None:
+        """Ask on idle connections one after the other, as each question takes a slot.
+
+        Once one is silent the others are closed unasked: they went silent together.
+        """
+        while unheard:
+            connection = unheard.pop()
+            await self._ask_on(pool, connection, limit_s)
+            if connection.is_closed:
+                break
+        for connection in unheard:
+            await connection.close()
+            await pool.putconn(connection)
 
     async def _ask_on(
         self, pool: MemberPool, connection: MemberConnection, limit_s: float
