Let both members of a hedged read answer at the very same moment in its test

Change (test only): both wait for one event; the answer of one of them is returned and the other connection is given back.

--- a/features/hedged_reads.feature
+++ b/features/hedged_reads.feature
@@ -11,11 +11,15 @@
       | the first is quick              | done      | 10       | done   | 10        | first  | never lent |
       | the second answers first        | done      | 300      | done   | 10        | second | closed     |
       | the first answers all the same  | done      | 150      | done   | 300       | first  | closed     |
-      | both at the same moment         | done      | 200      | done   | 100       | first  | given back |
       | the second is behind            | done      | 200      | behind | 10        | first  | given back |
       | the first breaks                | lost      | 150      | done   | 150       | second | closed     |
       | neither answers                 | timed-out | 150      | lost   | 10        | first  | closed     |
 
+  Scenario: hedged reads: both at the same moment
+    When hedged reads: both answer "done" at the same moment
+    Then hedged reads: the answer of one of them is returned, with its connection lent
+    And hedged reads: the connection of the other is given back
+
   Scenario: hedged reads: a client that leaves meanwhile
     When hedged reads: both answer "done" at the moment at which the client leaves
     Then hedged reads: no connection stays lent
--- a/features/steps/hedged_reads_steps.py
+++ b/features/steps/hedged_reads_steps.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from types import SimpleNamespace
 
 import curio
@@ -69,7 +68,7 @@
 
     def __init__(self, answers):
         self._answers = answers
-        self.began_at = time.monotonic()
+        self.wait = curio.sleep
 
     def second_begun(self):
         """Count nothing."""
@@ -82,7 +81,7 @@
         """Answer when it is time."""
         kind, after_s = self._answers[pinned.identity]
         try:
-            await curio.sleep(after_s)
+            await self.wait(after_s)
         except curio.CancelledError:
             await pinned.abandon()
             raise
@@ -122,6 +121,11 @@
     assert pool.state == "lent", pool.state
 
 
+@then("hedged reads: the answer of one of them is returned, with its connection lent")
+def step_one_returned(context):
+    step_returned(context, context.sent.pinned.identity)
+
+
 @then("hedged reads: the connection of the other is {state}")
 def step_other(context, state):
     winner = context.sent.pinned.identity
@@ -129,6 +133,21 @@
     assert pool.state == state, pool.state
 
 
+@when('hedged reads: both answer "done" at the same moment')
+def step_same_moment(context):
+    read, context.pools, pinned = _read(("done", 0.0), ("done", 0.0))
+    moment = curio.Event()
+    read._exchange.wait = lambda _seconds: moment.wait()
+
+    async def answer_both():
+        task = await curio.spawn(read.run, pinned, None)
+        await curio.sleep(2 * PATIENCE_S)
+        await moment.set()
+        return await task.join()
+
+    context.sent = curio.run(answer_both)
+
+
 @when('hedged reads: both answer "done" at the moment at which the client leaves')
 def step_leaves(context):
     read, context.pools, pinned = _read(("done", 0.2), ("done", 0.1))
