Know clients by their tenant's access key, and give each member connection one tenant

Cause: on a platform with tenants a client shows a key when it opens its session, and members are told the tenant on whose behalf a connection is opened.

Ruled out: keys in clear text in the declaration (proxies and the log would hold them; digests are shorter too); refusing an unknown key at once (it may be newer than the proxy's view: the leader is asked by a heartbeat, within 0.5 s; a proxy that can't ask says so); closing the connections of a tenant when its key goes (the key is looked up at each operation, and connections name the tenant, not the key).

Change: a tenant has access keys (digests), databases may be public; sessions are admitted and renewed by SessionAdmission; a key taken away ends its session at its next operation; units between proxies carry the tenant; the pool lends a connection only to its tenant and closes the longest idle one for a request of another tenant.

--- a/features/support/line_platform/member_log.py
+++ b/features/support/line_platform/member_log.py
@@ -47,7 +47,7 @@
 
 @dataclass(slots=True)
 class Run:
-    """A statement that a member ran for a client."""
+    """A statement that a member ran for a client; ``tenant`` as its connection told it."""
 
     member: str
     request_id: str
@@ -55,3 +55,4 @@
     values: dict[str, str]
     in_transaction: bool
     at: float
+    tenant: str
--- a/features/support/line_platform/member_session.py
+++ b/features/support/line_platform/member_session.py
@@ -27,6 +27,7 @@
         self._member = member
         self._socket = sock
         self._state = "I"
+        self._tenant = ""
         self._values: dict[str, str] = {}
         self._prepared: dict[str, tuple[str, str]] = {}
         self._writes: list[tuple[str, str]] = []
@@ -58,7 +59,7 @@
         line = await self._line()
         if not line:
             return False
-        word, group, _, identity = line.split(" ")
+        word, group, self._tenant, identity = line.split(" ")
         if (word, group, identity) != ("START", member.group.name, member.identity):
             await self._send(f"ERROR WRONGNODE {member.identity}")
             return False
@@ -249,5 +250,6 @@
                 dict(self._values),
                 in_transaction,
                 time.monotonic(),
+                self._tenant,
             )
         )
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 
 import curio
@@ -10,6 +11,7 @@
 import features.support.platform_path  # noqa: F401
 from features.support.far_address import FarAddress
 from features.support.line_platform.group import StandInGroup
+from limedyke.core.access_keys import access_key_digest
 from limedyke.messages.control import ConnectionLease, GroupPrimary, ProxyRecord
 from limedyke.messages.databases import (
     AnnouncedMember,
@@ -18,7 +20,7 @@
     MemberState,
     SessionLimits,
 )
-from limedyke.messages.declaration import Group, PromotionMode, TenantAccess
+from limedyke.messages.declaration import Group, PromotionMode, Tenant, TenantAccess
 from limedyke.metrics import TrafficCounter, new_registry
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.forwarding.home_links import HomeLinks
@@ -27,6 +29,7 @@
 from limedyke.proxy.statements.forwarding import StatementForwarding
 from limedyke.proxy.statements.groups import StatementGroups
 from limedyke.proxy.statements.runner import StatementRunner
+from limedyke.proxy.statements.session_admission import SessionAdmission
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
@@ -150,8 +153,16 @@
         )
         self.links = HomeLinks(settings, Secrets({settings.cluster_key: "key"}))
         executor = StatementExecutor(self.groups, runner, StatementForwarding(self.links, metrics))
+        self.tenants: dict[str, Tenant] = {}
+        self.news: ControlView | None = None
+        self.is_cut_off = False
+        self.confirmations = 0
         self.services = ClientServices(
-            self.groups, executor, log, lambda: time.monotonic() >= self.lease_ends_at
+            self.groups,
+            SessionAdmission(self.groups, self),
+            executor,
+            log,
+            lambda: time.monotonic() >= self.lease_ends_at,
         )
 
     async def start(self, connections: int = 4) -> None:
@@ -161,8 +172,23 @@
         lease = ConnectionLease(GROUP, "shared", connections)
         await self.groups.leases_changed((lease,), NEVER)
 
+    async def confirm_view(self, limit_s: float) -> bool:
+        """Stand for the leader: tell the proxy what it does not know yet."""
+        self.confirmations += 1
+        if self.is_cut_off:
+            await curio.sleep(limit_s)
+            return False
+        if self.news is not None:
+            view, self.news = self.news, None
+            await self.take_view(view)
+        return True
+
     async def tell_view(self) -> None:
         """Give the proxy a view of the present state."""
+        await self.take_view(self.make_view())
+
+    def make_view(self) -> ControlView:
+        """Return a view of the present state."""
         self.index += 1
         access = TenantAccess("shared", GROUP, "", "", 30)
         group = Group(GROUP, (), 30, 1, (access,), "", PromotionMode.AUTHORITY, announced=True)
@@ -175,19 +201,27 @@
             1,
             self.staleness_ms,
             self.maximum_attempts,
+            is_public=not self.tenants,
         )
-        view = ControlView(
+        public = dataclasses.replace(database, name="open", is_public=True)
+        databases = {"db": database, "open": public} if self.tenants else {"db": database}
+        return ControlView(
             control_index=self.index,
             revision=1,
+            tenants=dict(self.tenants),
             groups={GROUP: group},
             primaries={GROUP: GroupPrimary(GROUP, self.term, self.primary)},
-            databases={"db": database} if self.with_database else {},
+            databases=databases if self.with_database else {},
             session_limits=SessionLimits(self.idle_in_transaction_ms),
             announced={name: self._record(name) for name in self.group.members},
             proxies=self.proxies,
             homes={GROUP: tuple(self.proxies)},
         )
-        await self.take_view(view)
+
+    def hold_key(self, tenant: str, *keys: str) -> None:
+        """Have a tenant hold these keys and no others, from the next view on."""
+        digests = tuple(access_key_digest(key) for key in keys)
+        self.tenants[tenant] = Tenant(tenant, (), access_keys=digests)
 
     async def take_view(self, view: ControlView) -> None:
         """Bring a view into force at the proxy."""
@@ -206,14 +240,14 @@
         await curio.spawn(self.far[name].run, daemon=True)
         await self.tell_view()
 
-    async def connect(self, database: str = "db") -> tuple[LineClient, str]:
-        """Open a client's session; return the client and what it was told."""
+    async def connect(self, database: str = "db", key: str = "u1") -> tuple[LineClient, str]:
+        """Open a client's session with a key; return the client and what it was told."""
         ours, theirs = socket.socketpair()
         served = StatementClient(theirs, LineClientCodec(), self.services)
         await curio.spawn(served.run, daemon=True)
         client = LineClient(ours)
         self.clients.append(client)
-        await client.send(f"START {database} u1\r\n")
+        await client.send(f"START {database} {key}\r\n")
         return client, summary([await client.receive()])
 
     async def stop(self) -> None:
--- a/limedyke/core/statements/session.py
+++ b/limedyke/core/statements/session.py
@@ -74,6 +74,9 @@
 
     :ivar database: how its statements are served; renewed at the start of each operation
     :ivar written: up to where the session has written; None before its first commit
+    :ivar tenant: whom the client speaks for, renewed likewise: its key may pass to another one;
+        empty at a public database
+    :ivar access_key: digest of the key that the client showed
     """
 
     database: Database
@@ -82,6 +85,8 @@
     status: TransactionStatus = TransactionStatus.IDLE
     transaction: OpenTransaction | None = None
     written: LogPosition | None = None
+    tenant: str = ""
+    access_key: bytes = b""
 
     def plan(self, statement: Statement) -> Plan:
         """Return what to do with the next statement."""
--- a/limedyke/messages/databases.py
+++ b/limedyke/messages/databases.py
@@ -37,6 +37,7 @@
     :param priority: 0 goes first
     :param max_staleness_ms: for ``BOUNDED`` and ``SESSION``: age up to which commits may be missed
     :param maximum_attempts: how often a read may be run
+    :param is_public: clients need no access key, and speak for no tenant
     """
 
     name: str
@@ -47,6 +48,7 @@
     priority: int
     max_staleness_ms: int = 0
     maximum_attempts: int = 2
+    is_public: bool = False
 
 
 @message(201)
--- a/limedyke/messages/declaration.py
+++ b/limedyke/messages/declaration.py
@@ -52,6 +52,10 @@
 
     :param max_staleness_ms: oldest data a read may see; 0 means only the session's own writes bind
     :param client_limit: client connections per proxy
+    :param access_keys: digests of the keys by which its clients are known where there are no
+        logins; no two tenants hold the same
+    :param operation_rate: operations a second over all proxies; 0 for no limit
+    :param operation_burst: operations beyond that rate after a rest
     """
 
     name: str
@@ -59,6 +63,9 @@
     max_staleness_ms: int = 0
     client_limit: int = 10_000
     priority: Priority = Priority.INTERACTIVE
+    access_keys: tuple[bytes, ...] = ()
+    operation_rate: float = 0.0
+    operation_burst: int = 0
 
 
 @message(3)
--- a/limedyke/messages/statements.py
+++ b/limedyke/messages/statements.py
@@ -159,6 +159,7 @@
     :param settings: the session's settings
     :param written: up to where the session has written; None before its first commit
     :param deadline_ms: time left for waiting and running
+    :param tenant: whom the client speaks for; empty at a public database
     """
 
     stream: int
@@ -171,6 +172,7 @@
     settings: tuple[SessionSetting, ...]
     written: LogPosition | None
     deadline_ms: int
+    tenant: str = ""
 
 
 @message(216)
--- a/limedyke/proxy/control/client.py
+++ b/limedyke/proxy/control/client.py
@@ -42,6 +42,7 @@
 from limedyke.proxy.control.settings import ControlClientSettings
 from limedyke.proxy.control.store import ControlStore, StoredControl
 from limedyke.proxy.control.view import ControlView
+from limedyke.proxy.control.view_check import ViewCheck
 from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkClosedError, LinkIdentity
 from limedyke.transport.traffic import NO_METER, Place, TrafficMeter
@@ -77,6 +78,7 @@
         self._choice = ControllerChoice(settings.controllers, random.Random(), longest_pause_s)
         self._announcements = ControlAnnouncements(settings)
         self._quorum = QuorumWatch()
+        self._view_check = ViewCheck(self._ask_leader, self._index_in_force)
         self._reports = ControlReports()
         self._leases = ControlLeases(
             settings.name, handler.leases_changed, lambda: self._link is not None
@@ -163,6 +165,26 @@
         except LinkClosedError:
             return
 
+    async def confirm_view(self, limit_s: float) -> bool:
+        """Wait until all that the leader's state held at this moment is in force here.
+
+        :returns: False when no leader has said so in time
+        """
+        return await self._view_check.confirm(limit_s)
+
+    def _index_in_force(self) -> int:
+        return self.view.control_index if self.view is not None else 0
+
+    async def _ask_leader(self) -> int | None:
+        """Send a heartbeat out of turn; return its sequence, None while no leader is linked."""
+        link = self._link
+        if link is None:
+            return None
+        try:
+            return await self._send_heartbeat(link, ())
+        except LinkClosedError:
+            return None
+
     async def forget_group(self, group: str) -> None:
         """Stop repeating reports about a group, when it is no longer watched here."""
         self._reports.forget_group(group)
@@ -245,12 +267,14 @@
         if leaving is not None:
             await link.send(leaving)
 
-    async def _send_heartbeat(self, link: Link, leases: tuple[ConnectionLease, ...]) -> None:
+    async def _send_heartbeat(self, link: Link, leases: tuple[ConnectionLease, ...]) -> int:
+        """Send a heartbeat; return its sequence."""
         heartbeat = self._announcements.next_heartbeat(self.view, self.clients, leases)
         now = time.monotonic()
         self._leases.held.heartbeat_sent(heartbeat.sequence, now)
         self._heartbeats_sent_at[heartbeat.sequence] = now
         await link.send(heartbeat)
+        return heartbeat.sequence
 
     async def _receive_all(self, link: Link, first: object) -> None:
         await self._receive(first)
@@ -277,11 +301,13 @@
     async def _take_snapshot(self, snapshot: ControlSnapshot) -> None:
         await self._intake.take_snapshot(snapshot)
         self._learn_controllers()
+        await self._view_check.view_changed()
 
     async def _take_update(self, update: ControlUpdate) -> None:
         """Take a change; a change of primaries is confirmed at once, for a promotion waits."""
         await self._intake.take_update(update)
         self._learn_controllers()
+        await self._view_check.view_changed()
         link = self._link
         if link is not None and any(primary.fence for primary in update.primaries):
             await self._send_heartbeat(link, ())
@@ -307,6 +333,7 @@
             self._choice.accepted(self._address)
             await self._leases.renew(stamp.sequence, stamp.lease_duration_ms / 1000)
             self._renew_primary_lease(stamp)
+        await self._view_check.heard(stamp)
 
     async def _take_order(self, order: PromoteOrder) -> None:
         await curio.spawn(self._promote, order, daemon=True)
--- a/limedyke/proxy/statements/attempt.py
+++ b/limedyke/proxy/statements/attempt.py
@@ -85,7 +85,7 @@
         self._connection_until = self.hold_until
         if not belief.seems_silent(now):
             latest = self.deadline - max(LEAST_ATTEMPT_S, belief.answer.usual_s)
-            if now + pool.expected_wait_s() <= latest:
+            if now + pool.expected_wait_s(self.session.tenant) <= latest:
                 self._connection_until = latest
         return max(0.0, min(self._connection_until, self.deadline) - now)
 
--- a/limedyke/proxy/statements/client.py
+++ b/limedyke/proxy/statements/client.py
@@ -9,6 +9,7 @@
 
 import curio
 from curio import socket
+from result import Err
 
 from limedyke.core.statements.session import (
     EndTransaction,
@@ -30,6 +31,7 @@
 from limedyke.proxy.statements.executor import StatementExecutor
 from limedyke.proxy.statements.groups import StatementGroups
 from limedyke.proxy.statements.placed_answer import TransactionPlace
+from limedyke.proxy.statements.session_admission import SessionAdmission
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.result_codes import ResultCode
 
@@ -56,10 +58,9 @@
     )
 )
 """What a proxy that is cut off answers, though another one may serve it."""
+KEY_UNKNOWN = ResultCode.ACCESS_KEY_UNKNOWN.value.number
+"""Ends the session: the key that it was opened with has been taken away."""
 REST_BEFORE_LEAVING_S = 0.25
-FIRST_VIEW_WAIT_S = 1.5
-"""A client that comes before the proxy knows any database waits so long; to say that there is no
-such database would be untrue."""
 EVENTS = EventLog("client")
 
 
@@ -73,6 +74,7 @@
     """
 
     groups: StatementGroups
+    admission: SessionAdmission
     executor: StatementExecutor
     log: StatementLog
     is_cut_off: Callable[[], bool] = lambda: False
@@ -201,19 +203,12 @@
             await self._services.executor.roll_back(place)
 
     async def _open_session(self, event: SessionRequested) -> bool:
-        view = await self._services.groups.wait_for_view(FIRST_VIEW_WAIT_S)
-        if view is None:
-            answer = refusal(ResultCode.NO_MEMBER, "no controller has told the state yet", 500)
-            self._services.log.session_refused(event.database, answer)
-            await self._socket.sendall(self._codec.refuse_session(answer))
-            return False
-        database = view.databases.get(event.database)
-        if database is None:
-            answer = refusal(ResultCode.UNKNOWN_DATABASE, event.database)
-            self._services.log.session_refused(event.database, answer)
-            await self._socket.sendall(self._codec.refuse_session(answer))
+        opened = await self._services.admission.open(event)
+        if isinstance(opened, Err):
+            self._services.log.session_refused(event.database, opened.err_value)
+            await self._socket.sendall(self._codec.refuse_session(opened.err_value))
             return False
-        self._session = StatementSession(database)
+        self._session = opened.ok_value
         await self._socket.sendall(self._codec.ready())
         return True
 
@@ -233,13 +228,14 @@
             return False
         started_at = time.monotonic()
         was_idle = session.status is TransactionStatus.IDLE
-        refused = self._renew_database(session) if was_idle else None
+        refused = self._services.admission.renew(session) if was_idle else None
         answer = refused or await self._answer(session, statement)
         self._services.log.answered(session.database, statement, answer, started_at)
         await self._socket.sendall(self._codec.answer(answer, session.status))
         self._note_refusal(answer)
         is_over = session.status is TransactionStatus.IDLE and statement.kind in ENDS_AN_OPERATION
-        return not (is_over and (self._services.is_leaving or self._is_sent_away))
+        is_sent_away = self._services.is_leaving or self._is_sent_away
+        return answer.code != KEY_UNKNOWN and not (is_over and is_sent_away)
 
     def _note_refusal(self, answer: StatementAnswer) -> None:
         """Have the client come back to another proxy if that may serve what was refused here.
@@ -250,15 +246,6 @@
         if answer.code in SERVED_ELSEWHERE and self._services.is_cut_off():
             self._is_sent_away = True
 
-    def _renew_database(self, session: StatementSession) -> StatementAnswer | None:
-        """Take the newest declaration of the session's database; refuse when it is gone."""
-        view = self._services.groups.view
-        database = view.databases.get(session.database.name) if view is not None else None
-        if database is None:
-            return refusal(ResultCode.UNKNOWN_DATABASE, session.database.name)
-        session.database = database
-        return None
-
     async def _answer(self, session: StatementSession, statement: Statement) -> StatementAnswer:
         plan = session.plan(statement)
         match plan:
--- a/limedyke/proxy/statements/client_codec.py
+++ b/limedyke/proxy/statements/client_codec.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from limedyke.messages.statements import Statement, StatementAnswer
@@ -11,10 +11,13 @@
 
 @dataclass(frozen=True, slots=True)
 class SessionRequested:
-    """The client opens its session."""
+    """The client opens its session.
+
+    :param access_key: what it shows to be known by; empty when it shows nothing
+    """
 
     database: str
-    user: str
+    access_key: str = field(repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/limedyke/proxy/statements/connection_queue.py
+++ b/limedyke/proxy/statements/connection_queue.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import heapq
+import bisect
 import itertools
 from dataclasses import dataclass, field
 
@@ -10,18 +10,29 @@
 
 from limedyke.proxy.statements.member_connection import MemberConnection
 
+ANY_TENANT = None
+"""Asks for a connection of whichever tenant: for the proxy's own questions, which show no data."""
+
 
 class ConnectionWaiter:
-    """A request that waits; woken with neither a connection nor an error it should look again."""
+    """A request that waits; woken with neither a connection nor an error it should look again.
 
-    __slots__ = ("connection", "error", "event", "is_over")
+    :param tenant: whose connection it wants; None for any
+    """
 
-    def __init__(self) -> None:
+    __slots__ = ("connection", "error", "event", "is_over", "tenant")
+
+    def __init__(self, tenant: str | None = ANY_TENANT) -> None:
+        self.tenant = tenant
         self.event = curio.Event()
         self.connection: MemberConnection | None = None
         self.error: Exception | None = None
         self.is_over = False
 
+    def takes(self, tenant: str) -> bool:
+        """Tell whether a connection of a tenant is what it waits for."""
+        return self.tenant is ANY_TENANT or self.tenant == tenant
+
     async def give(self, connection: MemberConnection) -> None:
         """Hand it a connection."""
         self.connection = connection
@@ -53,26 +64,46 @@
 
 
 class ConnectionQueue:
-    """The waiting requests of one member."""
+    """The waiting requests of one member, in the order in which they are served."""
 
     def __init__(self) -> None:
         self._entries: list[_Entry] = []
         self._numbers = itertools.count()
 
     def __len__(self) -> int:
-        return sum(not entry.waiter.is_over for entry in self._entries)
+        return len(self._entries)
+
+    def waiting_for(self, tenant: str) -> int:
+        """Return how many requests wait that a connection of a tenant would serve."""
+        return sum(entry.waiter.takes(tenant) for entry in self._entries)
 
-    def push(self, place: QueuePlace) -> ConnectionWaiter:
+    def push(self, place: QueuePlace, tenant: str | None = ANY_TENANT) -> ConnectionWaiter:
         """Add a request and return what it waits on."""
-        waiter = ConnectionWaiter()
-        heapq.heappush(self._entries, _Entry(place, next(self._numbers), waiter))
+        waiter = ConnectionWaiter(tenant)
+        bisect.insort(self._entries, _Entry(place, next(self._numbers), waiter))
         return waiter
 
+    def first(self) -> ConnectionWaiter | None:
+        """Return the request that is next; None when none waits."""
+        return self._entries[0].waiter if self._entries else None
+
     def pop(self) -> ConnectionWaiter | None:
         """Take out the request that is next; None when none waits."""
-        while self._entries:
-            waiter = heapq.heappop(self._entries).waiter
-            if not waiter.is_over:
-                waiter.is_over = True
-                return waiter
+        return self._take_out(0) if self._entries else None
+
+    def pop_for(self, tenant: str) -> ConnectionWaiter | None:
+        """Take out the first request that a connection of a tenant serves; None when none is."""
+        for index, entry in enumerate(self._entries):
+            if entry.waiter.takes(tenant):
+                return self._take_out(index)
         return None
+
+    def remove(self, waiter: ConnectionWaiter) -> None:
+        """Forget a request that gave up."""
+        waiter.is_over = True
+        self._entries = [entry for entry in self._entries if entry.waiter is not waiter]
+
+    def _take_out(self, index: int) -> ConnectionWaiter:
+        waiter = self._entries.pop(index).waiter
+        waiter.is_over = True
+        return waiter
--- a/limedyke/proxy/statements/forwarding.py
+++ b/limedyke/proxy/statements/forwarding.py
@@ -130,6 +130,7 @@
             settings=settings,
             written=session.written,
             deadline_ms=0,
+            tenant=session.tenant,
         )
 
     async def _run_at(
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from limedyke.core.access_keys import AccessKeys
 from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.core.statements.primary_outage import OutageTimes
 from limedyke.event_log import EventLog
@@ -66,6 +67,7 @@
         self._meter = meter
         self.groups: dict[str, StatementGroup] = {}
         self.view: ControlView | None = None
+        self.access_keys = AccessKeys()
         self._first_view = curio.Event()
         self.reporter: Reporter | None = None
         self.on_view: Callable[[ControlView], Awaitable[None]] | None = None
@@ -81,6 +83,7 @@
     async def control_changed(self, view: ControlView) -> None:
         """Take a newer view into force."""
         self.view = view
+        self.access_keys.take(view.tenants)
         members: dict[str, dict[str, AnnouncedMember]] = {name: {} for name in view.groups}
         for member in view.announced.values():
             if member.group in members:
--- a/limedyke/proxy/statements/home_service.py
+++ b/limedyke/proxy/statements/home_service.py
@@ -131,7 +131,7 @@
 
 
 def _new_session(unit: StatementUnit) -> StatementSession:
-    session = StatementSession(unit.database, written=unit.written)
+    session = StatementSession(unit.database, written=unit.written, tenant=unit.tenant)
     if unit.begin is not None:
         session.transaction = OpenTransaction(unit.begin)
         session.status = TransactionStatus.IN_TRANSACTION
--- /dev/null
+++ b/limedyke/proxy/statements/idle_connections.py
@@ -0,0 +1,65 @@
+"""Connections to one member that nobody uses at the moment."""
+
+from __future__ import annotations
+
+from limedyke.proxy.statements.connection_queue import ANY_TENANT
+from limedyke.proxy.statements.member_connection import MemberConnection
+
+
+class IdleConnections:
+    """Kept in the order in which they became idle, the longest idle first."""
+
+    def __init__(self) -> None:
+        self._connections: list[MemberConnection] = []
+
+    def __len__(self) -> int:
+        return len(self._connections)
+
+    def has(self, tenant: str | None) -> bool:
+        """Tell whether there is one of a tenant; ``ANY_TENANT`` asks for any."""
+        return any(_serves(connection, tenant) for connection in self._connections)
+
+    def add(self, connection: MemberConnection, now: float) -> None:
+        """Keep a connection from now on."""
+        connection.idle_since = now
+        self._connections.append(connection)
+
+    def take(self, tenant: str | None, values: dict[str, str]) -> MemberConnection | None:
+        """Take out the tenant's connection whose session values fit best; None without one."""
+        own = [connection for connection in self._connections if _serves(connection, tenant)]
+        if not own:
+            return None
+        best = _best(own, values)
+        self._connections.remove(best)
+        return best
+
+    def take_longest_idle(self) -> MemberConnection | None:
+        """Take out the connection that has been idle for longest; None when there is none."""
+        return self._connections.pop(0) if self._connections else None
+
+    def take_unheard(self, since: float) -> list[MemberConnection]:
+        """Take out all on which nothing came since a moment."""
+        unheard = [connection for connection in self._connections if connection.heard_at < since]
+        self._connections = [kept for kept in self._connections if kept.heard_at >= since]
+        return unheard
+
+    def take_idle_before(self, moment: float) -> MemberConnection | None:
+        """Take out the longest idle one if it has been idle since before a moment."""
+        if not self._connections or self._connections[0].idle_since >= moment:
+            return None
+        return self._connections.pop(0)
+
+
+def _serves(connection: MemberConnection, tenant: str | None) -> bool:
+    return tenant is ANY_TENANT or connection.tenant == tenant
+
+
+def _best(connections: list[MemberConnection], values: dict[str, str]) -> MemberConnection:
+    """Return the one with these values, used last; else one without any; else the first."""
+    for connection in reversed(connections):
+        if connection.values == values:
+            return connection
+    for connection in connections:
+        if not connection.values:
+            return connection
+    return connections[0]
--- a/limedyke/proxy/statements/member_codec.py
+++ b/limedyke/proxy/statements/member_codec.py
@@ -14,8 +14,11 @@
     Each request gets one ``MemberAnswer`` in order, the opening included.
     """
 
-    def open(self, group: str, identity: str) -> bytes:
-        """Open a connection to exactly this member of this group."""
+    def open(self, group: str, identity: str, tenant: str) -> bytes:
+        """Open a connection to exactly this member of this group.
+
+        :param tenant: on whose behalf; empty for no tenant's
+        """
 
     def statement(self, statement: Statement, after: LogPosition | None) -> bytes:
         """Pass a statement on, its id and text unchanged.
--- a/limedyke/proxy/statements/member_connection.py
+++ b/limedyke/proxy/statements/member_connection.py
@@ -43,6 +43,7 @@
 class MemberConnection:
     """Runs statements one after the other; after any doubt it is closed, never reused.
 
+    :ivar tenant: on whose behalf it was opened; it serves no other
     :ivar values: session values set on the connection
     :ivar status: of the connection's transaction
     :ivar lent_at: when it was last lent to a request
@@ -50,8 +51,13 @@
     """
 
     def __init__(
-        self, sock: socket.socket, codec: MemberCodec, traffic: MemberTraffic = UNCOUNTED
+        self,
+        sock: socket.socket,
+        codec: MemberCodec,
+        traffic: MemberTraffic = UNCOUNTED,
+        tenant: str = "",
     ) -> None:
+        self.tenant = tenant
         self._socket = sock
         self._traffic = traffic
         self._purpose = Purpose.STATEMENTS
@@ -74,21 +80,23 @@
         codec: MemberCodec,
         source_ip: str,
         traffic: MemberTraffic = UNCOUNTED,
+        tenant: str = "",
     ) -> MemberConnection:
         """Open a connection to exactly this member.
 
+        :param tenant: on whose behalf; empty for the proxy's own questions and public databases
         :raises ConnectionLostError: when nobody answers at the address
         :raises ConnectionRefusedByMemberError: when the member takes no connection
         """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        connection = cls(sock, codec, traffic)
+        connection = cls(sock, codec, traffic, tenant)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
             if source_ip:
                 sock.bind((source_ip, 0))
             await sock.connect(split_address(address))
-            await connection._send(codec.open(group, identity))
+            await connection._send(codec.open(group, identity, tenant))
             answer = await connection._receive()
         except (OSError, ValueError) as error:
             await connection.close()
--- a/limedyke/proxy/statements/member_exchange.py
+++ b/limedyke/proxy/statements/member_exchange.py
@@ -44,7 +44,7 @@
         began_at = time.monotonic()
         try:
             connection = await pool.getconn(
-                session.settings, priority, wait_s, since=attempt.began_at
+                session.tenant, session.settings, priority, wait_s, since=attempt.began_at
             )
         except ConnectionRefusedByMemberError as error:
             pool.belief.is_busy(time.monotonic())
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/member_pool.py
@@ -4,6 +4,7 @@
 
 import math
 import time
+from collections import Counter
 from collections.abc import Callable
 
 import curio
@@ -16,10 +17,12 @@
 from limedyke.messages.statements import AnswerKind
 from limedyke.messages.work import TransactionStatus
 from limedyke.proxy.statements.connection_queue import (
+    ANY_TENANT,
     ConnectionQueue,
     ConnectionWaiter,
     QueuePlace,
 )
+from limedyke.proxy.statements.idle_connections import IdleConnections
 from limedyke.proxy.statements.member_codec import MemberCodec
 from limedyke.proxy.statements.member_connection import (
     ConnectionLostError,
@@ -37,6 +40,8 @@
 GROWTH_WAIT_S = 0.03
 """A request that has waited so long may have a connection opened beyond the usual share."""
 SURPLUS_IDLE_CLOSE_S = 1.0
+NO_TENANT = ""
+"""Whose connections the proxy's own questions open, and public databases use."""
 FULL_PAUSE_S = 0.2
 """A member that took no further connection is not asked for one for so long."""
 
@@ -52,6 +57,9 @@
 class MemberPool:
     """Lends connections to one member: by priority, then in order of arrival.
 
+    A connection serves the tenant on whose behalf it was opened and no other. When the lease has no
+    room for one more, the longest idle one is closed for a request of another tenant.
+
     :param belief: what is known of the member; its load is kept here
     :param make_codec: makes the codec of a connection
     :param traffic: counts the bytes of all its connections
@@ -76,16 +84,22 @@
         self._make_codec = make_codec
         self._source_ip = source_ip
         self._connect_timeout_s = connect_timeout_s
-        self._opening = 0
-        self._idle: list[MemberConnection] = []
+        self._opening: Counter[str] = Counter()
+        self._idle = IdleConnections()
         self._queue = ConnectionQueue()
         self._lending = TimeEstimate(FIRST_ANSWER_S, 0.0)
 
     async def getconn(
-        self, values: dict[str, str], priority: int, timeout_s: float, since: float | None = None
+        self,
+        tenant: str | None,
+        values: dict[str, str],
+        priority: int,
+        timeout_s: float,
+        since: float | None = None,
     ) -> MemberConnection:
-        """Return a connection, if possible one with these session values.
+        """Return a connection of a tenant, if possible one with these session values.
 
+        :param tenant: ``ANY_TENANT`` for questions of the proxy's own
         :param since: when the statement began to wait, also for another member: its place among
             those of its priority; None for now
         :raises PoolTimeoutError: when none came free in time
@@ -98,9 +112,9 @@
         while True:
             if self.is_closed or self.limit == 0:
                 raise PoolClosedError(self.belief.record.identity)
-            connection = await self._take_idle(values)
+            connection = await self._take_idle(tenant, values)
             if connection is None:
-                connection = await self._wait(place, give_up_at)
+                connection = await self._wait(place, tenant, give_up_at)
             if connection is not None:
                 self.belief.outstanding += 1
                 connection.lent_at = time.monotonic()
@@ -118,13 +132,13 @@
         """
         if self.is_closed or self.limit == 0:
             raise PoolClosedError(self.belief.record.identity)
-        if self.opened >= self.limit and self._idle:
-            await self._give_up(self._idle.pop(0))
+        if self.opened >= self.limit:
+            await self._close_longest_idle()
         if self.opened >= self.limit:
             return None
         self.opened += 1
         try:
-            opened = await self._try_to_open()
+            opened = await self._try_to_open(NO_TENANT)
         except curio.CancelledError:
             self.opened -= 1
             raise
@@ -138,8 +152,7 @@
 
     def take_unheard(self, since: float) -> list[MemberConnection]:
         """Lend all idle connections on which nothing came since a moment; they may be silent."""
-        unheard = [idle for idle in self._idle if idle.heard_at < since]
-        self._idle = [idle for idle in self._idle if idle.heard_at >= since]
+        unheard = self._idle.take_unheard(since)
         self.belief.outstanding += len(unheard)
         return unheard
 
@@ -153,14 +166,14 @@
         """Whether a connection can be had at once and without going beyond the usual share."""
         return bool(self._idle) or self._may_open(waited_s=0.0)
 
-    def expected_wait_s(self) -> float:
+    def expected_wait_s(self, tenant: str) -> float:
         """Return how long a request that comes now is expected to wait for a connection.
 
         Those before it get the connections that come back, or that may still be opened.
         """
-        if self._idle:
+        if self._idle.has(tenant):
             return 0.0
-        if self._may_open():
+        if self._idle or self._may_open():
             return self.belief.opening.usual_s
         return (self.belief.waiting + 1) * self._lending.usual_s / max(1, self.opened)
 
@@ -204,92 +217,120 @@
         await self._hand_over(connection)
 
     async def _hand_over(self, connection: MemberConnection) -> None:
-        """Give a connection to the request that is next, or keep it idle."""
-        waiter = self._queue.pop()
+        """Give a connection to the request that is next, or keep it idle.
+
+        When that one wants another tenant's and the lease has no room for it, this connection is
+        closed in its favour: else a tenant with many requests would keep all connections.
+        """
+        first = self._queue.first()
+        if first is not None and not first.takes(connection.tenant) and self._must_wait(first):
+            await self._give_up(connection)
+            return
+        await self._give_to_own_tenant(connection)
+
+    async def _give_to_own_tenant(self, connection: MemberConnection) -> None:
+        """Give a connection to the next request of its tenant, or keep it idle."""
+        waiter = self._queue.pop_for(connection.tenant)
         if waiter is not None:
             await waiter.give(connection)
-            return
-        connection.idle_since = time.monotonic()
-        self._idle.append(connection)
+        else:
+            self._idle.add(connection, time.monotonic())
+
+    def _must_wait(self, waiter: ConnectionWaiter) -> bool:
+        """Tell whether no connection is being opened for a request, and none may be."""
+        return not self._is_opening_for(waiter.tenant) and not self._may_open()
+
+    def _is_opening_for(self, tenant: str | None) -> bool:
+        """Tell whether a connection is being opened for each request that wants a tenant's."""
+        opener = NO_TENANT if tenant is ANY_TENANT else tenant
+        return self._opening[opener] >= self._queue.waiting_for(opener)
 
     async def set_limit(self, limit: int) -> None:
         """Take the lease; idle connections above it are closed."""
         grows = limit > self.limit
         self.limit = limit
-        while self._idle and self.opened > limit:
-            await self._give_up(self._idle.pop(0))
+        while self.opened > limit and await self._close_longest_idle():
+            continue
         if grows:
             await self._wake_one()
 
+    async def _close_longest_idle(self) -> bool:
+        """Close the connection that has been idle for longest; tell whether there was one."""
+        connection = self._idle.take_longest_idle()
+        if connection is None:
+            return False
+        await self._give_up(connection)
+        return True
+
     async def drain(self) -> None:
         """Close the pool: idle connections now, the others when they come back."""
         self.is_closed = True
-        while self._idle:
-            await self._give_up(self._idle.pop())
+        while await self._close_longest_idle():
+            continue
         while (waiter := self._queue.pop()) is not None:
             await waiter.event.set()
 
     async def close_idle(self, now: float) -> None:
         """Close connections that have been idle for long, those beyond the usual share sooner."""
-        for connection in sorted(self._idle, key=lambda idle: idle.idle_since):
+        while True:
             is_surplus = self.opened > self.usual_limit
             limit_s = SURPLUS_IDLE_CLOSE_S if is_surplus else IDLE_CLOSE_S
-            if now - connection.idle_since > limit_s and connection in self._idle:
-                self._idle.remove(connection)
-                await self._give_up(connection)
-
-    async def _take_idle(self, values: dict[str, str]) -> MemberConnection | None:
-        """Return the idle connection whose values fit best, dropping those that died."""
-        while self._idle:
-            index = self._best_idle(values)
-            connection = self._idle.pop(index)
+            connection = self._idle.take_idle_before(now - limit_s)
+            if connection is None:
+                return
+            await self._give_up(connection)
+
+    async def _take_idle(
+        self, tenant: str | None, values: dict[str, str]
+    ) -> MemberConnection | None:
+        """Return the tenant's idle connection whose values fit best, dropping those that died."""
+        while (connection := self._idle.take(tenant, values)) is not None:
             if connection.is_alive():
                 return connection
             await self._give_up(connection)
         return None
 
-    def _best_idle(self, values: dict[str, str]) -> int:
-        for index in range(len(self._idle) - 1, -1, -1):
-            if self._idle[index].values == values:
-                return index
-        for index, connection in enumerate(self._idle):
-            if not connection.values:
-                return index
-        return 0
-
-    async def _open_one(self, waited_s: float) -> None:
+    async def _open_one(self, tenant: str | None, waited_s: float) -> None:
         """Open a connection in the background, unless one is being opened for each request.
 
         Requests that give up meanwhile leave it to others: to open one takes several round trips.
+        Another tenant's idle connection makes room for it if need be.
 
         :param waited_s: how long the request that wants it has waited
         """
-        if self._opening < len(self._queue) and self._may_open(waited_s):
-            self._opening += 1
-            self.opened += 1
-            await curio.spawn(self._open, daemon=True)
+        if self._is_opening_for(tenant):
+            return
+        if not self._may_open(waited_s):
+            replaced = self._idle.take_longest_idle()
+            if replaced is None:
+                return
+            await self._discard(replaced)
+        opener = NO_TENANT if tenant is ANY_TENANT else tenant
+        self._opening[opener] += 1
+        self.opened += 1
+        await curio.spawn(self._open, opener, daemon=True)
 
-    async def _open(self) -> None:
+    async def _open(self, tenant: str) -> None:
         began_at = time.monotonic()
         self.belief.sent(began_at)
         try:
-            opened = await self._try_to_open()
+            opened = await self._try_to_open(tenant)
         finally:
             self.belief.ended()
-            self._opening -= 1
+            self._opening[tenant] -= 1
         if isinstance(opened, Ok):
             now = time.monotonic()
             self.belief.connected(now, now - began_at)
             if self.is_closed or self.opened > self.limit:
                 await self._give_up(opened.ok_value)
             else:
-                await self._hand_over(opened.ok_value)
+                await self._give_to_own_tenant(opened.ok_value)
             return
         self.opened -= 1
-        await self._not_opened(opened.err_value)
+        await self._not_opened(opened.err_value, tenant)
 
-    async def _try_to_open(self) -> Result[MemberConnection, Exception]:
-        """Open a connection; the member is believed what this shows of it."""
+    async def _try_to_open(self, tenant: str) -> Result[MemberConnection, Exception]:
+        """Open a connection for a tenant; the member is believed what this shows of it."""
         belief = self.belief
         record = belief.record
         codec = self._make_codec()
@@ -303,6 +344,7 @@
                     codec,
                     self._source_ip,
                     self._traffic,
+                    tenant,
                 )
         except curio.TaskTimeout:
             belief.was_silent(time.monotonic())
@@ -317,16 +359,21 @@
             return Err(error)
         return Ok(connection)
 
-    async def _not_opened(self, error: Exception) -> None:
+    async def _not_opened(self, error: Exception, tenant: str) -> None:
         """Tell requests that a connection was not opened; who may get another one waits on."""
-        has_others = self.opened > self._opening
+        has_others = self.opened > self._opening.total()
         if has_others and self._has_no_room(error):
             self._full_until = time.monotonic() + FULL_PAUSE_S
+            if self._idle:
+                await self._wake_one()
+            return
+        if has_others:
+            waiter = self._queue.pop_for(tenant)
+            if waiter is not None:
+                await waiter.fail(error)
             return
         while (waiter := self._queue.pop()) is not None:
             await waiter.fail(error)
-            if has_others:
-                break
 
     def _has_no_room(self, error: Exception) -> bool:
         """Tell whether a member works but takes no further connection.
@@ -338,9 +385,13 @@
         return self.belief.answered_lately(time.monotonic())
 
     async def _give_up(self, connection: MemberConnection) -> None:
+        """Close a connection; the next request may have another one opened."""
+        await self._discard(connection)
+        await self._wake_one()
+
+    async def _discard(self, connection: MemberConnection) -> None:
         await connection.close()
         self.opened -= 1
-        await self._wake_one()
 
     async def _wake_one(self) -> None:
         """Let the next request try again: a connection may be opened."""
@@ -348,7 +399,9 @@
         if waiter is not None:
             await waiter.event.set()
 
-    async def _wait(self, place: QueuePlace, give_up_at: float) -> MemberConnection | None:
+    async def _wait(
+        self, place: QueuePlace, tenant: str | None, give_up_at: float
+    ) -> MemberConnection | None:
         """Wait for a connection, and have one opened if there may be one more.
 
         :returns: None when another try is worth it
@@ -356,10 +409,10 @@
         :raises ConnectionLostError: when none could be opened
         :raises ConnectionRefusedByMemberError: when the member takes none
         """
-        waiter = self._queue.push(place)
+        waiter = self._queue.push(place, tenant)
         self.belief.waiting += 1
         try:
-            await self._open_one(time.monotonic() - place.since)
+            await self._open_one(tenant, time.monotonic() - place.since)
             return await self._wait_for(waiter, place.since + GROWTH_WAIT_S, give_up_at)
         finally:
             self.belief.waiting -= 1
@@ -391,7 +444,7 @@
     async def _abandon(self, waiter: ConnectionWaiter) -> None:
         """Pass on what a waiter was given at the moment it gave up."""
         was_given = waiter.is_over
-        waiter.is_over = True
+        self._queue.remove(waiter)
         if was_given and waiter.connection is not None:
             self.belief.outstanding += 1
             await self.putconn(waiter.connection)
--- a/limedyke/proxy/statements/member_questions.py
+++ b/limedyke/proxy/statements/member_questions.py
@@ -8,6 +8,7 @@
 
 from limedyke.messages.statements import MemberStatus
 from limedyke.messages.work import LogPosition
+from limedyke.proxy.statements.connection_queue import ANY_TENANT
 from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.member_connection import (
     ConnectionLostError,
@@ -87,7 +88,7 @@
         makes the member seem to hang, and ``examine`` finds out.
         """
         try:
-            connection = await pool.getconn({}, 0, limit_s)
+            connection = await pool.getconn(ANY_TENANT, {}, 0, limit_s)
         except PoolTimeoutError:
             if pool.belief.silent_s(time.monotonic()) >= limit_s:
                 pool.belief.was_silent(time.monotonic())
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -27,6 +27,7 @@
 from limedyke.proxy.statements.member_codec import MemberCodec
 from limedyke.proxy.statements.memory_store import MemoryControlStore
 from limedyke.proxy.statements.runner import StatementRunner
+from limedyke.proxy.statements.session_admission import SessionAdmission
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
@@ -97,7 +98,11 @@
         self._home = StatementHomeService(self._groups, runner, log, metrics)
         self._home_server = ForwardingServer(self._home, StatementUnit, refuse_unit)
         self._services = ClientServices(
-            self._groups, self._executor, log, lambda: not self._control.holds_primary_lease
+            self._groups,
+            SessionAdmission(self._groups, self._control),
+            self._executor,
+            log,
+            lambda: not self._control.holds_primary_lease,
         )
         self._clients: set[StatementClient] = set()
         metrics.sessions.set_function(lambda: len(self._clients))
--- a/limedyke/result_codes.py
+++ b/limedyke/result_codes.py
@@ -86,6 +86,9 @@
     UNKNOWN_STATEMENT_NAME = CodeEntry(
         2006, "26000", Outcome.DID_NOT_RUN, "The session has prepared no statement of this name."
     )
+    ACCESS_KEY_UNKNOWN = CodeEntry(
+        2007, "28000", Outcome.DID_NOT_RUN, "No tenant holds the access key that was shown."
+    )
     # 3xxx: routing, limits and outcomes
     OUTCOME_UNKNOWN = CodeEntry(
         3001, "40003", Outcome.UNKNOWN, "The answer was lost; the request may have run."
@@ -147,6 +150,12 @@
         Outcome.DID_NOT_RUN,
         "The home proxy can't reach the group's primary; another one may.",
     )
+    OVER_OPERATION_LIMIT = CodeEntry(
+        3017,
+        "53400",
+        Outcome.DID_NOT_RUN,
+        "The tenant has used up its operations for the moment; try again later.",
+    )
     # 4xxx: control
     NOT_LEADER = CodeEntry(
         4001, "57P03", Outcome.DID_NOT_RUN, "This controller does not hold the leader lease."
