Count the operations of tenants with a limit over all proxies

Cause: tenants declare operations a second and a burst; nothing counted them.

Weighed: a share of the rate for each proxy by observed demand (59 proxies and tenants of 4 operations a second: no share holds one token, so operations below the limit are refused); a counting home proxy for each tenant (its membership changes at other moments in each proxy's view, so two may count at once, and its state dies with a proxy); a token bucket at the leader, which is single under its lease. The last was built.

Change: a proxy asks the leader (at most 50 messages a second, all tenants together), is granted or refused at once with a time to come back, and asks ahead by the rate seen. While no answer comes, it goes on at the rate granted lately until its leases end; the leader takes that from the bucket once it misses the proxy, back to when it was last heard. A new leader counts what was granted before as spent, and fills at the share of the proxies that have come to it. What surely did not run gives its count back; a transaction counts once.

--- /dev/null
+++ b/features/steps/operation_limits_steps.py
@@ -0,0 +1,290 @@
+"""Steps on the tenants' limits of operations."""
+
+from __future__ import annotations
+
+import re
+import time
+from functools import partial
+
+import curio
+from behave import given, step, then, when
+
+from features.steps.statement_path_steps import run
+from limedyke.core.limits.operation_allowance import OperationAllowance
+from limedyke.core.limits.operation_limits import OperationLimits
+from limedyke.messages.declaration import Tenant
+from limedyke.messages.limits import OperationDemand, OperationsWanted
+
+LEASE_S = 12.0
+STEP_S = 0.1
+HEARTBEAT_S = 0.4
+WINDOW_S = 5.0
+TENANT = "one"
+PROXIES = ("p", "q", "r")
+CUT_OFF = {"a third is cut off": 1, "two thirds are cut off": 2, "all are cut off": 3}
+
+
+class LimitsWorld:
+    """A leader's count, and proxies that ask it on one clock.
+
+    :ivar ran: when each operation ran
+    :ivar alone: how many of them ran without the leader
+    """
+
+    def __init__(self, rate: float, burst: int, led_s: float) -> None:
+        self.tenants = {TENANT: Tenant(TENANT, (), operation_rate=rate, operation_burst=burst)}
+        self.now = 1_000.0
+        self.limits = OperationLimits(self.tenants, LEASE_S, self.now - led_s)
+        self.allowances = {proxy: OperationAllowance() for proxy in PROXIES}
+        self.ran: list[float] = []
+        self.refused: list[float] = []
+        self.alone = 0
+        self.number = 0
+        self.retry_after_ms = 0
+
+    def ask(self, proxy: str, count: int) -> int:
+        """Have a proxy ask for operations, which run if granted; return how many were."""
+        self.number += 1
+        request = OperationsWanted(self.number, (OperationDemand(TENANT, count),))
+        grant = self.limits.wanted(proxy, request, self.now).grants[0]
+        self.allowances[proxy].granted(grant.operations, self.now)
+        self.ran += [self.now] * grant.operations
+        self.refused += [self.now] * (count - grant.operations)
+        self.retry_after_ms = grant.retry_after_ms
+        return grant.operations
+
+    def run_alone(self, proxy: str, count: int) -> None:
+        """Have a proxy run what it may without the leader."""
+        for _ in range(count):
+            if self.allowances[proxy].take_reserve(self.now):
+                self.ran.append(self.now)
+                self.alone += 1
+            else:
+                self.refused.append(self.now)
+
+    def play(self, asking: tuple[str, ...], alone: tuple[str, ...], each: int, seconds: float):
+        """Let time pass; each proxy wants so many operations at each step."""
+        steps = round(seconds / STEP_S)
+        for number in range(steps):
+            self.now += STEP_S
+            self.limits.tick(self.now)
+            for proxy in asking:
+                if number % round(HEARTBEAT_S / STEP_S) == 0:
+                    self.limits.heard(proxy, self.now)
+                self.ask(proxy, each)
+            for proxy in alone:
+                self.run_alone(proxy, each)
+
+    def most_in_window(self) -> int:
+        """Return the most operations that ran within any window."""
+        most = 0
+        first = 0
+        for last, moment in enumerate(self.ran):
+            while moment - self.ran[first] > WINDOW_S:
+                first += 1
+            most = max(most, last - first + 1)
+        return most
+
+
+@given("operation limits: a tenant of {rate:g} a second and {burst:d}, and a leader of {led_s:g} s")
+def step_world(context, rate, burst, led_s):
+    context.world = LimitsWorld(rate, burst, led_s)
+
+
+@given("operation limits: half of the proxies have come to it")
+def step_half(context):
+    context.world.limits.known_share(0.5, context.world.now)
+
+
+@when("operation limits: proxy p asks for {count:d} each 100 ms for {seconds:g} s")
+def step_one_asks(context, count, seconds):
+    context.world.play(("p",), (), count, seconds)
+
+
+@when("operation limits: proxies {names} ask for {count:d} each 100 ms for {seconds:g} s")
+def step_some_ask(context, names, count, seconds):
+    context.world.play(tuple(names.split(" ")), (), count, seconds)
+
+
+@when("operation limits: proxy p asks for {count:d} at once")
+def step_at_once(context, count):
+    context.granted = context.world.ask("p", count)
+
+
+@when("operation limits: they lose the leader, {how}, for {seconds:g} s")
+def step_cut(context, how, seconds):
+    count = CUT_OFF[how]
+    context.world.play(PROXIES[count:], PROXIES[:count], 3, seconds)
+
+
+@when("operation limits: proxies {names} have ended")
+def step_ended(context, names):
+    for name in names.split(" "):
+        context.world.limits.ended(name, context.world.now)
+
+
+@when(
+    "operation limits: the limit is {change:w} to {rate:g} a second and {burst:d}",
+)
+def step_changed(context, change, rate, burst):
+    world = context.world
+    world.ask("p", 0)
+    world.tenants[TENANT] = Tenant(TENANT, (), operation_rate=rate, operation_burst=burst)
+    world.limits.tenants_changed([TENANT], world.now)
+
+
+@then(
+    "operation limits: {count:d} were granted, and the rest is to come back in {retry:d} ms",
+)
+def step_granted(context, count, retry):
+    told = (context.granted, context.world.retry_after_ms)
+    assert told == (count, retry), told
+
+
+@then("operation limits: in 5 s at most {most:d} ran, and {refused:w} were refused")
+def step_most(context, most, refused):
+    found = context.world.most_in_window()
+    assert found <= most, found
+    assert bool(context.world.refused) == (refused == "some"), len(context.world.refused)
+
+
+@then("operation limits: those that can't ask ran at least {least:d}")
+def step_alone(context, least):
+    assert context.world.alone >= least, context.world.alone
+
+
+@then("operation limits: none of the last {count:d} was refused")
+def step_none_refused(context, count):
+    since = context.world.now - count * STEP_S
+    late = [moment for moment in context.world.refused if moment > since]
+    assert not late, len(late)
+
+
+@given("operation limits: a proxy that was granted {rate:d} a second for {seconds:d} s")
+def step_was_granted(context, rate, seconds):
+    context.now = 1_000.0
+    context.allowance = OperationAllowance()
+    for _ in range(rate * seconds):
+        context.now += 1 / rate
+        context.allowance.granted(1, context.now)
+
+
+@when(
+    "operation limits: the leader answers no more, and {count:d} want to run each 100 ms for "
+    "{seconds:d} s"
+)
+def step_no_leader(context, count, seconds):
+    context.ran = 0
+    for _ in range(round(seconds / STEP_S)):
+        context.now += STEP_S
+        context.ran += sum(context.allowance.take_reserve(context.now) for _ in range(count))
+
+
+@then("operation limits: between {least:d} and {most:d} ran")
+def step_between(context, least, most):
+    assert least <= context.ran <= most, context.ran
+
+
+@when("operation limits: {count:d} are granted ahead, and {seconds:g} s pass")
+def step_ahead(context, count, seconds):
+    context.allowance.add(count, context.now)
+    context.now += seconds
+
+
+@then("operation limits: none is in stock")
+def step_no_stock(context):
+    assert not context.allowance.take(context.now)
+
+
+@given(
+    "operation limits: one may run {rate:g} a second and {burst:d}, and the leader counts",
+)
+def step_limited(context, rate, burst):
+    path = context.path
+    path.limit(TENANT, rate, burst)
+    run(context, path.tell_view)
+    path.leader = OperationLimits(path.tenants, LEASE_S, time.monotonic() - 100.0)
+    run(context, partial(curio.spawn, path.limits.run, daemon=True))
+
+
+@step("operation limits: members refuse {count:d} statements")
+def step_refuse(context, count):
+    for member in context.path.group.members.values():
+        member.faults.busy = count
+
+
+@given("operation limits: members lose {count:d} answer")
+def step_lose(context, count):
+    for member in context.path.group.members.values():
+        member.faults.lose_answers = count
+
+
+@when("operation limits: the leader answers nothing")
+def step_leader_silent(context):
+    context.path.leader = None
+
+
+@when("operation limits: the leader answers nothing, and the leases have run out")
+def step_leases_over(context):
+    context.path.leader = None
+    context.path.alone_until = time.monotonic()
+
+
+@when("operation limits: a client with {key:w} writes {count:d} times")
+def step_writes(context, key, count):
+    async def write():
+        client, _ = await context.path.connect("db", key)
+        told = []
+        for _ in range(count):
+            began_at = time.monotonic()
+            answer = await client.ask("WRITE x 1")
+            told.append((answer, list(client.last_answer), time.monotonic() - began_at))
+        return told
+
+    context.ran_before = len(context.path.group.runs)
+    context.told = run(context, write)
+
+
+@when("operation limits: it is refused {count:d} times")
+def step_refused(context, count):
+    for _ in range(count):
+        answer = run(context, context.client.ask, "WRITE x 0")
+        assert answer == "BUSY I", answer
+    assert not context.path.group.runs
+
+
+@then(
+    "operation limits: {least:d} to {most:d} are done, and the others are refused as not run with "
+    "a time to come back"
+)
+def step_done(context, least, most):
+    done = [answer for answer, _, _ in context.told if answer == "done I"]
+    assert least <= len(done) <= most, context.told
+    for answer, lines, _ in context.told:
+        if answer != "done I":
+            assert answer == "BUSY I", answer
+            assert re.search(r"try again in \d+ ms", lines[0]), lines
+
+
+@then("operation limits: each refusal came within {milliseconds:d} ms")
+def step_quick(context, milliseconds):
+    slow = [took for answer, _, took in context.told if took * 1_000 > milliseconds]
+    assert not slow, slow
+
+
+@then("operation limits: all was told within {milliseconds:d} ms")
+def step_all_told(context, milliseconds):
+    took_ms = sum(took for _, _, took in context.told) * 1_000
+    assert took_ms <= milliseconds, took_ms
+
+
+@then("operation limits: no more ran than were done")
+def step_no_more(context):
+    done = [answer for answer, _, _ in context.told if answer == "done I"]
+    ran = len(context.path.group.runs) - context.ran_before
+    assert ran == len(done), (ran, len(done))
+
+
+@then("operation limits: the leader was asked {count:d} times")
+def step_asked(context, count):
+    assert len(context.path.asked) == count, len(context.path.asked)
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -12,6 +12,7 @@
 from features.support.far_address import FarAddress
 from features.support.line_platform.group import StandInGroup
 from limedyke.core.access_keys import access_key_digest
+from limedyke.core.limits.operation_limits import OperationLimits
 from limedyke.messages.control import ConnectionLease, GroupPrimary, ProxyRecord
 from limedyke.messages.databases import (
     AnnouncedMember,
@@ -21,9 +22,11 @@
     SessionLimits,
 )
 from limedyke.messages.declaration import Group, PromotionMode, Tenant, TenantAccess
+from limedyke.messages.limits import OperationsWanted
 from limedyke.metrics import TrafficCounter, new_registry
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.forwarding.home_links import HomeLinks
+from limedyke.proxy.limits.operation_limiter import OperationLimiter
 from limedyke.proxy.statements.client import ClientServices, StatementClient
 from limedyke.proxy.statements.executor import StatementExecutor
 from limedyke.proxy.statements.forwarding import StatementForwarding
@@ -157,9 +160,16 @@
         self.news: ControlView | None = None
         self.is_cut_off = False
         self.confirmations = 0
+        self.asked: list[OperationsWanted] = []
+        self.leader: OperationLimits | None = None
+        self.alone_until = NEVER
+        self.limits = OperationLimiter(
+            lambda: self.groups.view.tenants, self._ask_leader, lambda: self.alone_until
+        )
         self.services = ClientServices(
             self.groups,
             SessionAdmission(self.groups, self),
+            self.limits,
             executor,
             log,
             lambda: time.monotonic() >= self.lease_ends_at,
@@ -183,6 +193,20 @@
             await self.take_view(view)
         return True
 
+    async def _ask_leader(self, message: OperationsWanted) -> bool:
+        """Stand for the leader's count of operations; None for a leader that answers nothing."""
+        self.asked.append(message)
+        if self.leader is not None:
+            answer = self.leader.wanted("proxy", message, time.monotonic())
+            await curio.spawn(self.limits.granted, answer, daemon=True)
+        return not self.is_cut_off
+
+    def limit(self, tenant: str, rate: float, burst: int) -> None:
+        """Give a tenant a limit, from the next view on."""
+        known = self.tenants[tenant]
+        limited = dataclasses.replace(known, operation_rate=rate, operation_burst=burst)
+        self.tenants[tenant] = limited
+
     async def tell_view(self) -> None:
         """Give the proxy a view of the present state."""
         await self.take_view(self.make_view())
--- a/limedyke/controller/proxy_sessions.py
+++ b/limedyke/controller/proxy_sessions.py
@@ -13,6 +13,7 @@
     LeaderEvent,
     LeasesReturned,
     MemberReported,
+    OperationsAsked,
     PromotionAnswered,
     ProxyConnected,
     ProxyDisconnected,
@@ -35,6 +36,7 @@
     ProxyRefused,
     WritesPaused,
 )
+from limedyke.messages.limits import OperationsWanted
 from limedyke.result_codes import ResultCode
 from limedyke.transport.link import Link, LinkClosedError
 from limedyke.transport.traffic import Purpose
@@ -211,6 +213,8 @@
             return HeartbeatReceived(proxy, message, first)
         case MemberReport():
             return MemberReported(proxy, message)
+        case OperationsWanted():
+            return OperationsAsked(proxy, message)
         case LeaseReturned():
             return LeasesReturned(proxy, message.leases)
         case PromoteResult():
--- a/limedyke/core/control/events.py
+++ b/limedyke/core/control/events.py
@@ -13,6 +13,7 @@
     ProxyHello,
 )
 from limedyke.messages.control_entries import ControlEntry
+from limedyke.messages.limits import OperationsWanted
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +55,14 @@
     report: MemberReport
 
 
+@dataclass(frozen=True, slots=True)
+class OperationsAsked:
+    """A proxy asks for operations of tenants with a limit."""
+
+    proxy: str
+    request: OperationsWanted
+
+
 @dataclass(frozen=True, slots=True)
 class PromotionAnswered:
     """A proxy answered a promotion order; ``primary`` is empty when it failed."""
@@ -128,6 +137,7 @@
     | HeartbeatReceived
     | LeasesReturned
     | MemberReported
+    | OperationsAsked
     | PromotionAnswered
     | WritesPausedReported
     | ProxyLeft
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -19,6 +19,7 @@
     LeaderEvent,
     LeasesReturned,
     MemberReported,
+    OperationsAsked,
     PlatformListed,
     PromotionAnswered,
     Propose,
@@ -36,6 +37,7 @@
 from limedyke.core.control.state import ControlState
 from limedyke.core.control.timing import ControlTiming
 from limedyke.core.home import HomeDirectory, connection_limits
+from limedyke.core.limits.operation_limits import OperationLimits
 from limedyke.messages.control import (
     ConnectionLease,
     LeaseUpdate,
@@ -89,6 +91,7 @@
         self.failover = FailoverCoordinator(
             state.primaries, state.switchover_targets, self.membership, timing, generator
         )
+        self.limits = OperationLimits(state.declared.tenants, timing.lease_s, now)
         self.announcements = AnnouncementBook(state.announced, state.displaced, now)
         self.authority = AuthorityFailover(
             state.primaries,
@@ -121,6 +124,9 @@
             case MemberReported():
                 self.failover.report(event.proxy, event.report, now)
                 self.authority.report(event.proxy, event.report, now)
+            case OperationsAsked():
+                granted = self.limits.wanted(event.proxy, event.request, now)
+                self._commands.append(SendToProxy(event.proxy, granted))
             case AuthorityAnswered():
                 self.authority.authority_answered(event.group, event.fence, event.outcome, now)
             case LeasesReturned():
@@ -140,7 +146,7 @@
             case WritesPausedReported():
                 self.failover.writes_paused(event.proxy, event.group, event.term, now)
             case ProxyLeft():
-                self._on_left(event)
+                self._on_left(event, now)
             case PlatformListed():
                 self.membership.hint(event.leaving)
 
@@ -178,13 +184,14 @@
             self._commands.append(DisconnectProxy(hello.name, EARLIER_PROCESS))
             return
         self._refused.discard(hello.name)
-        self._end_earlier_lives(hello)
+        self._end_earlier_lives(hello, now)
         known = self._state.proxies.get(hello.name)
         if known is not None and has_ended(known, hello):
             self.leases.ended(hello.name)
+            self.limits.ended(hello.name, now)
         self.membership.connected(hello, now)
 
-    def _end_earlier_lives(self, hello: ProxyHello) -> None:
+    def _end_earlier_lives(self, hello: ProxyHello, now: float) -> None:
         """Free what other names held on what this proxy has for itself.
 
         A proxy without a disk has a name of its own in each life, and in place of a folder the
@@ -193,10 +200,12 @@
         for name, record in self._state.proxies.items():
             if record.folder_id and record.folder_id == hello.folder_id and name != hello.name:
                 self.leases.ended(name)
+                self.limits.ended(name, now)
                 self.membership.ended(name)
 
     def _on_heartbeat(self, event: HeartbeatReceived, now: float) -> None:
         self.membership.heartbeat(event.proxy, event.heartbeat, now)
+        self.limits.heard(event.proxy, now)
         if event.first:
             self.leases.report(event.proxy, event.heartbeat.leases, now)
         else:
@@ -209,14 +218,17 @@
         self.failover.proxy_disconnected(proxy, now)
         self.authority.proxy_disconnected(proxy)
 
-    def _on_left(self, event: ProxyLeft) -> None:
+    def _on_left(self, event: ProxyLeft, now: float) -> None:
         if event.done:
             self.leases.ended(event.proxy)
+            self.limits.ended(event.proxy, now)
         self.membership.left(event.proxy, event.done)
 
     def _on_time(self, now: float) -> None:
         self.failover.tick(now)
         self.authority.tick(now)
+        self.limits.known_share(self.leases.reported_share, now)
+        self.limits.tick(now)
         if now < self._next_judgement_at:
             return
         self._next_judgement_at = now + JUDGE_INTERVAL_S
@@ -243,6 +255,8 @@
         for name in changed.difference(group.name for group in update.groups):
             self.leases.set_homes(name, self.homes.homes(name))
             self.failover.set_homes(name, self.homes.homes(name))
+        self.limits.tenants_changed([tenant.name for tenant in update.tenants], now)
+        self.limits.tenants_changed(update.removed_tenants, now)
         for primary in update.primaries:
             self.failover.primary_applied(primary, now)
             self.authority.primary_applied(primary, now)
--- a/limedyke/core/control/lease_table.py
+++ b/limedyke/core/control/lease_table.py
@@ -48,6 +48,7 @@
         self._reachable: set[str] = set()
         self._to_share: dict[str, None] = {}
         self._unreported = set(unreported)
+        self._registered = len(unreported)
         self._adoption_ends_at = now + self._expiry_s
 
     @property
@@ -55,6 +56,13 @@
         """Whether earlier leases may still be unknown, so that nothing new is granted."""
         return bool(self._unreported)
 
+    @property
+    def reported_share(self) -> float:
+        """Which share of the proxies registered at the beginning has told what it holds."""
+        if not self._registered:
+            return 1.0
+        return 1.0 - len(self._unreported) / self._registered
+
     def group(self, name: str) -> GroupLeases | None:
         """Return the leases of a group."""
         return self._groups.get(name)
--- /dev/null
+++ b/limedyke/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""How many operations a tenant may run, over all proxies."""
--- /dev/null
+++ b/limedyke/core/limits/operation_allowance.py
@@ -0,0 +1,74 @@
+"""What one proxy may run for one tenant with a limit; sans-IO."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from limedyke.core.limits.token_bucket import TokenBucket
+from limedyke.core.limits.use_rate import UseRate
+
+STOCK_LIFE_S = 1.0
+"""What was granted and not run by then is dropped: run later it would count in another window."""
+AHEAD_S = 0.3
+"""Operations are asked for so much ahead, at the rate at which they came lately: about the time for
+which an answer of the leader may be missed."""
+RESERVE_S = 0.5
+"""A proxy that can't ask holds at most what it ran in so long."""
+RECENT_S = 2.0
+"""A proxy that ran something for the tenant so lately may run one operation without asking."""
+
+
+class OperationAllowance:
+    """Stock of granted operations, and what may run while no grant can be had."""
+
+    def __init__(self) -> None:
+        self._stock: deque[float] = deque()
+        self._demand = UseRate()
+        self._granted = UseRate()
+        self._reserve: TokenBucket | None = None
+
+    def came(self, now: float) -> None:
+        """Count an operation that wants to run."""
+        self._demand.count(1, now)
+
+    def take(self, now: float) -> bool:
+        """Take one operation out of the stock, if there is one."""
+        while self._stock and self._stock[0] <= now:
+            self._stock.popleft()
+        if not self._stock:
+            return False
+        self._stock.popleft()
+        return True
+
+    def ahead(self, now: float) -> int:
+        """Return how many operations are to be asked for beside those that wait."""
+        while self._stock and self._stock[0] <= now:
+            self._stock.popleft()
+        return max(0, int(self._demand.at(now) * AHEAD_S) - len(self._stock))
+
+    def granted(self, operations: int, now: float) -> None:
+        """Count what was granted: the leader answers."""
+        if operations:
+            self._granted.count(operations, now)
+        self._reserve = None
+
+    def add(self, operations: int, now: float) -> None:
+        """Put operations into the stock: granted ahead, or given back because they did not run."""
+        self._stock.extend([now + STOCK_LIFE_S] * operations)
+
+    def take_reserve(self, now: float) -> bool:
+        """Take one operation of those that may run while the leader can't be asked.
+
+        They come at the rate at which operations were granted when it was last heard.
+        """
+        if self._reserve is None:
+            rate = self._granted.at(now)
+            is_recent = now - self._granted.last_at <= RECENT_S
+            burst = max(1.0, rate * RESERVE_S)
+            first = burst if is_recent else 0.0
+            self._reserve = TokenBucket(rate, burst, first, now)
+        return self._reserve.take(1, now) == 1
+
+    def retry_after_s(self) -> float:
+        """Return when another operation may run while the leader can't be asked."""
+        return self._reserve.expected_s(1.0) if self._reserve is not None else 0.0
--- /dev/null
+++ b/limedyke/core/limits/operation_limits.py
@@ -0,0 +1,168 @@
+"""The leader's count of the operations that proxies run for tenants with a limit; sans-IO.
+
+The leader holds a token bucket for each tenant and grants operations to the proxies that ask.  A
+proxy that can't ask goes on at the rate at which it ran lately (``OperationAllowance``); the leader
+takes that from the bucket once it misses the proxy, back to the moment at which it last heard it,
+for as long as the proxy's leases last.  So the sum over all proxies stays at the limit but for what
+runs until the leader notices, and nobody who keeps within its limit is refused.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping
+
+from limedyke.core.limits.token_bucket import TokenBucket
+from limedyke.core.limits.use_rate import UseRate
+from limedyke.messages.declaration import Tenant
+from limedyke.messages.limits import (
+    OperationDemand,
+    OperationGrant,
+    OperationsGranted,
+    OperationsWanted,
+)
+
+FIRST_TOKENS = 5.0
+FIRST_TOKENS_S = 0.25
+"""What a bucket holds when a controller begins to lead, beside what comes: 5 operations and a
+quarter of a second of the rate. What the leader before granted counts as spent."""
+UNHEARD_S = 1.0
+"""A proxy that was not heard for so long (it sends a heartbeat each 0.4 s) is taken to have lost
+the leader, and to go on by itself."""
+AHEAD_SHARE = 0.5
+"""Operations are granted ahead only from what a bucket holds beyond this share of its burst."""
+LONGEST_DEBT_S = 3.0
+"""Debts are forgotten beyond what comes in so long: a tenant is never shut out for longer."""
+RETRY_LIMIT_S = 5.0
+
+
+class OperationLimits:
+    """What may still be run for each tenant, from the moment a controller begins to lead.
+
+    :param tenants: the declared tenants by name, kept by the caller
+    :param lease_s: a proxy that lost the leader runs nothing after so long
+    :param now: when this controller began to lead, seconds of a steady clock
+    """
+
+    def __init__(self, tenants: Mapping[str, Tenant], lease_s: float, now: float) -> None:
+        self._tenants = tenants
+        self._lease_s = lease_s
+        self._began_at = now
+        self._share = 1.0
+        self._buckets: dict[str, TokenBucket] = {}
+        self._uses: dict[str, dict[str, UseRate]] = {}
+        self._heard_at: dict[str, float] = {}
+        self._running_alone: dict[str, dict[str, float]] = {}
+
+    def known_share(self, share: float, now: float) -> None:
+        """Take which share of the registered proxies has come to this leader.
+
+        The others may run by themselves yet, at rates that only the leader before knew.
+        """
+        if share == self._share:
+            return
+        self._share = share
+        for tenant in self._buckets:
+            self._set_rate(tenant, now)
+
+    def tenants_changed(self, names: Iterable[str], now: float) -> None:
+        """Take new limits into force; for those who lost theirs nothing is counted any more."""
+        for name in names:
+            tenant = self._tenants.get(name)
+            if tenant is None or tenant.operation_rate == 0:
+                self._buckets.pop(name, None)
+                self._uses.pop(name, None)
+            elif name in self._buckets:
+                self._set_rate(name, now)
+
+    def wanted(self, proxy: str, request: OperationsWanted, now: float) -> OperationsGranted:
+        """Grant what may be run of what a proxy wants to run."""
+        self.heard(proxy, now)
+        grants = tuple(self._grant(proxy, demand, now) for demand in request.demands)
+        return OperationsGranted(request.number, grants)
+
+    def heard(self, proxy: str, now: float) -> None:
+        """Note that a proxy reaches this leader: it runs nothing by itself."""
+        self._heard_at[proxy] = now
+        if proxy in self._running_alone:
+            self._runs_alone_no_more(proxy, now)
+
+    def ended(self, proxy: str, now: float) -> None:
+        """Note that a proxy's process has ended."""
+        self._heard_at.pop(proxy, None)
+        if proxy in self._running_alone:
+            self._runs_alone_no_more(proxy, now)
+        for uses in self._uses.values():
+            uses.pop(proxy, None)
+
+    def tick(self, now: float) -> None:
+        """Count for proxies that are missed; to be called several times a second."""
+        for proxy, heard_at in list(self._heard_at.items()):
+            if now - heard_at > self._lease_s:
+                self.ended(proxy, now)
+            elif now - heard_at > UNHEARD_S and proxy not in self._running_alone:
+                self._runs_alone(proxy, heard_at, now)
+
+    def _grant(self, proxy: str, demand: OperationDemand, now: float) -> OperationGrant:
+        tenant = self._tenants.get(demand.tenant)
+        if tenant is None:
+            return OperationGrant(demand.tenant, 0)
+        if tenant.operation_rate == 0:
+            return OperationGrant(demand.tenant, demand.operations + demand.ahead)
+        bucket = self._bucket(tenant, now)
+        granted = bucket.take(demand.operations, now)
+        missing = demand.operations - granted
+        if demand.ahead and not missing:
+            spare = int(bucket.tokens - AHEAD_SHARE * bucket.burst)
+            granted += bucket.take(max(0, min(demand.ahead, spare)), now)
+        if granted:
+            uses = self._uses.setdefault(demand.tenant, {})
+            uses.setdefault(proxy, UseRate()).count(granted, now)
+        retry_after_s = min(bucket.expected_s(missing), RETRY_LIMIT_S)
+        return OperationGrant(demand.tenant, granted, math.ceil(retry_after_s * 1_000))
+
+    def _bucket(self, tenant: Tenant, now: float) -> TokenBucket:
+        bucket = self._buckets.get(tenant.name)
+        if bucket is None:
+            burst = _burst(tenant)
+            first = min(burst, FIRST_TOKENS + FIRST_TOKENS_S * tenant.operation_rate)
+            bucket = TokenBucket(tenant.operation_rate, burst, first, self._began_at)
+            self._buckets[tenant.name] = bucket
+            self._set_rate(tenant.name, self._began_at)
+        return bucket
+
+    def _set_rate(self, name: str, now: float) -> None:
+        """Have a bucket fill at what the limit leaves beside proxies that run by themselves."""
+        bucket = self._buckets.get(name)
+        tenant = self._tenants.get(name)
+        if bucket is None or tenant is None:
+            return
+        bucket.advance(now)
+        alone = sum(rates.get(name, 0.0) for rates in self._running_alone.values())
+        bucket.rate = max(0.0, tenant.operation_rate * self._share - alone)
+        bucket.burst = _burst(tenant)
+        bucket.tokens = min(bucket.tokens, bucket.burst)
+
+    def _runs_alone(self, proxy: str, since: float, now: float) -> None:
+        """Count a proxy that is missed as running at its rate since it was last heard."""
+        rates = {
+            tenant: uses[proxy].at(since) for tenant, uses in self._uses.items() if proxy in uses
+        }
+        self._running_alone[proxy] = rates
+        for tenant, rate in rates.items():
+            bucket = self._buckets.get(tenant)
+            if bucket is None:
+                continue
+            bucket.advance(now)
+            owed = rate * (now - since)
+            bucket.tokens = max(bucket.tokens - owed, -LONGEST_DEBT_S * bucket.rate)
+            self._set_rate(tenant, now)
+
+    def _runs_alone_no_more(self, proxy: str, now: float) -> None:
+        for tenant in self._running_alone.pop(proxy):
+            self._set_rate(tenant, now)
+
+
+def _burst(tenant: Tenant) -> float:
+    """Return the most tokens of a tenant's bucket: one at least, or nothing would ever run."""
+    return max(1.0, float(tenant.operation_burst))
--- a/limedyke/proxy/control/client.py
+++ b/limedyke/proxy/control/client.py
@@ -9,7 +9,7 @@
 
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import curio
 from result import Err
@@ -30,7 +30,9 @@
     QuorumStamp,
     WritesPaused,
 )
+from limedyke.messages.declaration import Tenant
 from limedyke.messages.handshake import PeerRole
+from limedyke.messages.limits import OperationsGranted
 from limedyke.proxy.control.announcements import ControlAnnouncements
 from limedyke.proxy.control.controller_choice import ControllerChoice
 from limedyke.proxy.control.handler import ControlHandler
@@ -43,6 +45,7 @@
 from limedyke.proxy.control.store import ControlStore, StoredControl
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.control.view_check import ViewCheck
+from limedyke.proxy.limits.operation_limiter import OperationLimiter
 from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkClosedError, LinkIdentity
 from limedyke.transport.traffic import NO_METER, Place, TrafficMeter
@@ -58,6 +61,8 @@
     :param store: the proxy's disk
     :param handler: gets views, leases and promotion orders
     :param meter: counts what is sent to the controllers
+
+    :ivar limits: lets operations of tenants with a limit run
     """
 
     def __init__(
@@ -92,9 +97,13 @@
         )
         self._primary_lease_ends_at = 0.0
         self._heartbeats_sent_at: dict[int, float] = {}
+        self.limits = OperationLimiter(self._tenants, self._send, lambda: self.leases_expire_at)
         self.clients = 0
         self.links_opened = 0
 
+    def _tenants(self) -> Mapping[str, Tenant]:
+        return self.view.tenants if self.view is not None else {}
+
     @property
     def view(self) -> ControlView | None:
         """The newest view in force, or None before the first one."""
@@ -146,6 +155,7 @@
         self._stored = opened.ok_value
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._keep_connected)
+            await tasks.spawn(self.limits.run)
             await tasks.spawn(self._leases.watch_expiry)
 
     async def report_member(self, report: MemberReport) -> None:
@@ -206,15 +216,19 @@
         """
         await self._send(self._announcements.leave(done))
 
-    async def _send(self, message: object) -> None:
-        """Send to the leader; a message lost with the link is repeated by the next hello."""
+    async def _send(self, message: object) -> bool:
+        """Send to the leader; tell whether one is linked.
+
+        A message lost with the link is repeated by the next hello.
+        """
         link = self._link
         if link is None:
-            return
+            return False
         try:
             await link.send(message)
         except LinkClosedError:
-            return
+            return False
+        return True
 
     async def _keep_connected(self) -> None:
         while True:
@@ -296,6 +310,7 @@
             LeaseUpdate: self._leases.take,
             PromoteOrder: self._take_order,
             NotLeader: self._take_not_leader,
+            OperationsGranted: self.limits.granted,
         }
 
     async def _take_snapshot(self, snapshot: ControlSnapshot) -> None:
--- /dev/null
+++ b/limedyke/proxy/limits/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy's part in the tenants' limits of operations."""
--- a/limedyke/proxy/statements/client.py
+++ b/limedyke/proxy/statements/client.py
@@ -20,6 +20,7 @@
 from limedyke.event_log import EventLog
 from limedyke.messages.statements import Statement, StatementAnswer, StatementKind
 from limedyke.messages.work import TransactionStatus
+from limedyke.proxy.limits.operation_limiter import OperationLimiter
 from limedyke.proxy.statements.client_codec import (
     ClientCodec,
     ClientEvent,
@@ -33,9 +34,10 @@
 from limedyke.proxy.statements.placed_answer import TransactionPlace
 from limedyke.proxy.statements.session_admission import SessionAdmission
 from limedyke.proxy.statements.statement_log import StatementLog
-from limedyke.result_codes import ResultCode
+from limedyke.result_codes import CODE_BY_NUMBER, Outcome, ResultCode
 
 RECEIVE_BYTES = 64 * 1024
+MS_PER_S = 1_000
 ENDS_AN_OPERATION = frozenset(
     {
         StatementKind.READ,
@@ -75,6 +77,7 @@
 
     groups: StatementGroups
     admission: SessionAdmission
+    limits: OperationLimiter
     executor: StatementExecutor
     log: StatementLog
     is_cut_off: Callable[[], bool] = lambda: False
@@ -259,6 +262,20 @@
         return plan
 
     async def _run(self, session: StatementSession, run: RunOnMember) -> StatementAnswer:
+        """Run a statement; the first of an operation counts against its tenant's limit."""
+        is_first = session.transaction is None or run.begin is not None
+        over = await self._services.limits.admit(session.tenant) if is_first else None
+        if over is not None:
+            session.fail_transaction()
+            retry_after_ms = int(over.retry_after_s * MS_PER_S)
+            return refusal(ResultCode.OVER_OPERATION_LIMIT, over.detail, retry_after_ms)
         placed = await self._services.executor.run(session, run, self._place)
         self._place = placed.place
+        if is_first and _did_not_run(placed.answer):
+            self._services.limits.give_back(session.tenant)
         return placed.answer
+
+
+def _did_not_run(answer: StatementAnswer) -> bool:
+    code = CODE_BY_NUMBER.get(answer.code)
+    return code is not None and code.outcome is Outcome.DID_NOT_RUN
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -100,6 +100,7 @@
         self._services = ClientServices(
             self._groups,
             SessionAdmission(self._groups, self._control),
+            self._control.limits,
             self._executor,
             log,
             lambda: not self._control.holds_primary_lease,
