Let controllers that are no members find the leader and pass calls on to it

Cause: a controller that is neither voter nor learner never heard who leads: the answers to its announcements carried addresses only, so each call that reached it was refused. All waiting controllers learned of and dialled each other, and asked each other every 0.3 s: the square of their number. At 300 machines no call came through.

Ruled out: making all controllers learners (the leader would replicate to each); answering over links of the members' own (each member would dial each waiting controller and probe that link every second).

Change: MembershipSearch asks two known controllers for the leader, then announces itself to the leader alone over the link that also carries forwarded calls; the leader says when to call again, so that it hears at most fifty a second; a call that the leader there does not take starts the search anew. Members are dialled ahead only by members.

A limit is declared in whole operations a minute: a float limit may be NaN, which the test of all messages found.

--- a/features/steps/operation_limits_steps.py
+++ b/features/steps/operation_limits_steps.py
@@ -32,7 +32,11 @@
     """
 
     def __init__(self, rate: float, burst: int, led_s: float) -> None:
-        self.tenants = {TENANT: Tenant(TENANT, (), operation_rate=rate, operation_burst=burst)}
+        self.tenants = {
+            TENANT: Tenant(
+                TENANT, (), operations_per_minute=round(rate * 60), operation_burst=burst
+            )
+        }
         self.now = 1_000.0
         self.limits = OperationLimits(self.tenants, LEASE_S, self.now - led_s)
         self.allowances = {proxy: OperationAllowance() for proxy in PROXIES}
@@ -129,7 +133,9 @@
 def step_changed(context, change, rate, burst):
     world = context.world
     world.ask("p", 0)
-    world.tenants[TENANT] = Tenant(TENANT, (), operation_rate=rate, operation_burst=burst)
+    world.tenants[TENANT] = Tenant(
+        TENANT, (), operations_per_minute=round(rate * 60), operation_burst=burst
+    )
     world.limits.tenants_changed([TENANT], world.now)
 
 
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -39,6 +39,7 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._processes: dict[str, subprocess.Popen] = {}
+        self._further: set[str] = set()
         self.group = StandInGroup(GROUP, ("a", "b", "c"))
         self.promotions: list[tuple[str, int]] = []
         self.version = 0
@@ -56,6 +57,11 @@
             self.start_process(ip, "run_proxy.py", bootstrap=True)
         await curio.spawn(self._beat, daemon=True)
 
+    def start_controller(self, ip: str) -> None:
+        """Start a controller that is none of the seeds."""
+        self._further.add(ip)
+        self.start_process(ip, "run_controller.py", bootstrap=True)
+
     def start_process(self, ip: str, program: str, bootstrap: bool = False) -> None:
         """Start one process with a node file of its own."""
         path = self._folder / f"{ip}.json"
@@ -71,7 +77,7 @@
             )
 
     def _node_file(self, ip: str, bootstrap: bool) -> dict:
-        is_controller = ip in CONTROLLERS
+        is_controller = ip in CONTROLLERS or ip in self._further
         front = {"front": f"{ip}:{FRONT_PORT}", "readiness": f"{ip}:{READY_PORT}"}
         return {
             "nodeName": ip,
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -204,7 +204,9 @@
     def limit(self, tenant: str, rate: float, burst: int) -> None:
         """Give a tenant a limit, from the next view on."""
         known = self.tenants[tenant]
-        limited = dataclasses.replace(known, operation_rate=rate, operation_burst=burst)
+        limited = dataclasses.replace(
+            known, operations_per_minute=int(rate * 60), operation_burst=burst
+        )
         self.tenants[tenant] = limited
 
     async def tell_view(self) -> None:
--- a/limedyke/controller/call_desk.py
+++ b/limedyke/controller/call_desk.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from itertools import count
 
 import curio
@@ -16,6 +16,10 @@
 from limedyke.transport.link import KeyLookup, Link, LinkClosedError, LinkIdentity, dial
 
 DIAL_TIMEOUT_S = 0.6
+ASK_LIMIT_S = 1.0
+LEADER_LOST = frozenset(
+    code.value.number for code in (ResultCode.NOT_LEADER, ResultCode.CONTROL_OUTCOME_UNKNOWN)
+)
 EVENTS = EventLog("calls")
 
 
@@ -78,6 +82,7 @@
 
     :param calls: carries calls out on the leader; None before the cluster is founded
     :param leader_address: internal address of the known leader, or an empty string
+    :param leader_lost: called when the controller there can't be reached or leads no longer
     """
 
     def __init__(
@@ -87,7 +92,9 @@
         identity: LinkIdentity,
         keys: KeyLookup,
         source_ip: str,
+        leader_lost: Callable[[], Awaitable[None]],
     ) -> None:
+        self._leader_lost = leader_lost
         self._calls = calls
         self._leader_address = leader_address
         self._identity = identity
@@ -102,6 +109,37 @@
             return await self._ask(call)
         return _lost("no answer in time")
 
+    async def ask_leader(self, address: str, call: Call) -> CallAnswer:
+        """Ask the controller at an address over the link to the leader, which stays open."""
+        async with curio.ignore_after(ASK_LIMIT_S):
+            link = await self._leader_link(address)
+            if link is None:
+                return _lost("not reached")
+            return await link.ask(call)
+        return _lost("no answer in time")
+
+    async def ask_at(self, address: str, call: Call) -> CallAnswer:
+        """Ask any controller over a link of its own."""
+        async with curio.ignore_after(ASK_LIMIT_S):
+            return await self._ask_at(address, call)
+        return _lost("no answer in time")
+
+    async def _ask_at(self, address: str, call: Call) -> CallAnswer:
+        dialled = await dial(address, self._identity, self._keys, self._source_ip, DIAL_TIMEOUT_S)
+        if isinstance(dialled, Err):
+            return _lost(str(dialled.err_value))
+        link = dialled.ok_value
+        try:
+            await link.send(ForwardedCall(0, call))
+            answered = await link.receive()
+        except LinkClosedError as error:
+            return _lost(str(error))
+        finally:
+            await link.close()
+        if not isinstance(answered, ForwardedAnswer):
+            return _lost(f"unexpected {type(answered).__name__}")
+        return answered.answer
+
     async def serve(self, link: Link) -> None:
         """Answer the calls that another controller passes on."""
         while True:
@@ -114,7 +152,7 @@
         calls = self._calls()
         answer = failed(Failure(ResultCode.NOT_LEADER))
         if calls is not None:
-            answer = await calls.answer(message.call)
+            answer = await calls.answer_forwarded(message.call)
         await until_closed(link.send, ForwardedAnswer(message.number, answer))
 
     async def _ask(self, call: Call) -> CallAnswer:
@@ -128,7 +166,10 @@
         if not address:
             return answer
         link = await self._leader_link(address)
-        return answer if link is None else await link.ask(call)
+        forwarded = answer if link is None else await link.ask(call)
+        if forwarded.code in LEADER_LOST:
+            await self._leader_lost()
+        return forwarded
 
     async def _leader_link(self, address: str) -> _LeaderLink | None:
         """Return a link to the leader, opened anew when there is none; None when it fails."""
--- a/limedyke/controller/leader_calls.py
+++ b/limedyke/controller/leader_calls.py
@@ -12,6 +12,7 @@
 from limedyke.event_log import EventLog
 from limedyke.messages.calls import (
     AnnounceCall,
+    AwaitMembershipCall,
     Call,
     CallAnswer,
     DeclareCall,
@@ -52,6 +53,12 @@
         self._voters_wanted = voters_wanted
         self._advertise = advertise
 
+    async def answer_forwarded(self, call: Call) -> CallAnswer:
+        """Answer a call of another controller; one that waits to be added is always answered."""
+        if isinstance(call, AwaitMembershipCall):
+            return self._replica.welcome(call)
+        return await self.answer(call)
+
     async def answer(self, call: Call) -> CallAnswer:
         """Carry out a call, or say that this controller does not lead."""
         service = self._leader()
--- /dev/null
+++ b/limedyke/controller/membership_search.py
@@ -0,0 +1,98 @@
+"""A controller that is no member of its cluster: finds the leader, and waits there to be added.
+
+However many controllers wait, each keeps one link, to the leader, and the leader says how often
+it wants to hear of them.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from limedyke.controller.replica import Replica
+from limedyke.event_log import EventLog
+from limedyke.messages.calls import AwaitMembershipCall, Call, CallAnswer
+
+ASKED_AT_ONCE = 2
+"""Controllers that are asked for the leader at a time: one of them may hang."""
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.5
+"""Between two searches: at first the others start too, later a leader is elected in a second."""
+MEMBER_CHECK_S = 0.3
+EVENTS = EventLog("membership")
+
+AskAt = Callable[[str, Call], Awaitable[CallAnswer]]
+
+
+class MembershipSearch:
+    """Runs beside the replica as long as the process does; rests while it is a member.
+
+    :param replica: this controller's replica
+    :param ask_leader: asks over the link to the leader, which stays open; for that address
+    :param ask: asks any controller, over a link of its own
+    :param advertise: where the other controllers reach this one (``ip:port``)
+    """
+
+    def __init__(self, replica: Replica, ask_leader: AskAt, ask: AskAt, advertise: str) -> None:
+        self._replica = replica
+        self._ask_leader = ask_leader
+        self._ask = ask
+        self._call = AwaitMembershipCall(replica.agreement.identity, advertise)
+        self._lost = curio.Event()
+        self._pause_s = FIRST_PAUSE_S
+
+    async def leader_lost(self) -> None:
+        """Search again at once: the leader gave no answer, or leads no longer."""
+        await self._lost.set()
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        while True:
+            self._lost.clear()
+            if self._replica.is_member:
+                self._replica.keep_links()
+                pause_s = MEMBER_CHECK_S
+            else:
+                pause_s = await self._step()
+            await curio.ignore_after(pause_s, self._lost.wait)
+            if self._lost.is_set():
+                self._replica.forget_leader()
+                await curio.sleep(FIRST_PAUSE_S)
+
+    async def _step(self) -> float:
+        """Announce this controller to the leader, or look for it; return the pause after that."""
+        leader = self._replica.leader_address("")
+        if not leader:
+            return await self._look_for_leader()
+        answer = await self._ask_leader(leader, self._call)
+        if answer.code:
+            self._replica.forget_leader()
+            return self._next_pause_s()
+        self._replica.learn_members(answer)
+        if answer.leader != leader:
+            return self._next_pause_s()
+        self._pause_s = FIRST_PAUSE_S
+        return answer.retry_after_ms / 1_000
+
+    async def _look_for_leader(self) -> float:
+        known = list(self._replica.known_addresses.values())
+        chosen = random.sample(known, min(ASKED_AT_ONCE, len(known)))
+        async with curio.TaskGroup() as tasks:
+            for address in chosen:
+                await tasks.spawn(self._learn_from, address)
+        if self._replica.leader_address(""):
+            return 0.0
+        return self._next_pause_s()
+
+    async def _learn_from(self, address: str) -> None:
+        answer = await self._ask(address, self._call)
+        if not answer.code:
+            self._replica.learn_members(answer)
+
+    def _next_pause_s(self) -> float:
+        """Return a pause that grows, and differs from controller to controller."""
+        pause_s = self._pause_s
+        self._pause_s = min(2 * self._pause_s, LONGEST_PAUSE_S)
+        return pause_s * random.uniform(0.5, 1.5)
--- a/limedyke/controller/peer_network.py
+++ b/limedyke/controller/peer_network.py
@@ -45,6 +45,7 @@
         self.address = address
         self.mailbox: Mailbox[AgreementEnvelope] = Mailbox(QUEUE_LIMIT)
         self.has_dialled_us = curio.Event()
+        self.is_wanted = False
 
 
 class PeerNetwork:
@@ -53,6 +54,9 @@
     :param identity: this controller and the incarnation of its data folder
     :param link_identity: proves this process to its peers
     :param receive: called with each message for this very incarnation
+
+    :ivar dials_ahead: whether peers are dialled as soon as they are known, not only when there is
+        something to send: members do, those that wait to be added may be hundreds
     """
 
     def __init__(
@@ -73,6 +77,7 @@
         self._has_unstarted = curio.Event()
         self._generator = Random()
         self.cluster = ""
+        self.dials_ahead = True
 
     @property
     def addresses(self) -> dict[str, str]:
@@ -96,6 +101,7 @@
         if outgoing is None:
             return
         if self._unstarted:
+            outgoing.is_wanted = True
             await self._has_unstarted.set()
         await outgoing.mailbox.put(seal(self.cluster, self._identity, to, message))
 
@@ -103,12 +109,19 @@
         """Keep links to all peers until cancelled."""
         async with curio.TaskGroup() as tasks:
             while True:
-                for name in self._unstarted:
-                    await tasks.spawn(self._keep_link, self._outgoing[name])
-                self._unstarted.clear()
                 self._has_unstarted.clear()
+                for name in self._take_wanted():
+                    await tasks.spawn(self._keep_link, self._outgoing[name])
                 await curio.ignore_after(LONGEST_PAUSE_S, self._has_unstarted.wait)
 
+    def _take_wanted(self) -> list[str]:
+        """Take out the peers to which a link is to be kept from now on."""
+        wanted = [
+            name for name in self._unstarted if self.dials_ahead or self._outgoing[name].is_wanted
+        ]
+        self._unstarted = [name for name in self._unstarted if name not in wanted]
+        return wanted
+
     async def serve(self, link: Link) -> None:
         """Receive from a peer that dialled this controller: it is up, and is dialled at once."""
         outgoing = self._outgoing.get(link.peer_name)
--- a/limedyke/controller/replica.py
+++ b/limedyke/controller/replica.py
@@ -59,6 +59,7 @@
     LogEntry,
     PeerAddress,
 )
+from limedyke.messages.calls import AwaitMembershipCall, CallAnswer
 from limedyke.messages.control import ControlUpdate
 from limedyke.messages.control_entries import ControlEntry, pack_entry, unpack_entry
 from limedyke.result_codes import Failure
@@ -66,6 +67,10 @@
 
 DISK_PROBE_INTERVAL_S = 0.25
 ANNOUNCEMENT_INTERVAL_S = 0.3
+ANNOUNCEMENT_COST_S = 0.02
+"""Time for which the leader asks each waiting controller to leave it to the others."""
+ANNOUNCEMENT_AGE_S = 3.0
+"""A controller that announced itself so lately counts as waiting, whatever its interval."""
 EVENTS = EventLog("controller")
 
 
@@ -85,7 +90,7 @@
     :param advertise: where the other controllers reach this one (``ip:port``)
 
     :ivar strangers: controllers that are no members and announced themselves, by name
-    :ivar waiting: those of them that said where they are reached
+    :ivar waiting: those of them that said where they are reached, as long as they go on saying so
     """
 
     def __init__(
@@ -110,6 +115,7 @@
         self._storage_failed = curio.Event()
         self.strangers: dict[str, ControllerIdentity] = {}
         self.waiting: dict[str, WaitingController] = {}
+        self._leader_hint = ""
         self._advertise = advertise
         self._snapshot = stored.snapshot
         self._storage = storage
@@ -133,14 +139,74 @@
         return self.agreement.holds_lease(boot_seconds())
 
     def leader_address(self, own_address: str) -> str:
-        """Return the address of the known leader, or an empty string."""
+        """Return the address of the known leader, or an empty string.
+
+        A controller that is no member hears no leader, but may have been told of one.
+        """
         leader = self.agreement.leader
         if leader is None:
-            return ""
+            return "" if self.is_member else self._leader_hint
         if leader == self.agreement.identity:
             return own_address
         return self._network.addresses.get(leader.name, "")
 
+    @property
+    def is_member(self) -> bool:
+        """Whether this incarnation is a voter or learner, as far as it knows."""
+        configuration = self.agreement.configuration
+        return self.agreement.identity in configuration.voters + configuration.learners
+
+    def keep_links(self) -> None:
+        """Keep links to all other members from now on, also while there is nothing to send."""
+        self._network.dials_ahead = True
+
+    def forget_leader(self) -> None:
+        """Take no controller for the leader until one is heard or told of again."""
+        self._leader_hint = ""
+
+    def learn_members(self, answer: CallAnswer) -> None:
+        """Learn from another controller where the leader and the members are reached."""
+        self._leader_hint = answer.leader
+        for member in answer.members:
+            self._network.set_address(member.name, member.address)
+
+    def welcome(self, call: AwaitMembershipCall) -> CallAnswer:
+        """Answer a controller that waits to be added; the leader notes it, and says when to call.
+
+        That is the later the more there are: the leader hears at most fifty of them a second.
+        """
+        leader = self.leader_address(self._advertise)
+        if self.leads:
+            self._note_waiting(call)
+        present = len(self.waiting)
+        interval_s = max(ANNOUNCEMENT_INTERVAL_S, present * ANNOUNCEMENT_COST_S)
+        return CallAnswer(
+            leader=leader, members=self._members(), retry_after_ms=int(interval_s * 1_000)
+        )
+
+    def _note_waiting(self, call: AwaitMembershipCall) -> None:
+        now = boot_seconds()
+        interval_s = max(ANNOUNCEMENT_INTERVAL_S, (len(self.waiting) + 1) * ANNOUNCEMENT_COST_S)
+        self.strangers[call.identity.name] = call.identity
+        self.waiting[call.identity.name] = WaitingController(
+            call.identity, call.address, now, interval_s
+        )
+        gone = [
+            name
+            for name, controller in self.waiting.items()
+            if not controller.is_present(now, ANNOUNCEMENT_AGE_S)
+        ]
+        for name in gone:
+            del self.waiting[name]
+
+    def _members(self) -> tuple[PeerAddress, ...]:
+        """Return where the members are reached that this controller knows."""
+        own = self.agreement.identity.name
+        known = {own: self._advertise, **self._network.addresses}
+        configuration = self.agreement.configuration
+        names = [member.name for member in configuration.voters + configuration.learners]
+        return tuple(PeerAddress(name, known[name]) for name in names if known.get(name))
+
     async def run(self) -> None:
         """Run until cancelled; returns when the storage has failed and the disk works again.
 
@@ -171,7 +237,7 @@
     async def receive(self, sender: ControllerIdentity, message: PeerMessage) -> None:
         """Take a message of another controller."""
         if isinstance(message, FoundingQuery):
-            await self._answer_stranger(sender, message)
+            await self._answer_stranger(sender)
             return
         if isinstance(message, FoundingAnswer):
             for known in message.controllers:
@@ -180,12 +246,9 @@
         self._metrics.peer_messages.labels("in").inc()
         await self._events.put(MessageReceived(sender, message))
 
-    async def _answer_stranger(self, sender: ControllerIdentity, query: FoundingQuery) -> None:
+    async def _answer_stranger(self, sender: ControllerIdentity) -> None:
         """Note a controller that waits to be added, and tell it what it asks."""
         self.strangers[sender.name] = sender
-        if query.address:
-            self._network.set_address(sender.name, query.address)
-            self.waiting[sender.name] = WaitingController(sender, query.address, boot_seconds())
         known = {self.agreement.identity.name: self._advertise, **self._network.addresses}
         answer = answer_founding_query(
             sender,
@@ -256,14 +319,14 @@
         return kept + self.agreement.handle(failed, now)
 
     async def _announce_when_due(self, now: float) -> None:
-        """Tell all others that this controller waits to be added; a restart forgets it."""
-        agreement = self.agreement
-        configuration = agreement.configuration
-        is_member = agreement.identity in configuration.voters + configuration.learners
-        if is_member or now < self._next_announcement_at:
+        """Tell all declared others that this controller waits; a restart forgets it.
+
+        Where controllers find each other by themselves, ``MembershipSearch`` does it.
+        """
+        if self._advertise or self.is_member or now < self._next_announcement_at:
             return
         self._next_announcement_at = now + ANNOUNCEMENT_INTERVAL_S
-        query = FoundingQuery(self._voter_names, self._advertise)
+        query = FoundingQuery(self._voter_names)
         for name in self._network.addresses:
             await self._network.send(ControllerIdentity(name, ANY_INCARNATION), query)
 
--- a/limedyke/controller/server.py
+++ b/limedyke/controller/server.py
@@ -15,6 +15,7 @@
 from limedyke.controller.keys import ControllerKeys
 from limedyke.controller.leader_calls import LeaderCalls
 from limedyke.controller.leader_service import LeaderService
+from limedyke.controller.membership_search import MembershipSearch
 from limedyke.controller.operator_changes import ControllerChanges
 from limedyke.controller.operator_requests import OperatorRequests
 from limedyke.controller.peer_network import PeerMessage, PeerNetwork
@@ -104,6 +105,8 @@
         self._network = PeerNetwork(
             log.identity, self._link_identity, self._keys, settings.source_ip, self._receive
         )
+        waits = settings.voters_wanted and settings.join and log.snapshot_index == 0
+        self._network.dials_ahead = not waits
         for peer in settings.peers:
             self._network.set_address(peer.name, peer.address)
         self._founding: FoundingPhase | None = None
@@ -117,7 +120,14 @@
             replace(self._link_identity, role=PeerRole.FORWARDER),
             self._keys,
             settings.source_ip,
+            self._leader_lost,
         )
+        self._search: MembershipSearch | None = None
+
+    async def _leader_lost(self) -> None:
+        """Have the leader looked for, if this controller does not hear it as a member."""
+        if self._search is not None:
+            await self._search.leader_lost()
 
     def learn_peers(self, peers: tuple[ControllerPeer, ...]) -> None:
         """Learn of controllers that changed settings name."""
@@ -163,6 +173,8 @@
         self._start_replica()
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(self._replica.run)
+            if self._search is not None:
+                await tasks.spawn(self._search.run)
             await tasks.spawn(self._follow_leadership)
             if self._settings.voters_wanted:
                 await tasks.spawn(self._voter_care().run)
@@ -215,6 +227,10 @@
             metrics=self._pages.metrics,
         )
         self._replica = replica
+        if self._settings.voters_wanted:
+            self._search = MembershipSearch(
+                replica, self._desk.ask_leader, self._desk.ask_at, self._settings.advertise
+            )
         self._calls = LeaderCalls(
             replica, lambda: self._leader, self._settings.voters_wanted, self._settings.advertise
         )
--- a/limedyke/core/agreement/voter_policy.py
+++ b/limedyke/core/agreement/voter_policy.py
@@ -20,6 +20,7 @@
 
 STANDBYS_WANTED = 3
 """Learners kept beside the wanted voters, ready to replace one that is lost."""
+ANNOUNCEMENTS_MISSED = 3
 FORGET_LEARNER_FACTOR = 4
 """A learner silent for so many times the limit of voters is dropped."""
 
@@ -29,11 +30,17 @@
     """A controller that is no member and announced itself.
 
     :param heard_at: seconds of the leader's clock
+    :param interval_s: after which it was asked to announce itself again
     """
 
     identity: ControllerIdentity
     address: str
     heard_at: float
+    interval_s: float = 0.0
+
+    def is_present(self, now: float, least_age_s: float) -> bool:
+        """Tell whether it was heard within the last three announcements, or within an age."""
+        return now - self.heard_at <= max(least_age_s, ANNOUNCEMENTS_MISSED * self.interval_s)
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +113,7 @@
         for controller in sorted(waiting, key=lambda found: found.identity.name):
             if controller.identity in members:
                 continue
-            if now - controller.heard_at > self.announcement_age_s:
+            if not controller.is_present(now, self.announcement_age_s):
                 continue
             if room > 0 or controller.identity.name in names:
                 return AddLearner(controller.identity)
--- a/limedyke/core/limits/operation_limits.py
+++ b/limedyke/core/limits/operation_limits.py
@@ -22,6 +22,7 @@
     OperationsWanted,
 )
 
+SECONDS_PER_MINUTE = 60
 FIRST_TOKENS = 5.0
 FIRST_TOKENS_S = 0.25
 """What a bucket holds when a controller begins to lead, beside what comes: 5 operations and a
@@ -69,7 +70,7 @@
         """Take new limits into force; for those who lost theirs nothing is counted any more."""
         for name in names:
             tenant = self._tenants.get(name)
-            if tenant is None or tenant.operation_rate == 0:
+            if tenant is None or tenant.operations_per_minute == 0:
                 self._buckets.pop(name, None)
                 self._uses.pop(name, None)
             elif name in self._buckets:
@@ -107,7 +108,7 @@
         tenant = self._tenants.get(demand.tenant)
         if tenant is None:
             return OperationGrant(demand.tenant, 0)
-        if tenant.operation_rate == 0:
+        if tenant.operations_per_minute == 0:
             return OperationGrant(demand.tenant, demand.operations + demand.ahead)
         bucket = self._bucket(tenant, now)
         granted = bucket.take(demand.operations, now)
@@ -125,8 +126,8 @@
         bucket = self._buckets.get(tenant.name)
         if bucket is None:
             burst = _burst(tenant)
-            first = min(burst, FIRST_TOKENS + FIRST_TOKENS_S * tenant.operation_rate)
-            bucket = TokenBucket(tenant.operation_rate, burst, first, self._began_at)
+            first = min(burst, FIRST_TOKENS + FIRST_TOKENS_S * _rate(tenant))
+            bucket = TokenBucket(_rate(tenant), burst, first, self._began_at)
             self._buckets[tenant.name] = bucket
             self._set_rate(tenant.name, self._began_at)
         return bucket
@@ -139,7 +140,7 @@
             return
         bucket.advance(now)
         alone = sum(rates.get(name, 0.0) for rates in self._running_alone.values())
-        bucket.rate = max(0.0, tenant.operation_rate * self._share - alone)
+        bucket.rate = max(0.0, _rate(tenant) * self._share - alone)
         bucket.burst = _burst(tenant)
         bucket.tokens = min(bucket.tokens, bucket.burst)
 
@@ -163,6 +164,11 @@
             self._set_rate(tenant, now)
 
 
+def _rate(tenant: Tenant) -> float:
+    """Return a tenant's limit in operations a second."""
+    return tenant.operations_per_minute / SECONDS_PER_MINUTE
+
+
 def _burst(tenant: Tenant) -> float:
     """Return the most tokens of a tenant's bucket: one at least, or nothing would ever run."""
     return max(1.0, float(tenant.operation_burst))
--- a/limedyke/messages/calls.py
+++ b/limedyke/messages/calls.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from limedyke.messages.agreement import ControllerIdentity, PeerAddress
 from limedyke.messages.databases import AnnouncedMember
 from limedyke.messages.declaration import Declaration
 from limedyke.messages.registry import message
@@ -48,7 +49,20 @@
     identity: str
 
 
-Call = DeclareCall | ReadDeclarationCall | AnnounceCall | WithdrawCall
+@message(227)
+@dataclass(frozen=True, slots=True)
+class AwaitMembershipCall:
+    """A controller that is no member waits to be added; any controller answers it.
+
+    :param identity: of the controller, with the incarnation of its data folder
+    :param address: where the other controllers reach it (``ip:port``)
+    """
+
+    identity: ControllerIdentity
+    address: str
+
+
+Call = DeclareCall | ReadDeclarationCall | AnnounceCall | WithdrawCall | AwaitMembershipCall
 
 
 @message(224)
@@ -59,7 +73,10 @@
     :param code: number of a result code, 0 when the call was carried out
     :param version: of the declaration in force, for calls on it
     :param document: for ``ReadDeclarationCall``
-    :param leader: internal address of the leader that answered (``ip:port``)
+    :param leader: internal address of the leader, as the answering controller knows it
+        (``ip:port``)
+    :param members: for ``AwaitMembershipCall``: the members of the cluster
+    :param retry_after_ms: for ``AwaitMembershipCall``: when to call again
     """
 
     code: int = 0
@@ -67,6 +84,8 @@
     version: int = 0
     document: bytes = b""
     leader: str = ""
+    members: tuple[PeerAddress, ...] = ()
+    retry_after_ms: int = 0
 
 
 @message(225)
@@ -75,7 +94,7 @@
     """A call on its way to the leader; ``number`` is unique on its link."""
 
     number: int
-    call: DeclareCall | ReadDeclarationCall | AnnounceCall | WithdrawCall
+    call: DeclareCall | ReadDeclarationCall | AnnounceCall | WithdrawCall | AwaitMembershipCall
 
 
 @message(226)
--- a/limedyke/messages/declaration.py
+++ b/limedyke/messages/declaration.py
@@ -54,8 +54,8 @@
     :param client_limit: client connections per proxy
     :param access_keys: digests of the keys by which its clients are known where there are no
         logins; no two tenants hold the same
-    :param operation_rate: operations a second over all proxies; 0 for no limit
-    :param operation_burst: operations beyond that rate after a rest
+    :param operations_per_minute: that it may run over all proxies; 0 for no limit
+    :param operation_burst: those that it may run at once after a rest
     """
 
     name: str
@@ -64,7 +64,7 @@
     client_limit: int = 10_000
     priority: Priority = Priority.INTERACTIVE
     access_keys: tuple[bytes, ...] = ()
-    operation_rate: float = 0.0
+    operations_per_minute: int = 0
     operation_burst: int = 0
 
 
--- a/limedyke/proxy/limits/operation_limiter.py
+++ b/limedyke/proxy/limits/operation_limiter.py
@@ -80,7 +80,7 @@
     async def admit(self, tenant: str) -> OverLimit | None:
         """Wait until an operation of a tenant may run; return why it may not, if so."""
         declared = self._tenants().get(tenant)
-        if declared is None or declared.operation_rate == 0:
+        if declared is None or declared.operations_per_minute == 0:
             return None
         now = time.monotonic()
         allowance = self._allowances.setdefault(tenant, OperationAllowance())
