Bind PostgreSQL sessions by their tenants' limits of operations

Cause: limits of operations held for sessions of statements only; a tenant's PostgreSQL sessions knew none.

Change: tenants declare operations_per_minute and operation_burst; LimitedExecutor stands before the executor of all PostgreSQL work and counts each transaction, and each unit outside one, once. A plan tells the change of a limit.

--- a/features/operation_limits.feature
+++ b/features/operation_limits.feature
@@ -135,3 +135,15 @@
     And operation limits: the leader answers nothing, and the leases have run out
     And operation limits: a client with k1 writes 6 times
     Then operation limits: 0 to 0 are done, and the others are refused as not run with a time to come back
+
+  Scenario Outline: operation limits: PostgreSQL sessions, <units>
+    Given operation limits: a PostgreSQL proxy whose tenant may run 0.1 a second and 2
+    When operation limits: units <units> are run
+    Then operation limits: they end <ends>
+
+    Examples: t1 is a unit of transaction 1 that leaves it open, c1 one that ends it, w any other; r is refused
+      | units          | ends                                       |
+      | w w w          | done done LD3017                           |
+      | t1 t1 c1 w w   | done done done done LD3017                 |
+      | r r r w w      | LD3003 LD3003 LD3003 done done             |
+      | u u w          | LD3001 LD3001 LD3017                       |
--- a/features/steps/operation_limits_steps.py
+++ b/features/steps/operation_limits_steps.py
@@ -12,8 +12,13 @@
 from features.steps.statement_path_steps import run
 from limedyke.core.limits.operation_allowance import OperationAllowance
 from limedyke.core.limits.operation_limits import OperationLimits
-from limedyke.messages.declaration import Tenant
+from limedyke.messages.declaration import Priority, Tenant
 from limedyke.messages.limits import OperationDemand, OperationsWanted
+from limedyke.messages.work import Access, AnswerEnd, LogPosition, TransactionStatus, WorkUnit
+from limedyke.proxy.executor import refusal
+from limedyke.proxy.limits.limited_executor import LimitedExecutor
+from limedyke.proxy.limits.operation_limiter import OperationLimiter
+from limedyke.result_codes import CODE_BY_NUMBER, ResultCode
 
 LEASE_S = 12.0
 STEP_S = 0.1
@@ -294,3 +299,72 @@
 @then("operation limits: the leader was asked {count:d} times")
 def step_asked(context, count):
     assert len(context.path.asked) == count, len(context.path.asked)
+
+
+class _ScriptedExecutor:
+    """Answers units by the first letter of their group."""
+
+    def __init__(self):
+        self.ran = []
+
+    async def run(self, unit, _relay):
+        kind = unit.group
+        self.ran.append(kind)
+        if kind == "r":
+            return refusal(unit, ResultCode.NO_MEMBER)
+        if kind == "u":
+            return refusal(unit, ResultCode.OUTCOME_UNKNOWN)
+        status = TransactionStatus.IN_TRANSACTION if kind == "t" else TransactionStatus.IDLE
+        return AnswerEnd(unit.stream, status, LogPosition(), "a", False)
+
+    async def abandon(self, _work):
+        return
+
+
+def _unit(name):
+    return WorkUnit(
+        stream=1,
+        tenant=TENANT,
+        group=name[0],
+        access=Access.WRITE,
+        priority=Priority.INTERACTIVE,
+        transaction=int(name[1:] or 0),
+        required=LogPosition(),
+        barrier=False,
+        repeatable=False,
+        once_key="",
+        staleness_ms=0,
+        deadline_ms=1_000,
+        prepared=(),
+        settings=(),
+        data=b"",
+    )
+
+
+@given("operation limits: a PostgreSQL proxy whose tenant may run {rate:g} a second and {burst:d}")
+def step_postgres(context, rate, burst):
+    world = LimitsWorld(rate, burst, 100.0)
+
+    async def ask(message):
+        await limiter.granted(world.limits.wanted("p", message, world.now))
+        return True
+
+    limiter = OperationLimiter(lambda: world.tenants, ask, lambda: float("inf"))
+    context.executor = LimitedExecutor(_ScriptedExecutor(), limiter)
+    context.kernel = curio.Kernel()
+    context.add_cleanup(context.kernel.run, shutdown=True)
+    run(context, partial(curio.spawn, limiter.run, daemon=True))
+
+
+@when("operation limits: units {units} are run")
+def step_units(context, units):
+    async def run_all():
+        return [await context.executor.run(_unit(name), None) for name in units.split(" ")]
+
+    context.ends = run(context, run_all)
+
+
+@then("operation limits: they end {ends}")
+def step_ends(context, ends):
+    found = [CODE_BY_NUMBER[end.code].label if end.code else "done" for end in context.ends]
+    assert found == ends.split(" "), found
--- a/limedyke/core/control/plan_rules.py
+++ b/limedyke/core/control/plan_rules.py
@@ -13,6 +13,13 @@
 ADD = "add"
 CHANGE = "change"
 REMOVE = "remove"
+_TENANT_NUMBERS = (
+    "max_staleness_ms",
+    "client_limit",
+    "priority",
+    "operations_per_minute",
+    "operation_burst",
+)
 
 
 def refusal_of_change(
@@ -69,12 +76,14 @@
         effects.append("new logins are checked against the new users")
     if removed_users:
         effects.append(f"clients of {', '.join(sorted(removed_users))} are disconnected")
-    for name in ("max_staleness_ms", "client_limit", "priority"):
+    for name in _TENANT_NUMBERS:
         before, after = getattr(present, name), getattr(tenant, name)
         if before != after:
             details.append(f"{name} {int(before)} -> {int(after)}")
     if tenant.client_limit < present.client_limit:
         effects.append("clients above the new limit stay; new ones are refused")
+    if 0 < tenant.operations_per_minute != present.operations_per_minute:
+        effects.append("operations above the new limit are refused")
     return PlannedChange(CHANGE, item, "; ".join(details), "; ".join(effects))
 
 
--- a/limedyke/declaration_conversion.py
+++ b/limedyke/declaration_conversion.py
@@ -40,6 +40,8 @@
         max_staleness_ms=model.max_staleness_ms,
         client_limit=model.client_limit,
         priority=Priority[model.priority.upper()],
+        operations_per_minute=model.operations_per_minute,
+        operation_burst=model.operation_burst,
     )
 
 
--- a/limedyke/declaration_models.py
+++ b/limedyke/declaration_models.py
@@ -68,6 +68,8 @@
     max_staleness_ms: int = Field(default=0, ge=0, le=LARGEST_NUMBER)
     client_limit: Count = 10_000
     priority: str = "interactive"
+    operations_per_minute: int = Field(default=0, ge=0, le=LARGEST_NUMBER)
+    operation_burst: int = Field(default=0, ge=0, le=LARGEST_NUMBER)
 
     @field_validator("priority")
     @classmethod
--- a/limedyke/proxy/executor.py
+++ b/limedyke/proxy/executor.py
@@ -15,7 +15,7 @@
     TransactionStatus,
     WorkUnit,
 )
-from limedyke.result_codes import CODE_BY_NUMBER, Failure, Outcome, ResultCode
+from limedyke.result_codes import CODE_BY_NUMBER, Failure, ResultCode, did_not_run
 
 Relay = Callable[[AnswerChunk], Awaitable[None]]
 """Takes whole PostgreSQL messages of an answer, without ReadyForQuery, as they arrive.
@@ -59,10 +59,9 @@
 
 def told_unanswered(end: AnswerEnd) -> AnswerEnd:
     """Return the end of a read that a member may have seen: never that it did not run."""
-    code = CODE_BY_NUMBER.get(end.code)
-    if code is None or code.outcome is not Outcome.DID_NOT_RUN:
+    if not did_not_run(end.code):
         return end
-    detail = f"{code.label} {end.detail}".rstrip()
+    detail = f"{CODE_BY_NUMBER[end.code].label} {end.detail}".rstrip()
     number = ResultCode.READ_UNANSWERED.value.number
     return dataclasses.replace(end, code=number, detail=detail)
 
--- a/limedyke/proxy/server.py
+++ b/limedyke/proxy/server.py
@@ -30,6 +30,7 @@
 from limedyke.proxy.control.store import ControlStore
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.drain import drain_proxy
+from limedyke.proxy.limits.limited_executor import LimitedExecutor
 from limedyke.proxy.members.pool_gauges import PoolGauges
 from limedyke.proxy.metrics import ProxyMetrics
 from limedyke.result_codes import Failure, ResultCode
@@ -102,7 +103,7 @@
             context=context,
             login_policy=policy,
             registry=ClientRegistry(settings.name, settings.maximum_clients),
-            executor=self._back_ends,
+            executor=LimitedExecutor(self._back_ends, self._control.limits),
             metrics=self._metrics,
             tls=self._tls,
             startup_timeout_s=settings.startup_timeout_ms / 1_000,
--- a/limedyke/proxy/statements/client.py
+++ b/limedyke/proxy/statements/client.py
@@ -34,7 +34,7 @@
 from limedyke.proxy.statements.placed_answer import TransactionPlace
 from limedyke.proxy.statements.session_admission import SessionAdmission
 from limedyke.proxy.statements.statement_log import StatementLog
-from limedyke.result_codes import CODE_BY_NUMBER, Outcome, ResultCode
+from limedyke.result_codes import ResultCode, did_not_run
 
 RECEIVE_BYTES = 64 * 1024
 MS_PER_S = 1_000
@@ -271,11 +271,6 @@
             return refusal(ResultCode.OVER_OPERATION_LIMIT, over.detail, retry_after_ms)
         placed = await self._services.executor.run(session, run, self._place)
         self._place = placed.place
-        if is_first and _did_not_run(placed.answer):
+        if is_first and did_not_run(placed.answer.code):
             self._services.limits.give_back(session.tenant)
         return placed.answer
-
-
-def _did_not_run(answer: StatementAnswer) -> bool:
-    code = CODE_BY_NUMBER.get(answer.code)
-    return code is not None and code.outcome is Outcome.DID_NOT_RUN
--- a/limedyke/proxy/statements/forwarded_attempt.py
+++ b/limedyke/proxy/statements/forwarded_attempt.py
@@ -18,7 +18,7 @@
 )
 from limedyke.proxy.statements.giving_up import give_up
 from limedyke.proxy.statements.group import StatementGroup
-from limedyke.result_codes import CODE_BY_NUMBER, Outcome, ResultCode
+from limedyke.result_codes import ResultCode, did_not_run
 
 LEASE_WAIT_SHARE = 0.7
 """While no home proxy is reached, a statement waits so much of its time for one or for a lease: all
@@ -121,7 +121,6 @@
 
         A refusal tells that this home proxy did not run it; an earlier one may have.
         """
-        refused = answer.code != 0 and CODE_BY_NUMBER[answer.code].outcome is Outcome.DID_NOT_RUN
-        if refused and self.unanswered:
+        if did_not_run(answer.code) and self.unanswered:
             return give_up(self.session, ResultCode.READ_UNANSWERED, answer.detail, True)
         return answer
--- a/limedyke/result_codes.py
+++ b/limedyke/result_codes.py
@@ -231,6 +231,12 @@
 CODE_BY_NUMBER = {code.value.number: code for code in ResultCode}
 
 
+def did_not_run(number: int) -> bool:
+    """Tell whether the code of this number says that the request surely did not run."""
+    code = CODE_BY_NUMBER.get(number)
+    return code is not None and code.outcome is Outcome.DID_NOT_RUN
+
+
 @dataclass(frozen=True, slots=True)
 class Failure:
     """An expected failure, carried as the error side of a ``result.Result``.
