Check in the soak that each statement runs for its tenant and no tenant passes its limit

Cause: the soak knew no tenants, so neither promise was checked on real processes under faults.

Change (tests only): clients speak for two tenants, one of them limited to 12 operations a second; the checks read from the members' record for whom each statement ran and how many operations began in each window of 5 s.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -10,6 +10,8 @@
     Examples:
       | damage                                | promise                            |
       | a member ran what nobody asked        | members run only what was asked    |
+      | a member ran a statement for another tenant | members run a statement for its tenant |
+      | a tenant ran more than its limit within a window | a tenant keeps within its limit |
       | a write was committed twice           | a write takes effect once          |
       | a refused write was committed         | what was refused is not kept       |
       | an acknowledged write is nowhere      | what was acknowledged was committed |
--- a/features/soak/checks.py
+++ b/features/soak/checks.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import bisect
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from features.soak.load import NOTHING_KEPT, ClientRecord
+from features.soak.load import BURST, NOTHING_KEPT, ClientRecord
 from features.support.line_platform.group import StandInGroup
 
 SHOWN = 5
+WINDOW_S, OVERSHOOT, SLACK = 5.0, 0.1, 20
+"""Within any window so long, a limit may be exceeded by this share and so many operations."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +38,8 @@
     kept = {commit.request_id for commit in commits} - group.rolled_back
     return [
         *_asked_only(records, group),
+        *_for_its_tenant(records, group),
+        *_within_limits(records, group),
         *_once(group),
         *_refused_is_not_kept(records, kept),
         *_acknowledged_is_kept(records, group, kept),
@@ -49,6 +54,33 @@
     return [Violation("members run only what was asked", name) for name in sorted(foreign)[:SHOWN]]
 
 
+def _for_its_tenant(records: list[ClientRecord], group: StandInGroup) -> list[Violation]:
+    tenants = {name: record.tenant.name for record in records for name in record.asked}
+    found = [
+        f"{run.request_id} ran for {run.tenant}"
+        for run in group.runs
+        if run.tenant != tenants.get(run.request_id, run.tenant)
+    ]
+    return [Violation("members run a statement for its tenant", text) for text in found[:SHOWN]]
+
+
+def _within_limits(records: list[ClientRecord], group: StandInGroup) -> list[Violation]:
+    """Count operations by the request that began them, in each window that begins with one."""
+    found = []
+    for tenant in {record.tenant for record in records if record.tenant.rate}:
+        began = {}
+        for run in group.runs:
+            if run.tenant == tenant.name and run.text != "COMMIT":
+                began.setdefault(run.request_id, run.at)
+        moments = sorted(began.values())
+        allowed = (tenant.rate * WINDOW_S + BURST) * (1 + OVERSHOOT) + SLACK
+        for first, moment in enumerate(moments):
+            count = bisect.bisect_right(moments, moment + WINDOW_S) - first
+            if count > allowed:
+                found.append(f"{count} of {tenant.name} in {WINDOW_S} s, {allowed:.0f} allowed")
+    return [Violation("a tenant keeps within its limit", text) for text in found[:SHOWN]]
+
+
 def _once(group: StandInGroup) -> list[Violation]:
     found = []
     for member in group.members.values():
--- a/features/soak/load.py
+++ b/features/soak/load.py
@@ -13,6 +13,28 @@
 from features.support.statement_path import LineClient, summary
 
 DATABASE = "db1"
+OPERATIONS_PER_S = 12
+BURST = 12
+
+
+@dataclass(frozen=True, slots=True)
+class SoakTenant:
+    """A tenant of the soak.
+
+    :param rate: operations a second, 0 for no limit
+    """
+
+    name: str
+    key: str
+    rate: int
+
+    def document(self) -> dict:
+        """Return the tenant as a configuration declares it."""
+        burst = BURST if self.rate else 0
+        return {"name": self.name, "apiKeys": [self.key], "ratePerS": self.rate, "burst": burst}
+
+
+TENANTS = (SoakTenant("free", "key-free", 0), SoakTenant("limited", "key-lim", OPERATIONS_PER_S))
 NOTHING_KEPT = frozenset({"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "MAXCONN"})
 """Words by which a client is promised that nothing of its attempt is kept."""
 PAUSE_S = 0.03
@@ -47,6 +69,7 @@
     """All that one client knows."""
 
     name: str
+    tenant: SoakTenant
     asked: set[str] = field(default_factory=set)
     writes: list[WriteTold] = field(default_factory=list)
     reads: list[ReadTold] = field(default_factory=list)
@@ -67,10 +90,11 @@
     """One client with a session at a time, at one proxy after the other.
 
     :param proxies: addresses of the machines of the proxies
+    :param tenant: for whom it speaks
     """
 
-    def __init__(self, name: str, proxies: tuple[str, ...], seed: int) -> None:
-        self.record = ClientRecord(name)
+    def __init__(self, name: str, proxies: tuple[str, ...], seed: int, tenant: SoakTenant) -> None:
+        self.record = ClientRecord(name, tenant)
         self._proxies = proxies
         self._generator = random.Random(f"{seed}/{name}")
         self._thing = name
@@ -102,7 +126,7 @@
             await sock.connect((self._generator.choice(self._proxies), FRONT_PORT))
         self._sessions += 1
         client = LineClient(sock, f"{self.record.name}-{self._sessions}-")
-        await client.send(f"START {DATABASE} u1\r\n")
+        await client.send(f"START {DATABASE} {self.record.tenant.key}\r\n")
         if summary([await client.receive()]) == "I":
             self._client = client
         else:
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -16,7 +16,7 @@
 import curio
 
 from features.soak.checks import Violation, check
-from features.soak.load import DATABASE, SoakClient
+from features.soak.load import DATABASE, TENANTS, SoakClient
 from features.soak.plan import Fault, draw_plan
 from features.soak.world import SoakDeployment, Striker
 from features.support.line_platform.deployment import CONTROLLERS, PROXIES
@@ -74,7 +74,11 @@
 
 async def _play(seed: int, seconds: float, folder: Path) -> SoakResult:
     deployment = SoakDeployment(folder)
-    clients = [SoakClient(f"c{number}", PROXIES, seed) for number in range(CLIENTS)]
+    deployment.tenants = [tenant.document() for tenant in TENANTS]
+    clients = [
+        SoakClient(f"c{number}", PROXIES, seed, TENANTS[number % len(TENANTS)])
+        for number in range(CLIENTS)
+    ]
     plan = draw_plan(seed, seconds)
     operator = Operator(deployment)
     try:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -5,7 +5,7 @@
 from behave import given, step, then, when
 
 from features.soak.checks import check
-from features.soak.load import ClientRecord, ReadTold, WriteTold
+from features.soak.load import TENANTS, ClientRecord, ReadTold, WriteTold
 from features.soak.plan import draw_plan
 from features.soak.run import report, run_soak
 from features.support.line_platform.group import StandInGroup
@@ -14,6 +14,7 @@
 HEALED_AT = 10.0
 LAST_SERVED_AT = 11.0
 PLAN_S = 60.0
+LIMITED = TENANTS[1]
 
 
 def _commit(number, request_id):
@@ -26,8 +27,8 @@
     commits = [_commit(1, "w1"), _commit(2, "w2")]
     for member in group.members.values():
         member.log.commits = list(commits)
-    group.runs = [Run("a", "w1", "WRITE c0 v1", {}, False, 1.0)]
-    record = context.record = ClientRecord("c0", {"w1", "w2", "w3", "r1"})
+    group.runs = [Run("a", "w1", "WRITE c0 v1", {}, False, 1.0, LIMITED.name)]
+    record = context.record = ClientRecord("c0", LIMITED, {"w1", "w2", "w3", "r1"})
     record.writes = [
         WriteTold("w1", "v1", "done", 1.0),
         WriteTold("w2", "v2", "closed", 2.0),
@@ -39,7 +40,20 @@
 
 @when("soak: a member ran what nobody asked")
 def step_foreign(context):
-    context.group.runs.append(Run("b", "x9", "READ c0", {}, False, 5.0))
+    context.group.runs.append(Run("b", "x9", "READ c0", {}, False, 5.0, LIMITED.name))
+
+
+@when("soak: a member ran a statement for another tenant")
+def step_other_tenant(context):
+    context.group.runs.append(Run("b", "w2", "WRITE c0 v2", {}, False, 2.0, "free"))
+
+
+@when("soak: a tenant ran more than its limit within a window")
+def step_over_limit(context):
+    for number in range(LIMITED.rate * 10):
+        context.record.asked.add(f"o{number}")
+        run = Run("b", f"o{number}", "READ c0", {}, False, 2.0 + number / 100, LIMITED.name)
+        context.group.runs.append(run)
 
 
 @when("soak: a write was committed twice")
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -40,6 +40,7 @@
         self._folder = folder
         self._processes: dict[str, subprocess.Popen] = {}
         self._further: set[str] = set()
+        self.tenants: list[dict] | None = None
         self.group = StandInGroup(GROUP, ("a", "b", "c"))
         self.promotions: list[tuple[str, int]] = []
         self.version = 0
@@ -161,6 +162,8 @@
         ]
         services = [{"name": GROUP, "maxConnections": 20, "syncReplicas": 0}]
         body = {"version": version, "routes": routes, "services": services, "limits": {}}
+        if self.tenants is not None:
+            body["tenants"] = self.tenants
         call = HttpCall("PUT", "/config", json.dumps(body).encode())
         return await call_http(f"{ip}:{CONTROL_PORT}", call, CALL_TIMEOUT_S)
 
