Count operations where they run, and give a tenant one home proxy in each region

Each proxy's share of a tenant was a fraction of an operation a second, so its reserve held one operation at most, and the reserve filled at what was granted lately, with no room. And 78 % of all requests opened a connection, as each home proxy served all 72 tenants.

Weighed: a larger reserve for each proxy (the sum over 59 proxies passes the limit of a tenant that turns hot during the cut); counting at the proxy that the client is at (as it was), against counting at the home proxy that runs the statement (a third of the counters). The latter was built; a proxy alone goes on at its share of the limit by what each ran lately, and the leader withholds as much. Of the home proxies of its region a proxy takes the one that a hash of the tenant and the home proxy ranks first, in place of that in its own zone.

Also: a connection that comes back goes to the first request that it serves or that can get none else; before, only the very first request was looked at.

--- a/features/steps/operation_limits_steps.py
+++ b/features/steps/operation_limits_steps.py
@@ -56,7 +56,8 @@
         self.number += 1
         request = OperationsWanted(self.number, (OperationDemand(TENANT, count),))
         grant = self.limits.wanted(proxy, request, self.now).grants[0]
-        self.allowances[proxy].granted(grant.operations, self.now)
+        alone_rate = grant.alone_per_minute / 60
+        self.allowances[proxy].granted(grant.operations, alone_rate, self.now)
         self.ran += [self.now] * grant.operations
         self.refused += [self.now] * (count - grant.operations)
         self.retry_after_ms = grant.retry_after_ms
@@ -177,7 +178,7 @@
     context.allowance = OperationAllowance()
     for _ in range(rate * seconds):
         context.now += 1 / rate
-        context.allowance.granted(1, context.now)
+        context.allowance.granted(1, rate, context.now)
 
 
 @when(
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -146,7 +146,7 @@
         metrics = StatementMetrics(self.registry)
         self.settings = settings
         log = StatementLog(metrics)
-        runner = StatementRunner("z2", metrics, log)
+        runner = StatementRunner("z2", metrics, log, lambda: self.limits)
         self.groups = StatementGroups(
             settings,
             runner,
@@ -169,7 +169,6 @@
         self.services = ClientServices(
             self.groups,
             SessionAdmission(self.groups, self),
-            self.limits,
             executor,
             log,
             lambda: time.monotonic() >= self.lease_ends_at,
--- a/limedyke/core/limits/operation_allowance.py
+++ b/limedyke/core/limits/operation_allowance.py
@@ -25,6 +25,7 @@
         self._stock: deque[float] = deque()
         self._demand = UseRate()
         self._granted = UseRate()
+        self._alone_rate = 0.0
         self._reserve: TokenBucket | None = None
 
     def came(self, now: float) -> None:
@@ -46,10 +47,14 @@
             self._stock.popleft()
         return max(0, int(self._demand.at(now) * AHEAD_S) - len(self._stock))
 
-    def granted(self, operations: int, now: float) -> None:
-        """Count what was granted: the leader answers."""
+    def granted(self, operations: int, alone_rate: float, now: float) -> None:
+        """Count what was granted: the leader answers.
+
+        :param alone_rate: operations a second that may run while the leader can't be asked
+        """
         if operations:
             self._granted.count(operations, now)
+        self._alone_rate = alone_rate
         self._reserve = None
 
     def add(self, operations: int, now: float) -> None:
@@ -59,10 +64,10 @@
     def take_reserve(self, now: float) -> bool:
         """Take one operation of those that may run while the leader can't be asked.
 
-        They come at the rate at which operations were granted when it was last heard.
+        They come at the proxy's share of the limit when the leader was last heard.
         """
         if self._reserve is None:
-            rate = self._granted.at(now)
+            rate = self._alone_rate
             is_recent = now - self._granted.last_at <= RECENT_S
             burst = max(1.0, rate * RESERVE_S)
             first = burst if is_recent else 0.0
--- a/limedyke/core/limits/operation_limits.py
+++ b/limedyke/core/limits/operation_limits.py
@@ -1,7 +1,7 @@
 """The leader's count of the operations that proxies run for tenants with a limit; sans-IO.
 
 The leader holds a token bucket for each tenant and grants operations to the proxies that ask.  A
-proxy that can't ask goes on at the rate at which it ran lately (``OperationAllowance``); the leader
+proxy that can't ask goes on at its share of the limit by what it ran lately; the leader
 takes that from the bucket once it misses the proxy, back to the moment at which it last heard it,
 for as long as the proxy's leases last.  So the sum over all proxies stays at the limit but for what
 runs until the leader notices, and nobody who keeps within its limit is refused.
@@ -120,7 +120,22 @@
             uses = self._uses.setdefault(demand.tenant, {})
             uses.setdefault(proxy, UseRate()).count(granted, now)
         retry_after_s = min(bucket.expected_s(missing), RETRY_LIMIT_S)
-        return OperationGrant(demand.tenant, granted, math.ceil(retry_after_s * 1_000))
+        return OperationGrant(
+            demand.tenant,
+            granted,
+            math.ceil(retry_after_s * 1_000),
+            int(self._share_of(tenant, proxy, now) * SECONDS_PER_MINUTE),
+        )
+
+    def _share_of(self, tenant: Tenant, proxy: str, at: float) -> float:
+        """Return a proxy's share of a limit by what each proxy ran lately, operations a second.
+
+        A tenant within its limit runs less than that: alone, its proxies have some room.
+        """
+        uses = self._uses.get(tenant.name, {})
+        if proxy not in uses:
+            return 0.0
+        return _rate(tenant) * uses[proxy].at(at) / sum(use.at(at) for use in uses.values())
 
     def _bucket(self, tenant: Tenant, now: float) -> TokenBucket:
         bucket = self._buckets.get(tenant.name)
@@ -147,7 +162,9 @@
     def _runs_alone(self, proxy: str, since: float, now: float) -> None:
         """Count a proxy that is missed as running at its rate since it was last heard."""
         rates = {
-            tenant: uses[proxy].at(since) for tenant, uses in self._uses.items() if proxy in uses
+            name: self._share_of(self._tenants[name], proxy, since)
+            for name, uses in self._uses.items()
+            if proxy in uses and name in self._tenants
         }
         self._running_alone[proxy] = rates
         for tenant, rate in rates.items():
--- a/limedyke/messages/limits.py
+++ b/limedyke/messages/limits.py
@@ -40,11 +40,13 @@
 
     :param operations: no more than was asked for, ahead included
     :param retry_after_ms: when the rest may be granted; 0 when all was
+    :param alone_per_minute: the proxy's share of the limit, which it may run while it can't ask
     """
 
     tenant: str
     operations: int
     retry_after_ms: int = 0
+    alone_per_minute: int = 0
 
 
 @message(233)
--- a/limedyke/proxy/forwarding/home_links.py
+++ b/limedyke/proxy/forwarding/home_links.py
@@ -60,6 +60,7 @@
         self._identity = LinkIdentity(PeerRole.PROXY, settings.name, key, place, meter)
         self._view: ControlView | None = None
         self._candidates: dict[str, tuple[ProxyRecord, ...]] = {}
+        self._ordered: dict[tuple[str, str], tuple[ProxyRecord, ...]] = {}
         self._links: dict[str, HomeLink] = {}
         self._dialing: dict[str, curio.Event] = {}
         self._backoffs: dict[str, Backoff] = {}
@@ -68,6 +69,7 @@
         """Take a new view into force."""
         self._view = view
         self._candidates.clear()
+        self._ordered.clear()
 
     def get(self, home: str) -> HomeLink | None:
         """Return the link to a home proxy, open or closing; None when there is none."""
@@ -85,14 +87,18 @@
         """Tell whether another proxy is known that serves a group as its home proxy."""
         return bool(self._candidates_of(group))
 
-    async def choose(self, group: str, tried: set[str]) -> HomeLink | None:
+    async def choose(self, group: str, tried: set[str], tenant: str = "") -> HomeLink | None:
         """Return a link to a home proxy not tried yet, the nearest first; or None.
 
+        :param tenant: whose connections are wanted: all proxies of a region choose the same home
+            proxy for it, so that few connections serve many tenants; empty for any
+
         An open link goes before a nearer home proxy that has yet to be dialled: that one may
         be frozen, and is dialled in the background.  A link whose other end owes a sign of life
         or takes no new work is taken only when no other is left.
         """
-        records = [record for record in self._candidates_of(group) if record.name not in tried]
+        ordered = self._ordered_for(group, tenant)
+        records = [record for record in ordered if record.name not in tried]
         dialling = 0
         doubtful = None
         for record in records:
@@ -138,6 +144,20 @@
         found = self._candidates[group] = tuple(sorted(homes, key=self._distance))
         return found
 
+    def _ordered_for(self, group: str, tenant: str) -> tuple[ProxyRecord, ...]:
+        """Return the other home proxies of a group in the order in which a tenant's are asked."""
+        candidates = self._candidates_of(group)
+        if not tenant:
+            return candidates
+        ordered = self._ordered.get((group, tenant))
+        if ordered is None:
+            region = self._settings.region
+            ordered = tuple(
+                sorted(candidates, key=lambda home: (home.region != region, _weight(tenant, home)))
+            )
+            self._ordered[group, tenant] = ordered
+        return ordered
+
     def _distance(self, record: ProxyRecord) -> tuple[bool, bool, bytes]:
         settings = self._settings
         pair = f"{settings.name} {record.name}".encode()
@@ -204,3 +224,8 @@
         """Return the cluster key for proxies; others don't belong on these links."""
         del name
         return self._identity.key if role is PeerRole.PROXY else None
+
+
+def _weight(tenant: str, home: ProxyRecord) -> bytes:
+    """Return what orders home proxies for a tenant, the same at all proxies."""
+    return blake2b(f"{tenant} {home.name}".encode(), digest_size=8).digest()
--- a/limedyke/proxy/limits/operation_limiter.py
+++ b/limedyke/proxy/limits/operation_limiter.py
@@ -25,6 +25,7 @@
 operation runs out of the reserve."""
 UNANSWERED_PAUSE_S = 0.2
 """A leader that gave no answer is asked again so often, without anybody waiting for it."""
+SECONDS_PER_MINUTE = 60
 LEAST_RETRY_S = 0.1
 MOST_RETRY_S = 5.0
 EVENTS = EventLog("limits")
@@ -176,7 +177,8 @@
     async def _take_grant(self, number: int, grant: OperationGrant) -> None:
         """Let those run that were asked for by this message, in their order."""
         allowance = self._allowances[grant.tenant]
-        allowance.granted(grant.operations, time.monotonic())
+        alone_rate = grant.alone_per_minute / SECONDS_PER_MINUTE
+        allowance.granted(grant.operations, alone_rate, time.monotonic())
         left = grant.operations
         waiting = self._waiting.get(grant.tenant, [])
         for waiter in [waiter for waiter in waiting if waiter.number <= number]:
--- a/limedyke/proxy/statements/client.py
+++ b/limedyke/proxy/statements/client.py
@@ -20,7 +20,6 @@
 from limedyke.event_log import EventLog
 from limedyke.messages.statements import Statement, StatementAnswer, StatementKind
 from limedyke.messages.work import TransactionStatus
-from limedyke.proxy.limits.operation_limiter import OperationLimiter
 from limedyke.proxy.statements.client_codec import (
     ClientCodec,
     ClientEvent,
@@ -34,10 +33,9 @@
 from limedyke.proxy.statements.placed_answer import TransactionPlace
 from limedyke.proxy.statements.session_admission import SessionAdmission
 from limedyke.proxy.statements.statement_log import StatementLog
-from limedyke.result_codes import ResultCode, did_not_run
+from limedyke.result_codes import ResultCode
 
 RECEIVE_BYTES = 64 * 1024
-MS_PER_S = 1_000
 ENDS_AN_OPERATION = frozenset(
     {
         StatementKind.READ,
@@ -77,7 +75,6 @@
 
     groups: StatementGroups
     admission: SessionAdmission
-    limits: OperationLimiter
     executor: StatementExecutor
     log: StatementLog
     is_cut_off: Callable[[], bool] = lambda: False
@@ -262,15 +259,6 @@
         return plan
 
     async def _run(self, session: StatementSession, run: RunOnMember) -> StatementAnswer:
-        """Run a statement; the first of an operation counts against its tenant's limit."""
-        is_first = session.transaction is None or run.begin is not None
-        over = await self._services.limits.admit(session.tenant) if is_first else None
-        if over is not None:
-            session.fail_transaction()
-            retry_after_ms = int(over.retry_after_s * MS_PER_S)
-            return refusal(ResultCode.OVER_OPERATION_LIMIT, over.detail, retry_after_ms)
         placed = await self._services.executor.run(session, run, self._place)
         self._place = placed.place
-        if is_first and did_not_run(placed.answer.code):
-            self._services.limits.give_back(session.tenant)
         return placed.answer
--- a/limedyke/proxy/statements/connection_queue.py
+++ b/limedyke/proxy/statements/connection_queue.py
@@ -83,9 +83,13 @@
         bisect.insort(self._entries, _Entry(place, next(self._numbers), waiter))
         return waiter
 
-    def first(self) -> ConnectionWaiter | None:
-        """Return the request that is next; None when none waits."""
-        return self._entries[0].waiter if self._entries else None
+    def in_order(self) -> list[ConnectionWaiter]:
+        """Return the requests, the next one first."""
+        return [entry.waiter for entry in self._entries]
+
+    def take_out(self, waiter: ConnectionWaiter) -> None:
+        """Take out a request that is served, or is to look again."""
+        self.remove(waiter)
 
     def pop(self) -> ConnectionWaiter | None:
         """Take out the request that is next; None when none waits."""
--- a/limedyke/proxy/statements/forwarding.py
+++ b/limedyke/proxy/statements/forwarding.py
@@ -114,7 +114,8 @@
 
     async def _choose(self, attempt: ForwardedAttempt) -> HomeLink | None:
         async with curio.ignore_after(attempt.time_left()):
-            return await self.links.choose(attempt.group.name, attempt.tried)
+            tenant = attempt.session.tenant
+            return await self.links.choose(attempt.group.name, attempt.tried, tenant)
         return None
 
     def _unit(self, session: StatementSession, run: RunOnMember, transaction: int) -> StatementUnit:
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/member_pool.py
@@ -222,19 +222,25 @@
         When that one wants another tenant's and the lease has no room for it, this connection is
         closed in its favour: else a tenant with many requests would keep all connections.
         """
-        first = self._queue.first()
-        if first is not None and not first.takes(connection.tenant) and self._must_wait(first):
-            await self._give_up(connection)
-            return
-        await self._give_to_own_tenant(connection)
+        for waiter in self._queue.in_order():
+            if waiter.takes(connection.tenant):
+                self._queue.take_out(waiter)
+                await waiter.give(connection)
+                return
+            if self._must_wait(waiter):
+                await self._discard(connection)
+                self._queue.take_out(waiter)
+                await waiter.event.set()
+                return
+        self._idle.add(connection, time.monotonic())
 
     async def _give_to_own_tenant(self, connection: MemberConnection) -> None:
-        """Give a connection to the next request of its tenant, or keep it idle."""
+        """Give a new connection to the next request of its tenant, if one waits yet."""
         waiter = self._queue.pop_for(connection.tenant)
         if waiter is not None:
             await waiter.give(connection)
         else:
-            self._idle.add(connection, time.monotonic())
+            await self._hand_over(connection)
 
     def _must_wait(self, waiter: ConnectionWaiter) -> bool:
         """Tell whether no connection is being opened for a request, and none may be."""
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 import curio
 
 from limedyke.core.statements.member_belief import MemberBelief
-from limedyke.core.statements.session import RunOnMember, StatementSession
+from limedyke.core.statements.session import RunOnMember, StatementSession, refusal
 from limedyke.messages.statements import NOT_RUN, AnswerKind, StatementKind
-from limedyke.proxy.statements.attempt import RETRY_PAUSE_S, Attempt
+from limedyke.proxy.limits.operation_limiter import OperationLimiter
+from limedyke.proxy.statements.attempt import MS_PER_S, RETRY_PAUSE_S, Attempt
 from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.member_exchange import MemberExchange
 from limedyke.proxy.statements.member_questions import MemberQuestions
@@ -19,7 +21,7 @@
 from limedyke.proxy.statements.settlement import settle_first, settle_in_transaction
 from limedyke.proxy.statements.statement_log import NotSent, StatementLog
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
-from limedyke.result_codes import ResultCode
+from limedyke.result_codes import ResultCode, did_not_run
 
 
 class StatementRunner:
@@ -28,9 +30,17 @@
     :param zone: of this proxy
     :param metrics: counts what members answered
     :param log: gets a line for each try that failed
+    :param limits: gives what admits operations of tenants with a limit; None to admit all
     """
 
-    def __init__(self, zone: str, metrics: StatementMetrics, log: StatementLog) -> None:
+    def __init__(
+        self,
+        zone: str,
+        metrics: StatementMetrics,
+        log: StatementLog,
+        limits: Callable[[], OperationLimiter | None] = lambda: None,
+    ) -> None:
+        self._limits = limits
         self._log = log
         self._exchange = MemberExchange(metrics)
         self.questions = MemberQuestions()
@@ -50,6 +60,31 @@
         attempt = Attempt.begin(session, run, group, self._log)
         if pinned is not None:
             return await self._run_pinned(pinned, attempt)
+        limits = self._limits()
+        if limits is None:
+            return await self._run_first(attempt)
+        return await self._run_within(limits, attempt)
+
+    async def _run_within(self, limits: OperationLimiter, attempt: Attempt) -> PlacedAnswer:
+        """Run the first statement of an operation, if its tenant's limit admits one.
+
+        It is counted where it runs, not where the client is: fewer proxies share a limit then.
+        """
+        tenant = attempt.session.tenant
+        over = await limits.admit(tenant)
+        if over is not None:
+            attempt.session.fail_transaction()
+            retry_after_ms = int(over.retry_after_s * MS_PER_S)
+            answer = refusal(ResultCode.OVER_OPERATION_LIMIT, over.detail, retry_after_ms)
+            return PlacedAnswer(answer)
+        placed = await self._run_first(attempt)
+        if did_not_run(placed.answer.code):
+            limits.give_back(tenant)
+        return placed
+
+    async def _run_first(self, attempt: Attempt) -> PlacedAnswer:
+        """Run a statement that is in no open transaction yet."""
+        session, run = attempt.session, attempt.run
         if session.needs_primary(run) and not _reads_only(run):
             return await self._run_on_primary(attempt)
         return await self._reads.run(attempt)
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -80,7 +80,7 @@
         metrics = StatementMetrics(self._registry)
         self._traffic = TrafficCounter(self._registry)
         log = StatementLog(metrics, settings.log_lines_per_second)
-        runner = StatementRunner(settings.zone, metrics, log)
+        runner = StatementRunner(settings.zone, metrics, log, lambda: self._control.limits)
         self._groups = StatementGroups(
             settings,
             runner,
@@ -100,7 +100,6 @@
         self._services = ClientServices(
             self._groups,
             SessionAdmission(self._groups, self._control),
-            self._control.limits,
             self._executor,
             log,
             lambda: not self._control.holds_primary_lease,
