--- a/features/statement_forwarding.feature
+++ b/features/statement_forwarding.feature
@@ -199,3 +199,18 @@
     And statement path: 700 ms pass
     And statement path: the client asks "WRITE x 3" and is told "done I"
     Then statement homes: no connection is in use at h1
+
+  Scenario: statement homes: what would wait long at one home proxy goes to another one
+    Given statement homes: a session database, home proxies h1 in z2 of r1, h2 in z3 of r2
+    And statement homes: h1 has one connection, held by a transaction, and 3 requests wait for it
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    Then statement homes: h2 took 1 statements
+    When statement path: the client asks "WRITE x 2" and is told "done I"
+    Then statement homes: h2 took 2 statements
+
+  Scenario: statement homes: where all home proxies are crowded the nearest one holds the statement
+    Given statement homes: a session database, home proxies h1 in z2 of r1, h2 in z3 of r2
+    And statement homes: h1 has one connection, held by a transaction, and 3 requests wait for it
+    And statement homes: h2 has one connection, held by a transaction, and 3 requests wait for it
+    When statement homes: the transactions end 100 ms later, and the client asks "WRITE x 1"
+    Then statement homes: it is told "done I"
--- a/features/steps/statement_forwarding_steps.py
+++ b/features/steps/statement_forwarding_steps.py
@@ -17,6 +17,8 @@
 from limedyke.proxy.statements.forwarding import home_time_s
 
 SETTLE_S = 3.0
+WAITS_S = 2.0
+SHORT_S = 0.05
 TIME_PRECISION_S = 1e-6
 
 
@@ -198,3 +200,47 @@
             await home.lose_links()
 
     run(context, write_and_leave)
+
+
+@given(
+    "statement homes: {name:w} has one connection, held by a transaction, and {count:d} requests "
+    "wait for it"
+)
+def step_crowded(context, name, count):
+    home = context.path.homes[name]
+
+    async def crowd():
+        await home.lease(1)
+        pool = home.groups.groups[GROUP].pools["a"]
+        held = await pool.getconn("", {}, 1, 1.0)
+        waiting = [
+            await curio.spawn(pool.getconn, "", {}, 1, WAITS_S, daemon=True) for _ in range(count)
+        ]
+        await curio.sleep(SHORT_S)
+        pool._lending.learn(WAITS_S)
+        return pool, held, waiting
+
+    context.held = [*getattr(context, "held", []), run(context, crowd)]
+
+
+@when(
+    'statement homes: the transactions end {milliseconds:d} ms later, and the client asks "{asked}"'
+)
+def step_crowds_end(context, milliseconds, asked):
+    async def end_later():
+        await curio.sleep(milliseconds / 1_000)
+        for pool, held, waiting in context.held:
+            for task in waiting:
+                await task.cancel()
+            await pool.putconn(held)
+
+    async def ask():
+        await curio.spawn(end_later, daemon=True)
+        return await context.client.ask(asked)
+
+    context.told = run(context, ask)
+
+
+@then('statement homes: it is told "{told}"')
+def step_is_told(context, told):
+    assert context.told == told, context.told
--- a/limedyke/messages/statements.py
+++ b/limedyke/messages/statements.py
@@ -160,6 +160,7 @@
     :param written: up to where the session has written; None before its first commit
     :param deadline_ms: time left for waiting and running
     :param tenant: whom the client speaks for; empty at a public database
+    :param may_decline: the home proxy may leave it to another one while many wait before it
     """
 
     stream: int
@@ -173,6 +174,7 @@
     written: LogPosition | None
     deadline_ms: int
     tenant: str = ""
+    may_decline: bool = False
 
 
 @message(216)
--- a/limedyke/proxy/forwarding/home_links.py
+++ b/limedyke/proxy/forwarding/home_links.py
@@ -95,7 +95,7 @@
 
         An open link goes before a nearer home proxy that has yet to be dialled: that one may
         be frozen, and is dialled in the background.  A link whose other end owes a sign of life
-        or takes no new work is taken only when no other is left.
+        or takes no new work, or where much waits, is taken only when no other is left.
         """
         ordered = self._ordered_for(group, tenant)
         records = [record for record in ordered if record.name not in tried]
@@ -103,7 +103,7 @@
         doubtful = None
         for record in records:
             link = self._open_link(record.name)
-            if link is not None and link.takes_work:
+            if link is not None and link.takes_work and not link.is_crowded:
                 return link
             doubtful = doubtful or link
             if link is None and dialling < DIALS_AT_ONCE:
@@ -114,7 +114,7 @@
             if event is not None:
                 await event.wait()
             link = self._open_link(record.name)
-            if link is not None and link.takes_work:
+            if link is not None and link.takes_work and not link.is_crowded:
                 return link
         return doubtful
 
--- a/limedyke/proxy/forwarding/link.py
+++ b/limedyke/proxy/forwarding/link.py
@@ -54,6 +54,11 @@
         self.wake = curio.Event()
 
 
+CROWDED_S = 0.3
+"""A home proxy that left a unit to others is asked last for so long: about the time in which the
+requests that wait there are served."""
+
+
 class HomeLink:
     """A link to a home proxy, shared by many units.
 
@@ -64,6 +69,7 @@
     :ivar transactions: open transactions that are on the home proxy, by this proxy's numbers
     :ivar used_at: when a unit or transaction was last on it (``time.monotonic()`` seconds)
     :ivar is_draining: the home proxy has said that it takes no new work
+    :ivar crowded_until: the home proxy has said that much waits there; others are asked first
     """
 
     def __init__(self, home: str, link: Link, idle_limit_s: float, travel_s: float = 0.0) -> None:
@@ -72,6 +78,7 @@
         self.transactions: set[int] = set()
         self.closed = False
         self.is_draining = False
+        self.crowded_until = float("-inf")
         self.used_at = time.monotonic()
         self._idle_limit_s = idle_limit_s
         self._work_began = curio.Event()
@@ -89,6 +96,15 @@
         is_silent = bool(self._streams) and time.monotonic() - self._heard_at > DOUBT_AFTER_S
         return not (is_silent or self._owes_sign or self.is_draining)
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether the home proxy has said lately that much waits there."""
+        return time.monotonic() < self.crowded_until
+
+    def was_crowded(self) -> None:
+        """Note that the home proxy left a unit to another one."""
+        self.crowded_until = time.monotonic() + CROWDED_S
+
     @property
     def is_busy(self) -> bool:
         """Whether a unit or an open transaction is on the link, or one was given up unheard."""
--- a/limedyke/proxy/statements/forwarding.py
+++ b/limedyke/proxy/statements/forwarding.py
@@ -33,7 +33,12 @@
 """However far the home proxy seems to be: a single slow opening of its link is no measure."""
 _TRY_ANOTHER = frozenset(
     code.value.number
-    for code in (ResultCode.DRAINING, ResultCode.NO_LEASE, ResultCode.PRIMARY_UNREACHED)
+    for code in (
+        ResultCode.DRAINING,
+        ResultCode.HOME_CROWDED,
+        ResultCode.NO_LEASE,
+        ResultCode.PRIMARY_UNREACHED,
+    )
 )
 
 
@@ -80,6 +85,7 @@
     ) -> PlacedAnswer | None:
         """Try one home proxy; None when another one should be tried."""
         attempt.tried.add(link.home)
+        unit = dataclasses.replace(unit, may_decline=not link.is_crowded)
         end = await self._run_at(link, unit, attempt.time_left(), attempt.patience_s(link))
         if end is None:
             may_be_sent_again = attempt.may_be_sent_again()
@@ -90,6 +96,9 @@
             return self._lost(attempt.session, attempt.run, attempt.last)
         if end.answer.code in _TRY_ANOTHER:
             link.is_draining |= end.answer.code == ResultCode.DRAINING.value.number
+            if end.answer.code == ResultCode.HOME_CROWDED.value.number:
+                link.was_crowded()
+                attempt.tried.discard(link.home)
             attempt.refused(end.answer, link.home)
             return None
         end = dataclasses.replace(end, answer=attempt.outcome_of(end.answer))
--- a/limedyke/proxy/statements/home_service.py
+++ b/limedyke/proxy/statements/home_service.py
@@ -25,6 +25,10 @@
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from limedyke.result_codes import ResultCode
 
+CROWDED_WAIT_S = 0.1
+"""A longer wait than a round trip to a home proxy of another region and back (0.08 s at 20 ms one
+way) and some work makes that one the better place."""
+
 
 @dataclass(slots=True)
 class _HeldTransaction:
@@ -99,6 +103,8 @@
             return refuse_unit(unit, ResultCode.NO_LEASE)
         if held is None and _is_for_another_home(unit, group):
             return refuse_unit(unit, ResultCode.PRIMARY_UNREACHED, group.primary)
+        if held is None and unit.may_decline and _waits_long_here(unit, group):
+            return refuse_unit(unit, ResultCode.HOME_CROWDED, group.primary)
         session = held.session if held is not None else _new_session(unit)
         _renew(session, unit)
         run = RunOnMember(unit.statement, unit.begin, unit.writes, unit.prepared)
@@ -144,8 +150,23 @@
     session.settings = {setting.name: setting.value for setting in unit.settings}
 
 
+def _waits_long_here(unit: StatementUnit, group: StatementGroup) -> bool:
+    """Tell whether a unit that needs the primary would wait long for a connection to it here.
+
+    Home proxies hold equal shares of a group's connections, but the clients near them differ.
+    """
+    pool = group.primary_pool()
+    if pool is None or not _needs_primary(unit, group):
+        return False
+    return pool.expected_wait_s(unit.tenant) > max(CROWDED_WAIT_S, pool.belief.opening.usual_s)
+
+
+def _needs_primary(unit: StatementUnit, group: StatementGroup) -> bool:
+    """Tell whether only the primary can run a unit."""
+    begins_to_write = unit.begin is not None and unit.begin.kind is StatementKind.BEGIN
+    return unit.writes or begins_to_write or not group.is_surely_primary(group.primary)
+
+
 def _is_for_another_home(unit: StatementUnit, group: StatementGroup) -> bool:
     """Tell whether a unit needs the primary, which this home proxy can't reach."""
-    begins_to_write = unit.begin is not None and unit.begin.kind is StatementKind.BEGIN
-    needs_primary = unit.writes or begins_to_write or not group.is_surely_primary(group.primary)
-    return needs_primary and group.has_unreachable_primary()
+    return _needs_primary(unit, group) and group.has_unreachable_primary()
--- a/limedyke/proxy/statements/statement_log.py
+++ b/limedyke/proxy/statements/statement_log.py
@@ -24,7 +24,12 @@
 SUMMARY_INTERVAL_S = 10.0
 MS_PER_S = 1_000
 TRIED_ELSEWHERE = frozenset(
-    {ResultCode.NO_LEASE, ResultCode.DRAINING, ResultCode.PRIMARY_UNREACHED}
+    {
+        ResultCode.DRAINING,
+        ResultCode.HOME_CROWDED,
+        ResultCode.NO_LEASE,
+        ResultCode.PRIMARY_UNREACHED,
+    }
 )
 EVENTS = EventLog("statements")
 
--- a/limedyke/result_codes.py
+++ b/limedyke/result_codes.py
@@ -156,6 +156,12 @@
         Outcome.DID_NOT_RUN,
         "The tenant has used up its operations for the moment; try again later.",
     )
+    HOME_CROWDED = CodeEntry(
+        3018,
+        "57P03",
+        Outcome.DID_NOT_RUN,
+        "The home proxy has no connection for the request soon; another one may.",
+    )
     # 4xxx: control
     NOT_LEADER = CodeEntry(
         4001, "57P03", Outcome.DID_NOT_RUN, "This controller does not hold the leader lease."
