Give the parts of a session, SQL texts, and the statements' clients, members and homes rooms of their own

Cause: limedyke/core held 40 files flat and limedyke/proxy/statements 34; a newcomer could not tell from the folder where a statement's connection or a session's batch is found.

Change: core/sessions, core/units, core/sql; proxy/statements/clients, members and homes.

Left: limedyke/controller 27, core/control 26 and the root 24 files flat.

--- a/features/steps/client_protocol_steps.py
+++ b/features/steps/client_protocol_steps.py
@@ -6,7 +6,7 @@
 from behave.runner import Context
 
 from features.support.session_exchange import SessionExchange
-from limedyke.core.client_exchange import LeaveAsked, Moment, Tick, UnitEnded
+from limedyke.core.sessions.client_exchange import LeaveAsked, Moment, Tick, UnitEnded
 from limedyke.messages.work import AnswerEnd, LogPosition, TransactionStatus, WorkUnit
 from limedyke.postgres.client_framing import ClientFramer
 from limedyke.result_codes import Failure, ResultCode
--- a/features/steps/hedged_reads_steps.py
+++ b/features/steps/hedged_reads_steps.py
@@ -13,7 +13,7 @@
 from limedyke.messages.statements import AnswerKind, MemberAnswer
 from limedyke.messages.work import TransactionStatus
 from limedyke.proxy.statements.hedged_read import HedgedRead, SecondMember
-from limedyke.proxy.statements.pinned_connection import PinnedConnection
+from limedyke.proxy.statements.members.pinned_connection import PinnedConnection
 
 USUAL_S = 0.02
 WHOLE_S = 1.0
--- a/features/steps/line_protocol_steps.py
+++ b/features/steps/line_protocol_steps.py
@@ -7,7 +7,7 @@
 import features.support.platform_path  # noqa: F401
 from limedyke.messages.statements import StatementAnswer
 from limedyke.messages.work import TransactionStatus
-from limedyke.proxy.statements.client_codec import (
+from limedyke.proxy.statements.clients.client_codec import (
     MalformedStatement,
     SessionEnded,
     SessionRequested,
--- a/features/steps/session_safeguards_steps.py
+++ b/features/steps/session_safeguards_steps.py
@@ -11,9 +11,9 @@
 
 from features.support.session_exchange import KEYS, START
 from features.support.session_roaming import FOREIGN, OWNER, open_elsewhere
-from limedyke.core import session_opening
-from limedyke.core.session_position import SessionPosition
-from limedyke.core.session_token import TokenAuthority, TokenClaim, TokenOwner
+from limedyke.core.sessions import session_opening
+from limedyke.core.sessions.session_position import SessionPosition
+from limedyke.core.sessions.session_token import TokenAuthority, TokenClaim, TokenOwner
 from limedyke.messages.work import LogPosition
 
 
@@ -41,7 +41,7 @@
     "barrier by name": lambda: mock.patch.object(session_opening, "SESSION_NAME_SETTING", "off"),
     "barrier on loss": lambda: mock.patch.object(SessionPosition, "lose_write", _forget_loss),
     "write behind rollback": lambda: mock.patch(
-        "limedyke.core.unit_answer.binds_position", _never_rolled
+        "limedyke.core.units.unit_answer.binds_position", _never_rolled
     ),
 }
 
--- a/features/steps/session_state_steps.py
+++ b/features/steps/session_state_steps.py
@@ -11,7 +11,7 @@
 from features.support.back_end_lab import BackEndLab, shared_members
 from features.support.session_exchange import SessionExchange, new_context
 from features.support.session_on_members import SessionOnMembers
-from limedyke.core import statement_classifier
+from limedyke.core.sql import statement_classifier
 
 DROPPED = {
     "nothing": (),
--- a/features/steps/session_statements_steps.py
+++ b/features/steps/session_statements_steps.py
@@ -10,10 +10,10 @@
 from hypothesis import strategies as st
 
 from features.support.session_exchange import SessionExchange
-from limedyke.core import read_proof
-from limedyke.core.statement import StatementProfile
-from limedyke.core.statement_cache import StatementCache
-from limedyke.core.statement_classifier import classify
+from limedyke.core.sql import read_proof
+from limedyke.core.sql.statement import StatementProfile
+from limedyke.core.sql.statement_cache import StatementCache
+from limedyke.core.sql.statement_classifier import classify
 from limedyke.messages.work import Access
 
 WRITES = (
--- a/features/steps/session_tokens_steps.py
+++ b/features/steps/session_tokens_steps.py
@@ -8,7 +8,7 @@
 from features.support.session_exchange import KEYS, START, SessionExchange
 from features.support.session_roaming import FOREIGN, OWNER, open_elsewhere
 from features.support.wire_client import Refusal
-from limedyke.core.session_token import (
+from limedyke.core.sessions.session_token import (
     TOKEN_LIFETIME_S,
     TokenAuthority,
     TokenClaim,
--- a/features/steps/statement_forwarding_steps.py
+++ b/features/steps/statement_forwarding_steps.py
@@ -14,7 +14,7 @@
 from features.support.statement_path import GROUP
 from limedyke.messages.control import ConnectionLease
 from limedyke.messages.databases import Consistency
-from limedyke.proxy.statements.forwarding import home_time_s
+from limedyke.proxy.statements.homes.forwarding import home_time_s
 
 SETTLE_S = 3.0
 WAITS_S = 2.0
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -14,8 +14,8 @@
 from limedyke.core.statements.time_estimate import TimeEstimate
 from limedyke.messages.control import ConnectionLease, MemberHealth
 from limedyke.messages.databases import Consistency
-from limedyke.proxy.statements.member_connection import MemberConnection
-from limedyke.proxy.statements.member_questions import MemberQuestions
+from limedyke.proxy.statements.members.member_connection import MemberConnection
+from limedyke.proxy.statements.members.member_questions import MemberQuestions
 
 HANGS_S = 3_600.0
 
--- a/features/support/client_side_process.py
+++ b/features/support/client_side_process.py
@@ -18,11 +18,11 @@
 
 from features.support.scripted_back_end import ScriptedBackEnd
 from limedyke.addresses import split_address
-from limedyke.core.client_exchange import Moment, SessionCommand
-from limedyke.core.session import Session
-from limedyke.core.session_context import SessionContext
-from limedyke.core.session_token import TokenAuthority
-from limedyke.core.statement_cache import StatementCache
+from limedyke.core.sessions.client_exchange import Moment, SessionCommand
+from limedyke.core.sessions.session import Session
+from limedyke.core.sessions.session_context import SessionContext
+from limedyke.core.sessions.session_token import TokenAuthority
+from limedyke.core.sql.statement_cache import StatementCache
 from limedyke.event_log import start_logging
 from limedyke.messages.declaration import Group, Tenant, TenantAccess, User
 from limedyke.messages.work import AnswerEnd
--- a/features/support/session_exchange.py
+++ b/features/support/session_exchange.py
@@ -17,7 +17,7 @@
 from postgresql.protocol.buffer import pq_message_stream
 
 from features.support.scripted_back_end import ScriptedBackEnd
-from limedyke.core.client_exchange import (
+from limedyke.core.sessions.client_exchange import (
     AbandonUnit,
     AnswerReceived,
     ClientMessages,
@@ -29,11 +29,11 @@
     SendToClient,
     UnitEnded,
 )
-from limedyke.core.session import Session
-from limedyke.core.session_context import SessionContext
-from limedyke.core.session_opening import CancelKey, open_session
-from limedyke.core.session_token import TokenAuthority
-from limedyke.core.statement_cache import StatementCache
+from limedyke.core.sessions.session import Session
+from limedyke.core.sessions.session_context import SessionContext
+from limedyke.core.sessions.session_opening import CancelKey, open_session
+from limedyke.core.sessions.session_token import TokenAuthority
+from limedyke.core.sql.statement_cache import StatementCache
 from limedyke.messages.declaration import Tenant
 from limedyke.messages.work import AbandonWork, AnswerChunk, WorkUnit
 from limedyke.postgres.client_framing import ClientFramer, ClientMessage
--- a/features/support/session_on_members.py
+++ b/features/support/session_on_members.py
@@ -6,7 +6,7 @@
 
 from features.support.back_end_lab import BackEndLab
 from features.support.session_exchange import START, messages, new_context, render
-from limedyke.core.client_exchange import (
+from limedyke.core.sessions.client_exchange import (
     AbandonUnit,
     AnswerReceived,
     ClientMessages,
@@ -16,8 +16,8 @@
     SendToClient,
     UnitEnded,
 )
-from limedyke.core.session_context import SessionContext
-from limedyke.core.session_opening import CancelKey, open_session
+from limedyke.core.sessions.session_context import SessionContext
+from limedyke.core.sessions.session_opening import CancelKey, open_session
 from limedyke.messages.work import AbandonWork, AnswerChunk, WorkUnit
 
 PROXY = "p1"
--- a/features/support/session_roaming.py
+++ b/features/support/session_roaming.py
@@ -5,7 +5,7 @@
 from behave.runner import Context
 
 from features.support.session_exchange import SessionExchange, new_context
-from limedyke.core.session_token import TokenOwner
+from limedyke.core.sessions.session_token import TokenOwner
 
 OWNER = TokenOwner("acme", "main", "app")
 FOREIGN = {
--- a/features/support/statement_homes.py
+++ b/features/support/statement_homes.py
@@ -17,7 +17,7 @@
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.forwarding.server import ForwardingServer
 from limedyke.proxy.statements.groups import StatementGroups
-from limedyke.proxy.statements.home_service import StatementHomeService, refuse_unit
+from limedyke.proxy.statements.homes.home_service import StatementHomeService, refuse_unit
 from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -27,12 +27,12 @@
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.forwarding.home_links import HomeLinks
 from limedyke.proxy.limits.operation_limiter import OperationLimiter
-from limedyke.proxy.statements.client import ClientServices, StatementClient
+from limedyke.proxy.statements.clients.client import ClientServices, StatementClient
+from limedyke.proxy.statements.clients.session_admission import SessionAdmission
 from limedyke.proxy.statements.executor import StatementExecutor
-from limedyke.proxy.statements.forwarding import StatementForwarding
 from limedyke.proxy.statements.groups import StatementGroups
+from limedyke.proxy.statements.homes.forwarding import StatementForwarding
 from limedyke.proxy.statements.runner import StatementRunner
-from limedyke.proxy.statements.session_admission import SessionAdmission
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
--- /dev/null
+++ b/limedyke/core/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""A PostgreSQL client's session: messages in, units and answers out."""
--- a/limedyke/core/batch.py
+++ b/limedyke/core/sessions/batch.py
@@ -7,14 +7,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from limedyke.core.answer_tracker import COMPLETES_EXECUTE, AnswerSlot
-from limedyke.core.statement import (
+from limedyke.core.sql.statement import (
     NO_HINTS,
     Effect,
     SessionChange,
     StatementHints,
     StatementProfile,
 )
+from limedyke.core.units.answer_tracker import COMPLETES_EXECUTE, AnswerSlot
 from limedyke.messages.work import Access, PreparedStatement
 from limedyke.postgres.client_framing import ClientMessage
 from limedyke.postgres.client_messages import (
--- a/limedyke/core/batch_planning.py
+++ b/limedyke/core/sessions/batch_planning.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from limedyke.core.batch import BatchError, BatchPlan, LocalAnswers, plan_query
-from limedyke.core.extended_batch import ExtendedPlanner
-from limedyke.core.local_commands import LocalCommands
-from limedyke.core.session_context import SessionContext
-from limedyke.core.session_state import SessionState
-from limedyke.core.sql_prepare import plan_execute, plan_prepare
-from limedyke.core.statement import Effect
+from limedyke.core.sessions.batch import BatchError, BatchPlan, LocalAnswers, plan_query
+from limedyke.core.sessions.extended_batch import ExtendedPlanner
+from limedyke.core.sessions.local_commands import LocalCommands
+from limedyke.core.sessions.session_context import SessionContext
+from limedyke.core.sessions.session_state import SessionState
+from limedyke.core.sql.sql_prepare import plan_execute, plan_prepare
+from limedyke.core.sql.statement import Effect
 from limedyke.postgres.client_framing import HEADER_BYTES, ClientMessage
 from limedyke.postgres.client_messages import failure_response
 from limedyke.result_codes import Failure, ResultCode
--- a/limedyke/core/extended_batch.py
+++ b/limedyke/core/sessions/extended_batch.py
@@ -12,16 +12,7 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from limedyke.core.answer_tracker import (
-    COMPLETES_BIND,
-    COMPLETES_CLOSE,
-    COMPLETES_DESCRIBE,
-    COMPLETES_EXECUTE,
-    COMPLETES_PARSE,
-    AnswerSlot,
-    Registration,
-)
-from limedyke.core.batch import (
+from limedyke.core.sessions.batch import (
     DUPLICATE_STATEMENT,
     UNKNOWN_STATEMENT,
     BatchError,
@@ -33,15 +24,24 @@
     check_room,
     with_body,
 )
-from limedyke.core.extended_messages import may_open, prepared_statement, split_target
-from limedyke.core.statement import (
+from limedyke.core.sessions.extended_messages import may_open, prepared_statement, split_target
+from limedyke.core.sql.statement import (
     NO_HINTS,
     Effect,
     SessionChange,
     StatementProfile,
     leaves_open_behind_commit,
 )
-from limedyke.core.statement_commands import OPEN_BEHIND_COMMIT
+from limedyke.core.sql.statement_commands import OPEN_BEHIND_COMMIT
+from limedyke.core.units.answer_tracker import (
+    COMPLETES_BIND,
+    COMPLETES_CLOSE,
+    COMPLETES_DESCRIBE,
+    COMPLETES_EXECUTE,
+    COMPLETES_PARSE,
+    AnswerSlot,
+    Registration,
+)
 from limedyke.messages.work import Access, PreparedStatement
 from limedyke.postgres.client_framing import ClientMessage
 from limedyke.postgres.client_messages import (
--- a/limedyke/core/extended_messages.py
+++ b/limedyke/core/sessions/extended_messages.py
@@ -6,8 +6,8 @@
 
 from postgresql.protocol import element3
 
-from limedyke.core.batch import BatchError, StatementNames, statement_name
-from limedyke.core.statement import StatementProfile
+from limedyke.core.sessions.batch import BatchError, StatementNames, statement_name
+from limedyke.core.sql.statement import StatementProfile
 from limedyke.messages.work import PreparedStatement
 from limedyke.postgres.client_framing import ClientMessage
 from limedyke.postgres.client_messages import error_response
--- a/limedyke/core/local_commands.py
+++ b/limedyke/core/sessions/local_commands.py
@@ -7,10 +7,10 @@
 
 from result import Err
 
-from limedyke.core.batch import CONFIGURATION_LIMIT, UNKNOWN_STATEMENT, BatchError
-from limedyke.core.client_exchange import Moment
-from limedyke.core.session_context import REPORTED_SETTINGS, SessionContext
-from limedyke.core.session_options import (
+from limedyke.core.sessions.batch import CONFIGURATION_LIMIT, UNKNOWN_STATEMENT, BatchError
+from limedyke.core.sessions.client_exchange import Moment
+from limedyke.core.sessions.session_context import REPORTED_SETTINGS, SessionContext
+from limedyke.core.sessions.session_options import (
     BARRIER,
     DEFAULT_OPTIONS,
     INVALID_PARAMETER_VALUE,
@@ -21,9 +21,9 @@
     set_option,
     show_option,
 )
-from limedyke.core.session_state import SessionState
-from limedyke.core.statement import Effect, SessionChange, StatementProfile
-from limedyke.core.statement_commands import READ_ONLY_MODE
+from limedyke.core.sessions.session_state import SessionState
+from limedyke.core.sql.statement import Effect, SessionChange, StatementProfile
+from limedyke.core.sql.statement_commands import READ_ONLY_MODE
 from limedyke.postgres.client_messages import (
     error_response,
     failure_response,
--- a/limedyke/core/session.py
+++ b/limedyke/core/sessions/session.py
@@ -11,10 +11,9 @@
 from dataclasses import replace
 from functools import partial
 
-from limedyke.core.answer_tracker import AnswerTracker
-from limedyke.core.batch import BatchError, BatchPlan
-from limedyke.core.batch_planning import plan_extended, plan_simple
-from limedyke.core.client_exchange import (
+from limedyke.core.sessions.batch import BatchError, BatchPlan
+from limedyke.core.sessions.batch_planning import plan_extended, plan_simple
+from limedyke.core.sessions.client_exchange import (
     AbandonUnit,
     AnswerReceived,
     ClientMessages,
@@ -28,14 +27,15 @@
     Tick,
     UnitEnded,
 )
-from limedyke.core.client_input import ClientInput
-from limedyke.core.local_commands import LocalCommands
-from limedyke.core.session_context import SessionContext
-from limedyke.core.session_leave import LeaveRequest
-from limedyke.core.session_state import SessionState
-from limedyke.core.unit_answer import answer_locally, end_answer
-from limedyke.core.unit_builder import build_unit
-from limedyke.core.unit_outcome import RunningUnit, as_write, take_answer_part
+from limedyke.core.sessions.client_input import ClientInput
+from limedyke.core.sessions.local_commands import LocalCommands
+from limedyke.core.sessions.session_context import SessionContext
+from limedyke.core.sessions.session_leave import LeaveRequest
+from limedyke.core.sessions.session_state import SessionState
+from limedyke.core.units.answer_tracker import AnswerTracker
+from limedyke.core.units.unit_answer import answer_locally, end_answer
+from limedyke.core.units.unit_builder import build_unit
+from limedyke.core.units.unit_outcome import RunningUnit, as_write, take_answer_part
 from limedyke.messages.work import AbandonWork, AnswerEnd, TransactionStatus, WorkUnit
 from limedyke.postgres.client_framing import ClientMessage
 from limedyke.postgres.client_messages import failure_response
--- a/limedyke/core/session_context.py
+++ b/limedyke/core/sessions/session_context.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from limedyke.core.session_token import TokenAuthority
-from limedyke.core.statement_cache import StatementCache
+from limedyke.core.sessions.session_token import TokenAuthority
+from limedyke.core.sql.statement_cache import StatementCache
 from limedyke.messages.declaration import Tenant
 from limedyke.postgres.client_messages import parameter_status
 
--- a/limedyke/core/session_leave.py
+++ b/limedyke/core/sessions/session_leave.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from limedyke.core.client_exchange import Moment
+from limedyke.core.sessions.client_exchange import Moment
 from limedyke.result_codes import Failure
 
 QUIET_BEFORE_END_S = 1.0
--- a/limedyke/core/session_opening.py
+++ b/limedyke/core/sessions/session_opening.py
@@ -6,15 +6,15 @@
 
 from result import Err, Ok, Result
 
-from limedyke.core.batch import BatchError
-from limedyke.core.client_exchange import LoginProved, Moment
-from limedyke.core.local_commands import LocalCommands
-from limedyke.core.session import Session
-from limedyke.core.session_context import SessionContext, greeting, replayed_settings
-from limedyke.core.session_settings import SessionSettings
-from limedyke.core.session_state import SessionState
-from limedyke.core.session_token import TokenOwner
-from limedyke.core.statement_commands import PROTECTED_SETTINGS, is_carried_encoding
+from limedyke.core.sessions.batch import BatchError
+from limedyke.core.sessions.client_exchange import LoginProved, Moment
+from limedyke.core.sessions.local_commands import LocalCommands
+from limedyke.core.sessions.session import Session
+from limedyke.core.sessions.session_context import SessionContext, greeting, replayed_settings
+from limedyke.core.sessions.session_settings import SessionSettings
+from limedyke.core.sessions.session_state import SessionState
+from limedyke.core.sessions.session_token import TokenOwner
+from limedyke.core.sql.statement_commands import PROTECTED_SETTINGS, is_carried_encoding
 from limedyke.messages.work import TransactionStatus
 from limedyke.postgres.client_messages import (
     READY,
--- a/limedyke/core/session_options.py
+++ b/limedyke/core/sessions/session_options.py
@@ -7,7 +7,7 @@
 
 from result import Err, Ok, Result
 
-from limedyke.core.statement import RouteHint
+from limedyke.core.sql.statement import RouteHint
 from limedyke.postgres.client_startup import (
     SESSION_NAME_SETTING,
     SESSION_PREFIX,
--- a/limedyke/core/session_position.py
+++ b/limedyke/core/sessions/session_position.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from limedyke.core.session_token import TokenClaim
+from limedyke.core.sessions.session_token import TokenClaim
 from limedyke.messages.work import AnswerEnd, LogPosition
 
 NO_POSITION = LogPosition()
--- a/limedyke/core/session_settings.py
+++ b/limedyke/core/sessions/session_settings.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from limedyke.core.statement import Effect, SessionChange
+from limedyke.core.sql.statement import Effect, SessionChange
 from limedyke.messages.work import SessionSetting
 
 _NONE: dict[str, str] = {}
--- a/limedyke/core/session_state.py
+++ b/limedyke/core/sessions/session_state.py
@@ -4,11 +4,11 @@
 
 from dataclasses import dataclass, field
 
-from limedyke.core.batch import StatementNames
-from limedyke.core.session_options import DEFAULT_OPTIONS, SessionOptions
-from limedyke.core.session_position import SessionPosition
-from limedyke.core.session_settings import SessionSettings
-from limedyke.core.session_token import TokenOwner
+from limedyke.core.sessions.batch import StatementNames
+from limedyke.core.sessions.session_options import DEFAULT_OPTIONS, SessionOptions
+from limedyke.core.sessions.session_position import SessionPosition
+from limedyke.core.sessions.session_settings import SessionSettings
+from limedyke.core.sessions.session_token import TokenOwner
 from limedyke.messages.work import TransactionStatus
 from limedyke.postgres.client_messages import READY
 
--- /dev/null
+++ b/limedyke/core/sql/__init__.py
@@ -0,0 +1,1 @@
+"""What is known of an SQL statement from its text."""
--- a/limedyke/core/read_proof.py
+++ b/limedyke/core/sql/read_proof.py
@@ -6,11 +6,11 @@
 from sqlglot import exp
 from sqlglot.errors import SqlglotError
 
-from limedyke.core.known_functions import (
+from limedyke.core.sql.known_functions import (
     READING_FUNCTIONS,
     WORDS_BEFORE_BRACKET,
 )
-from limedyke.core.sql_lexer import Token, TokenKind, unquote_name
+from limedyke.core.sql.sql_lexer import Token, TokenKind, unquote_name
 
 DIALECT = "postgres"
 MAXIMUM_SHAPE_BYTES = 16_384
--- a/limedyke/core/sql_prepare.py
+++ b/limedyke/core/sql/sql_prepare.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from limedyke.core.answer_tracker import COMPLETES_EXECUTE, AnswerSlot, Registration
-from limedyke.core.batch import (
+from limedyke.core.sessions.batch import (
     DUPLICATE_STATEMENT,
     UNKNOWN_STATEMENT,
     BatchError,
@@ -15,9 +14,10 @@
     statement_name,
     with_body,
 )
-from limedyke.core.read_proof import has_unknown_call
-from limedyke.core.sql_lexer import lex
-from limedyke.core.statement import SessionChange, StatementProfile
+from limedyke.core.sql.read_proof import has_unknown_call
+from limedyke.core.sql.sql_lexer import lex
+from limedyke.core.sql.statement import SessionChange, StatementProfile
+from limedyke.core.units.answer_tracker import COMPLETES_EXECUTE, AnswerSlot, Registration
 from limedyke.messages.work import Access, PreparedStatement
 from limedyke.postgres.client_framing import ClientMessage
 from limedyke.postgres.client_messages import SYNC, command_complete, error_response
--- a/limedyke/core/statement_cache.py
+++ b/limedyke/core/sql/statement_cache.py
@@ -6,9 +6,9 @@
 from dataclasses import replace
 from typing import Generic, TypeVar
 
-from limedyke.core.sql_lexer import HINT_MARK, LexicalError, find_hints, fold
-from limedyke.core.statement import NO_HINTS, RouteHint, StatementHints, StatementProfile
-from limedyke.core.statement_classifier import MAXIMUM_CLASSIFIED_BYTES, classify
+from limedyke.core.sql.sql_lexer import HINT_MARK, LexicalError, find_hints, fold
+from limedyke.core.sql.statement import NO_HINTS, RouteHint, StatementHints, StatementProfile
+from limedyke.core.sql.statement_classifier import MAXIMUM_CLASSIFIED_BYTES, classify
 
 DEFAULT_ENTRIES = 4_096
 MAXIMUM_CACHED_TEXT_BYTES = 4_096
--- a/limedyke/core/statement_classifier.py
+++ b/limedyke/core/sql/statement_classifier.py
@@ -5,15 +5,15 @@
 from dataclasses import replace
 from itertools import pairwise
 
-from limedyke.core import statement_commands as commands
-from limedyke.core.known_functions import (
+from limedyke.core.sql import statement_commands as commands
+from limedyke.core.sql.known_functions import (
     NOTIFY_FUNCTIONS,
     SESSION_LOCK_FUNCTIONS,
     SET_CONFIG_FUNCTION,
 )
-from limedyke.core.read_proof import has_unknown_call, reads_only
-from limedyke.core.sql_lexer import LexicalError, Token, TokenKind, fold, lex, unquote_name
-from limedyke.core.statement import (
+from limedyke.core.sql.read_proof import has_unknown_call, reads_only
+from limedyke.core.sql.sql_lexer import LexicalError, Token, TokenKind, fold, lex, unquote_name
+from limedyke.core.sql.statement import (
     EMPTY_PROFILE,
     TRANSACTION_OPENERS,
     UNKNOWN_PROFILE,
--- a/limedyke/core/statement_commands.py
+++ b/limedyke/core/sql/statement_commands.py
@@ -7,8 +7,8 @@
 
 from dataclasses import replace
 
-from limedyke.core.sql_lexer import Token, TokenKind, unquote_name, unquote_string
-from limedyke.core.statement import Effect, SessionChange, StatementProfile
+from limedyke.core.sql.sql_lexer import Token, TokenKind, unquote_name, unquote_string
+from limedyke.core.sql.statement import Effect, SessionChange, StatementProfile
 from limedyke.messages.work import Access
 from limedyke.postgres.client_startup import SESSION_PREFIX
 
--- a/limedyke/core/answer_tracker.py
+++ b/limedyke/core/units/answer_tracker.py
@@ -10,7 +10,7 @@
 import struct
 from dataclasses import dataclass
 
-from limedyke.core.statement import SessionChange
+from limedyke.core.sql.statement import SessionChange
 
 _LENGTH_AT_1 = struct.Struct("!xI")
 _ASYNCHRONOUS = frozenset(b"NSA")
--- a/limedyke/core/unit_answer.py
+++ b/limedyke/core/units/unit_answer.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from limedyke.core.answer_tracker import AnswerTracker
-from limedyke.core.batch import BatchPlan
-from limedyke.core.client_exchange import Moment
-from limedyke.core.local_commands import LocalCommands
-from limedyke.core.session_context import SessionContext
-from limedyke.core.session_state import SessionState
-from limedyke.core.unit_outcome import (
+from limedyke.core.sessions.batch import BatchPlan
+from limedyke.core.sessions.client_exchange import Moment
+from limedyke.core.sessions.local_commands import LocalCommands
+from limedyke.core.sessions.session_context import SessionContext
+from limedyke.core.sessions.session_state import SessionState
+from limedyke.core.units.answer_tracker import AnswerTracker
+from limedyke.core.units.unit_outcome import (
     RunningUnit,
     apply_completed,
     binds_position,
--- a/limedyke/core/unit_builder.py
+++ b/limedyke/core/units/unit_builder.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-from limedyke.core.batch import BatchPlan
-from limedyke.core.session_context import SessionContext
-from limedyke.core.session_options import parse_flag
-from limedyke.core.session_state import SessionState
-from limedyke.core.statement import Effect, RouteHint
+from limedyke.core.sessions.batch import BatchPlan
+from limedyke.core.sessions.session_context import SessionContext
+from limedyke.core.sessions.session_options import parse_flag
+from limedyke.core.sessions.session_state import SessionState
+from limedyke.core.sql.statement import Effect, RouteHint
 from limedyke.messages.declaration import Priority
 from limedyke.messages.work import Access, WorkUnit
 
--- a/limedyke/core/unit_outcome.py
+++ b/limedyke/core/units/unit_outcome.py
@@ -5,11 +5,11 @@
 import struct
 from dataclasses import dataclass, replace
 
-from limedyke.core.answer_tracker import AnswerTracker, Registration
-from limedyke.core.batch import BatchPlan
-from limedyke.core.session_state import SessionState
-from limedyke.core.statement import Effect
-from limedyke.core.unit_builder import is_read_only_session
+from limedyke.core.sessions.batch import BatchPlan
+from limedyke.core.sessions.session_state import SessionState
+from limedyke.core.sql.statement import Effect
+from limedyke.core.units.answer_tracker import AnswerTracker, Registration
+from limedyke.core.units.unit_builder import is_read_only_session
 from limedyke.messages.work import Access, AnswerEnd, TransactionStatus, WorkUnit
 from limedyke.result_codes import CODE_BY_NUMBER, Failure, Outcome, ResultCode
 
--- a/limedyke/postgres/frontend.py
+++ b/limedyke/postgres/frontend.py
@@ -7,7 +7,7 @@
 
 from result import Err
 
-from limedyke.core.client_exchange import (
+from limedyke.core.sessions.client_exchange import (
     CancelOther,
     CloseClient,
     LoginCommand,
--- a/limedyke/proxy/clients/connection.py
+++ b/limedyke/proxy/clients/connection.py
@@ -15,7 +15,7 @@
 from curio import socket
 from result import Err
 
-from limedyke.core.client_exchange import (
+from limedyke.core.sessions.client_exchange import (
     AbandonUnit,
     AnswerReceived,
     CancelOther,
@@ -31,8 +31,8 @@
     Tick,
     UnitEnded,
 )
-from limedyke.core.session import Session
-from limedyke.core.session_opening import CancelKey, open_session
+from limedyke.core.sessions.session import Session
+from limedyke.core.sessions.session_opening import CancelKey, open_session
 from limedyke.event_log import EventLog
 from limedyke.messages.work import AnswerChunk, AnswerEnd, WorkUnit
 from limedyke.postgres.client_framing import ClientFramer, FramingError
--- a/limedyke/proxy/clients/registry.py
+++ b/limedyke/proxy/clients/registry.py
@@ -8,7 +8,7 @@
 
 from result import Err, Ok, Result
 
-from limedyke.core.session_opening import CancelKey
+from limedyke.core.sessions.session_opening import CancelKey
 from limedyke.result_codes import Failure, ResultCode
 
 if TYPE_CHECKING:
--- a/limedyke/proxy/clients/services.py
+++ b/limedyke/proxy/clients/services.py
@@ -7,8 +7,8 @@
 
 from prometheus_client import Counter
 
-from limedyke.core.client_exchange import Moment
-from limedyke.core.session_context import SessionContext
+from limedyke.core.sessions.client_exchange import Moment
+from limedyke.core.sessions.session_context import SessionContext
 from limedyke.messages.work import Access, AnswerEnd, WorkUnit
 from limedyke.postgres.frontend import LoginPolicy
 from limedyke.proxy.clients.registry import ClientRegistry
--- a/limedyke/proxy/clients/watch.py
+++ b/limedyke/proxy/clients/watch.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from limedyke.core.client_exchange import AbandonUnit
+from limedyke.core.sessions.client_exchange import AbandonUnit
 from limedyke.event_log import EventLog
 from limedyke.proxy.clients.connection import ClientConnection
 from limedyke.proxy.clients.services import ClientServices, present_moment
--- a/limedyke/proxy/server.py
+++ b/limedyke/proxy/server.py
@@ -9,9 +9,9 @@
 from curio import socket
 from result import Err
 
-from limedyke.core.session_context import SessionContext
-from limedyke.core.session_token import TokenAuthority
-from limedyke.core.statement_cache import StatementCache
+from limedyke.core.sessions.session_context import SessionContext
+from limedyke.core.sessions.session_token import TokenAuthority
+from limedyke.core.sql.statement_cache import StatementCache
 from limedyke.event_log import EventLog
 from limedyke.garbage_collection import resume_garbage_collection
 from limedyke.messages.handshake import PeerRole
--- a/limedyke/proxy/statements/attempt.py
+++ b/limedyke/proxy/statements/attempt.py
@@ -11,7 +11,7 @@
 from limedyke.messages.statements import AnswerKind, StatementAnswer
 from limedyke.proxy.statements.giving_up import give_up
 from limedyke.proxy.statements.group import StatementGroup
-from limedyke.proxy.statements.member_pool import MemberPool
+from limedyke.proxy.statements.members.member_pool import MemberPool
 from limedyke.proxy.statements.statement_log import NotSent, StatementLog, Try
 from limedyke.result_codes import ResultCode
 
--- /dev/null
+++ b/limedyke/proxy/statements/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of sessions of statements."""
--- a/limedyke/proxy/statements/client.py
+++ b/limedyke/proxy/statements/clients/client.py
@@ -20,7 +20,7 @@
 from limedyke.event_log import EventLog
 from limedyke.messages.statements import Statement, StatementAnswer, StatementKind
 from limedyke.messages.work import TransactionStatus
-from limedyke.proxy.statements.client_codec import (
+from limedyke.proxy.statements.clients.client_codec import (
     ClientCodec,
     ClientEvent,
     MalformedStatement,
@@ -28,10 +28,10 @@
     SessionRequested,
     StatementReceived,
 )
+from limedyke.proxy.statements.clients.session_admission import SessionAdmission
 from limedyke.proxy.statements.executor import StatementExecutor
 from limedyke.proxy.statements.groups import StatementGroups
 from limedyke.proxy.statements.placed_answer import TransactionPlace
-from limedyke.proxy.statements.session_admission import SessionAdmission
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.result_codes import ResultCode
 
--- a/limedyke/proxy/statements/session_admission.py
+++ b/limedyke/proxy/statements/clients/session_admission.py
@@ -10,7 +10,7 @@
 from limedyke.core.statements.session import StatementSession, refusal
 from limedyke.messages.statements import StatementAnswer
 from limedyke.proxy.control.view import ControlView
-from limedyke.proxy.statements.client_codec import SessionRequested
+from limedyke.proxy.statements.clients.client_codec import SessionRequested
 from limedyke.proxy.statements.groups import StatementGroups
 from limedyke.result_codes import ResultCode
 
--- a/limedyke/proxy/statements/executor.py
+++ b/limedyke/proxy/statements/executor.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 from limedyke.core.statements.session import RunOnMember, StatementSession, refusal
-from limedyke.proxy.statements.forwarding import StatementForwarding
 from limedyke.proxy.statements.groups import StatementGroups
+from limedyke.proxy.statements.homes.forwarding import StatementForwarding
 from limedyke.proxy.statements.placed_answer import (
     ForwardedTransaction,
     PlacedAnswer,
--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -13,7 +13,7 @@
 from limedyke.messages.control import GroupPrimary, MemberHealth
 from limedyke.messages.databases import AnnouncedMember
 from limedyke.messages.work import LogPosition
-from limedyke.proxy.statements.member_pool import MemberPool
+from limedyke.proxy.statements.members.member_pool import MemberPool
 
 LEASE_MARGIN_S = 0.2
 CUT_OFF_S = 1.0
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -23,9 +23,9 @@
 from limedyke.messages.databases import AnnouncedMember
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.statements.group import StatementGroup
-from limedyke.proxy.statements.member_codec import MemberCodec
-from limedyke.proxy.statements.member_pool import MemberPool
-from limedyke.proxy.statements.member_traffic import MemberTraffic
+from limedyke.proxy.statements.members.member_codec import MemberCodec
+from limedyke.proxy.statements.members.member_pool import MemberPool
+from limedyke.proxy.statements.members.member_traffic import MemberTraffic
 from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.transport.traffic import NO_METER, Distance, Place, TrafficMeter
--- a/limedyke/proxy/statements/hedged_read.py
+++ b/limedyke/proxy/statements/hedged_read.py
@@ -11,9 +11,9 @@
 from limedyke.messages.statements import NOT_RUN, AnswerKind, MemberAnswer
 from limedyke.messages.work import LogPosition
 from limedyke.proxy.statements.attempt import Attempt
-from limedyke.proxy.statements.member_exchange import MemberExchange
-from limedyke.proxy.statements.member_pool import MemberPool
-from limedyke.proxy.statements.pinned_connection import PinnedConnection
+from limedyke.proxy.statements.members.member_exchange import MemberExchange
+from limedyke.proxy.statements.members.member_pool import MemberPool
+from limedyke.proxy.statements.members.pinned_connection import PinnedConnection
 
 LEAST_PATIENCE_S = 0.1
 """A read is not sent to a second member sooner: a healthy machine pauses for up to a tenth of a
--- /dev/null
+++ b/limedyke/proxy/statements/homes/__init__.py
@@ -0,0 +1,1 @@
+"""Statements that run at home proxies of their group: both sides."""
--- a/limedyke/proxy/statements/forwarding.py
+++ b/limedyke/proxy/statements/homes/forwarding.py
@@ -17,9 +17,9 @@
 from limedyke.proxy.forwarding.home_links import HomeLinks
 from limedyke.proxy.forwarding.link import NEVER, HomeLink
 from limedyke.proxy.statements.attempt import MS_PER_S
-from limedyke.proxy.statements.forwarded_attempt import UNREACHED_TRIES, ForwardedAttempt
 from limedyke.proxy.statements.giving_up import RETRY_AFTER_MS
 from limedyke.proxy.statements.group import StatementGroup
+from limedyke.proxy.statements.homes.forwarded_attempt import UNREACHED_TRIES, ForwardedAttempt
 from limedyke.proxy.statements.placed_answer import ForwardedTransaction, PlacedAnswer
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from limedyke.result_codes import ResultCode
--- a/limedyke/proxy/statements/home_service.py
+++ b/limedyke/proxy/statements/homes/home_service.py
@@ -19,7 +19,7 @@
 from limedyke.proxy.forwarding.work_key import WorkKey
 from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.groups import StatementGroups
-from limedyke.proxy.statements.pinned_connection import PinnedConnection
+from limedyke.proxy.statements.members.pinned_connection import PinnedConnection
 from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
--- /dev/null
+++ b/limedyke/proxy/statements/members/__init__.py
@@ -0,0 +1,1 @@
+"""Connections to members: lent, queued for, asked questions on."""
--- a/limedyke/proxy/statements/connection_queue.py
+++ b/limedyke/proxy/statements/members/connection_queue.py
@@ -8,7 +8,7 @@
 
 import curio
 
-from limedyke.proxy.statements.member_connection import MemberConnection
+from limedyke.proxy.statements.members.member_connection import MemberConnection
 
 ANY_TENANT = None
 """Asks for a connection of whichever tenant: for the proxy's own questions, which show no data."""
--- a/limedyke/proxy/statements/idle_connections.py
+++ b/limedyke/proxy/statements/members/idle_connections.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from limedyke.proxy.statements.connection_queue import ANY_TENANT
-from limedyke.proxy.statements.member_connection import MemberConnection
+from limedyke.proxy.statements.members.connection_queue import ANY_TENANT
+from limedyke.proxy.statements.members.member_connection import MemberConnection
 
 
 class IdleConnections:
--- a/limedyke/proxy/statements/member_connection.py
+++ b/limedyke/proxy/statements/members/member_connection.py
@@ -18,8 +18,8 @@
     Statement,
 )
 from limedyke.messages.work import LogPosition, TransactionStatus
-from limedyke.proxy.statements.member_codec import MemberCodec
-from limedyke.proxy.statements.member_traffic import UNCOUNTED, MemberTraffic
+from limedyke.proxy.statements.members.member_codec import MemberCodec
+from limedyke.proxy.statements.members.member_traffic import UNCOUNTED, MemberTraffic
 from limedyke.transport.traffic import Purpose
 
 RECEIVE_BYTES = 64 * 1024
--- a/limedyke/proxy/statements/member_exchange.py
+++ b/limedyke/proxy/statements/members/member_exchange.py
@@ -10,12 +10,16 @@
 from limedyke.messages.statements import AnswerKind, MemberAnswer
 from limedyke.messages.work import LogPosition, TransactionStatus
 from limedyke.proxy.statements.attempt import Attempt
-from limedyke.proxy.statements.member_connection import (
+from limedyke.proxy.statements.members.member_connection import (
     ConnectionLostError,
     ConnectionRefusedByMemberError,
 )
-from limedyke.proxy.statements.member_pool import MemberPool, PoolClosedError, PoolTimeoutError
-from limedyke.proxy.statements.pinned_connection import PinnedConnection
+from limedyke.proxy.statements.members.member_pool import (
+    MemberPool,
+    PoolClosedError,
+    PoolTimeoutError,
+)
+from limedyke.proxy.statements.members.pinned_connection import PinnedConnection
 from limedyke.proxy.statements.statement_log import NotSent
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
 
--- a/limedyke/proxy/statements/member_pool.py
+++ b/limedyke/proxy/statements/members/member_pool.py
@@ -16,20 +16,20 @@
 from limedyke.core.statements.time_estimate import TimeEstimate
 from limedyke.messages.statements import AnswerKind
 from limedyke.messages.work import TransactionStatus
-from limedyke.proxy.statements.connection_queue import (
+from limedyke.proxy.statements.members.connection_queue import (
     ANY_TENANT,
     ConnectionQueue,
     ConnectionWaiter,
     QueuePlace,
 )
-from limedyke.proxy.statements.idle_connections import IdleConnections
-from limedyke.proxy.statements.member_codec import MemberCodec
-from limedyke.proxy.statements.member_connection import (
+from limedyke.proxy.statements.members.idle_connections import IdleConnections
+from limedyke.proxy.statements.members.member_codec import MemberCodec
+from limedyke.proxy.statements.members.member_connection import (
     ConnectionLostError,
     ConnectionRefusedByMemberError,
     MemberConnection,
 )
-from limedyke.proxy.statements.member_traffic import UNCOUNTED, MemberTraffic
+from limedyke.proxy.statements.members.member_traffic import UNCOUNTED, MemberTraffic
 
 IDLE_CLOSE_S = 6.0
 """Idle connections are few, so that members have room when proxies come back: a member holds a
--- a/limedyke/proxy/statements/member_questions.py
+++ b/limedyke/proxy/statements/members/member_questions.py
@@ -8,14 +8,18 @@
 
 from limedyke.messages.statements import MemberStatus
 from limedyke.messages.work import LogPosition
-from limedyke.proxy.statements.connection_queue import ANY_TENANT
 from limedyke.proxy.statements.group import StatementGroup
-from limedyke.proxy.statements.member_connection import (
+from limedyke.proxy.statements.members.connection_queue import ANY_TENANT
+from limedyke.proxy.statements.members.member_connection import (
     ConnectionLostError,
     ConnectionRefusedByMemberError,
     MemberConnection,
 )
-from limedyke.proxy.statements.member_pool import MemberPool, PoolClosedError, PoolTimeoutError
+from limedyke.proxy.statements.members.member_pool import (
+    MemberPool,
+    PoolClosedError,
+    PoolTimeoutError,
+)
 
 SEARCH_INTERVAL_S = 0.15
 SEARCH_TIMEOUT_S = 0.5
--- a/limedyke/proxy/statements/pinned_connection.py
+++ b/limedyke/proxy/statements/members/pinned_connection.py
@@ -7,8 +7,8 @@
 import curio
 
 from limedyke.messages.work import TransactionStatus
-from limedyke.proxy.statements.member_connection import MemberConnection
-from limedyke.proxy.statements.member_pool import MemberPool
+from limedyke.proxy.statements.members.member_connection import MemberConnection
+from limedyke.proxy.statements.members.member_pool import MemberPool
 
 ROLL_BACK_TIMEOUT_S = 1.0
 
--- a/limedyke/proxy/statements/placed_answer.py
+++ b/limedyke/proxy/statements/placed_answer.py
@@ -6,7 +6,7 @@
 
 from limedyke.messages.statements import StatementAnswer
 from limedyke.proxy.forwarding.link import HomeLink
-from limedyke.proxy.statements.pinned_connection import PinnedConnection
+from limedyke.proxy.statements.members.pinned_connection import PinnedConnection
 
 
 @dataclass(frozen=True, slots=True)
--- a/limedyke/proxy/statements/read_runner.py
+++ b/limedyke/proxy/statements/read_runner.py
@@ -10,9 +10,9 @@
 from limedyke.messages.work import LogPosition
 from limedyke.proxy.statements.attempt import MS_PER_S, Attempt
 from limedyke.proxy.statements.hedged_read import UNANSWERED, HedgedRead, SecondMember
-from limedyke.proxy.statements.member_exchange import MemberExchange
-from limedyke.proxy.statements.member_pool import MemberPool
-from limedyke.proxy.statements.member_questions import MemberQuestions
+from limedyke.proxy.statements.members.member_exchange import MemberExchange
+from limedyke.proxy.statements.members.member_pool import MemberPool
+from limedyke.proxy.statements.members.member_questions import MemberQuestions
 from limedyke.proxy.statements.placed_answer import PlacedAnswer
 from limedyke.proxy.statements.settlement import settle_first
 from limedyke.proxy.statements.statement_log import NotSent
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -18,16 +18,16 @@
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.forwarding.home_links import HomeLinks
 from limedyke.proxy.forwarding.server import ForwardingServer
-from limedyke.proxy.statements.client import ClientServices, StatementClient
-from limedyke.proxy.statements.client_codec import ClientCodec
+from limedyke.proxy.statements.clients.client import ClientServices, StatementClient
+from limedyke.proxy.statements.clients.client_codec import ClientCodec
+from limedyke.proxy.statements.clients.session_admission import SessionAdmission
 from limedyke.proxy.statements.executor import StatementExecutor
-from limedyke.proxy.statements.forwarding import StatementForwarding
 from limedyke.proxy.statements.groups import StatementGroups
-from limedyke.proxy.statements.home_service import StatementHomeService, refuse_unit
-from limedyke.proxy.statements.member_codec import MemberCodec
+from limedyke.proxy.statements.homes.forwarding import StatementForwarding
+from limedyke.proxy.statements.homes.home_service import StatementHomeService, refuse_unit
+from limedyke.proxy.statements.members.member_codec import MemberCodec
 from limedyke.proxy.statements.memory_store import MemoryControlStore
 from limedyke.proxy.statements.runner import StatementRunner
-from limedyke.proxy.statements.session_admission import SessionAdmission
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.proxy.statements.statement_log import StatementLog
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
--- a/limedyke/proxy/statements/settlement.py
+++ b/limedyke/proxy/statements/settlement.py
@@ -10,7 +10,7 @@
     StatementKind,
 )
 from limedyke.proxy.statements.giving_up import RETRY_AFTER_MS
-from limedyke.proxy.statements.pinned_connection import PinnedConnection
+from limedyke.proxy.statements.members.pinned_connection import PinnedConnection
 from limedyke.proxy.statements.placed_answer import PlacedAnswer
 from limedyke.result_codes import ResultCode
 
