Log statements whose connection ends before their answer, and what is under way at a stop

Change: event=unanswered with the request, what ended the connection, whether the statement was sent, and how long it was held; a counter of them; event=stopped counts statements under way, own and forwarded, and the time since the signal. No logic changes.

--- a/features/statement_log.feature
+++ b/features/statement_log.feature
@@ -45,3 +45,11 @@
     And statement log: 9 lines asked for at 0.5 s get 2
     And statement log: 9 lines asked for at 0.6 s get 0
     And statement log: 9 lines asked for at 60.0 s get 4
+
+  Scenario: statement log: a statement whose client goes away before its answer
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement log: lines are kept
+    When statement log: the client asks "WRITE x 1" of a primary that works for 200 ms, and resets its connection
+    And statement path: 400 ms pass
+    Then statement log: "unanswered" of the last request says "was_sent=True"
+    And statement log: metrics count 1 statements without an answer
--- a/features/steps/statement_log_steps.py
+++ b/features/steps/statement_log_steps.py
@@ -5,6 +5,7 @@
 import re
 import time
 
+import curio
 import logbook
 from behave import given, then, when
 
@@ -13,6 +14,8 @@
 from limedyke.proxy.statements.statement_log import StatementLog
 
 METRIC = "limedyke_statements_"
+ASKED_S = 0.05
+"""A statement has reached its member by then."""
 
 
 @given("statement log: lines are kept")
@@ -110,3 +113,25 @@
     )
     left_out = _metric(context, "log_lines_left_out_total", {})
     assert left_out >= answers - written > 0, (left_out, answers, written)
+
+
+@when(
+    'statement log: the client asks "{text}" of a primary that works for {pause_ms:d} ms, '
+    "and resets its connection"
+)
+def step_reset(context, text, pause_ms):
+    faults = context.path.group.members["a"].faults
+    faults.answers_travel_s = pause_ms / 1_000
+    context.kernel.run(_ask_and_reset, context.client, text)
+
+
+async def _ask_and_reset(client, text: str) -> None:
+    client.request_id = "reset1"
+    await client.send(f"QUERY {client.request_id} {text}\r\n")
+    await curio.sleep(ASKED_S)
+    await client.close()
+
+
+@then("statement log: metrics count {count:d} statements without an answer")
+def step_unanswered(context, count):
+    assert _metric(context, "unanswered_total", {}) == count
--- a/limedyke/core/statements/session.py
+++ b/limedyke/core/statements/session.py
@@ -77,6 +77,7 @@
     :ivar tenant: whom the client speaks for, renewed likewise: its key may pass to another one;
         empty at a public database
     :ivar access_key: digest of the key that the client showed
+    :ivar was_sent: the statement under way was sent to a member or a home proxy
     """
 
     database: Database
@@ -87,6 +88,7 @@
     written: LogPosition | None = None
     tenant: str = ""
     access_key: bytes = b""
+    was_sent: bool = False
 
     def plan(self, statement: Statement) -> Plan:
         """Return what to do with the next statement."""
--- a/limedyke/proxy/statements/clients/client.py
+++ b/limedyke/proxy/statements/clients/client.py
@@ -32,7 +32,7 @@
 from limedyke.proxy.statements.executor import StatementExecutor
 from limedyke.proxy.statements.groups import StatementGroups
 from limedyke.proxy.statements.placed_answer import TransactionPlace
-from limedyke.proxy.statements.statement_log import StatementLog
+from limedyke.proxy.statements.statement_log import StatementLog, StatementUnderWay
 from limedyke.result_codes import ResultCode
 
 RECEIVE_BYTES = 64 * 1024
@@ -98,19 +98,33 @@
         self._events: deque[ClientEvent] = deque()
         self.is_idle = False
         self._idle_since = 0.0
+        self._under_way: StatementUnderWay | None = None
+        self._ended_by = "process-end"
         self.task: curio.Task | None = None
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether a statement was received whose answer is not sent yet."""
+        return self._under_way is not None
+
     async def run(self) -> None:
         """Serve the client; never raises for what the client or its network does."""
         try:
             while await self._serve_next():
                 continue
-        except OSError:
-            return
+        except OSError as error:
+            self._ended_by = f"connection: {error}"
         finally:
             async with curio.disable_cancellation():
+                self._tell_unanswered()
                 await self._clean_up()
 
+    def _tell_unanswered(self) -> None:
+        """Log a statement whose client gets no answer any more."""
+        if self._under_way is not None:
+            was_sent = self._session is not None and self._session.was_sent
+            self._services.log.unanswered(self._under_way, self._ended_by, was_sent)
+
     async def _clean_up(self) -> None:
         if self._place is not None:
             place, self._place = self._place, None
@@ -151,6 +165,7 @@
         """
         has_rested = time.monotonic() - self._idle_since > REST_BEFORE_LEAVING_S
         if self.is_idle and has_rested and self.task is not None:
+            self._ended_by = "leaving"
             await self.task.cancel(blocking=False)
 
     async def _stay_for_what_came(self) -> None:
@@ -227,11 +242,14 @@
             await self._socket.sendall(self._codec.refuse_session(answer))
             return False
         started_at = time.monotonic()
+        self._under_way = StatementUnderWay(session.database, statement, started_at)
+        session.was_sent = False
         was_idle = session.status is TransactionStatus.IDLE
         refused = self._services.admission.renew(session) if was_idle else None
         answer = refused or await self._answer(session, statement)
         self._services.log.answered(session.database, statement, answer, started_at)
         await self._socket.sendall(self._codec.answer(answer, session.status))
+        self._under_way = None
         self._note_refusal(answer)
         is_over = session.status is TransactionStatus.IDLE and statement.kind in ENDS_AN_OPERATION
         is_sent_away = self._services.is_leaving or self._is_sent_away
--- a/limedyke/proxy/statements/homes/forwarding.py
+++ b/limedyke/proxy/statements/homes/forwarding.py
@@ -86,6 +86,7 @@
         """Try one home proxy; None when another one should be tried."""
         attempt.tried.add(link.home)
         unit = dataclasses.replace(unit, may_decline=not link.is_crowded)
+        attempt.session.was_sent = True
         end = await self._run_at(link, unit, attempt.time_left(), attempt.patience_s(link))
         if end is None:
             may_be_sent_again = attempt.may_be_sent_again()
@@ -110,6 +111,7 @@
         """Run a further statement of a transaction that is open at a home proxy."""
         unit = self._unit(session, run, place.number)
         limit_s = session.database.statement_timeout_ms / MS_PER_S
+        session.was_sent = True
         end = await self._run_at(place.link, unit, limit_s)
         if end is None:
             place.link.transactions.discard(place.number)
--- a/limedyke/proxy/statements/homes/home_service.py
+++ b/limedyke/proxy/statements/homes/home_service.py
@@ -73,6 +73,11 @@
         """Whether a unit runs or a transaction is open here."""
         return bool(self._held or self._running)
 
+    @property
+    def under_way(self) -> int:
+        """How many units run here."""
+        return len(self._running)
+
     def has_transaction(self, key: WorkKey) -> bool:
         """Tell whether a transaction is open here."""
         return key in self._held
--- a/limedyke/proxy/statements/members/member_exchange.py
+++ b/limedyke/proxy/statements/members/member_exchange.py
@@ -86,6 +86,7 @@
         run = attempt.run
         started_at = time.monotonic()
         belief.sent(started_at)
+        attempt.session.was_sent = True
         is_answered = True
         was_primary = attempt.group.is_surely_primary(pinned.identity)
         try:
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -43,6 +43,7 @@
 EXIT_FAILED = 1
 ACCEPT_PAUSE_S = 0.05
 READY_BODY_BYTES = 1_024
+MS_PER_S = 1_000
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
 IDLE_CLOSE_FROM = 0.4
@@ -215,7 +216,14 @@
                 await client.leave()
             await curio.sleep(ACCEPT_PAUSE_S)
         await self._control.leave(done=True)
-        EVENTS.info("stopped", clients=len(self._clients))
+        under_way = sum(client.is_serving for client in self._clients)
+        EVENTS.info(
+            "stopped",
+            clients=len(self._clients),
+            under_way=under_way,
+            forwarded_under_way=self._home.under_way,
+            elapsed_ms=int((time.monotonic() - began_at) * MS_PER_S),
+        )
 
 
 def run_statement_proxy(
--- a/limedyke/proxy/statements/statement_log.py
+++ b/limedyke/proxy/statements/statement_log.py
@@ -64,6 +64,18 @@
     is_news: bool
 
 
+@dataclass(frozen=True, slots=True)
+class StatementUnderWay:
+    """A statement that was received and is not answered yet.
+
+    :param started_at: when it was received, seconds of the monotonic clock
+    """
+
+    database: Database
+    statement: Statement
+    started_at: float
+
+
 class StatementLog:
     """Writes a limited number of lines a second; what is left out is counted.
 
@@ -109,6 +121,26 @@
             retry_after_ms=answer.retry_after_ms,
         )
 
+    def unanswered(self, under_way: StatementUnderWay, ended_by: str, was_sent: bool) -> None:
+        """Take a statement whose client's connection ended before its answer was sent.
+
+        :param ended_by: what ended the connection
+        :param was_sent: it went to a member or a home proxy, and may have run
+        """
+        self._metrics.unanswered.inc()
+        if not self._may_write(self._outcomes):
+            return
+        EVENTS.warning(
+            "unanswered",
+            request=under_way.statement.request_id,
+            database=under_way.database.name,
+            group=under_way.database.group,
+            kind=under_way.statement.kind,
+            ended_by=ended_by,
+            was_sent=was_sent,
+            held_ms=int((time.monotonic() - under_way.started_at) * MS_PER_S),
+        )
+
     def tried(self, statement: Statement, group: str, seen: Try) -> None:
         """Take a try that failed; the statement may be served by a later one."""
         self._metrics.try_failed(seen.reason)
--- a/limedyke/proxy/statements/statement_metrics.py
+++ b/limedyke/proxy/statements/statement_metrics.py
@@ -72,6 +72,11 @@
             "Slow reads that were tried at a second member beside the first.",
             registry=registry,
         )
+        self.unanswered = Counter(
+            f"{PREFIX}unanswered",
+            "Statements whose client's connection ended before their answer was sent.",
+            registry=registry,
+        )
         self.lines_left_out = Counter(
             f"{PREFIX}log_lines_left_out", "Log lines beyond the budget.", registry=registry
         )
