Give two tests of statements the time that a loaded machine needs

Cause: both listed in KNOWN-RED.txt, both narrow on the wall clock. - A home proxy holds a read: 760 ms at the home proxy, the primary back after 600, looks 100 ms apart: 60 ms of room. Now 3,200 and 2,400 ms: the same three quarters of the statement's time, four times the room. - A connection that takes long to open: 550 ms, with a connect time-out of 600. Now the time-out is 3,000 ms there; what is checked is the same. Ruled out: a cause shared with the planned stop (no proxy stops in either). Conclusion: the first is traced by a run; the second by its figures, not by a failure seen again. client_idle stays listed.

--- a/features/statement_forwarding.feature
+++ b/features/statement_forwarding.feature
@@ -107,11 +107,12 @@
 
   Scenario: statement homes: a home proxy holds a read for most of its time
     Given statement homes: a session database, home proxies h1 in z2
+    And statement path: statements may take 3200 ms
     When statement path: the client asks "WRITE x 1" and is told "done I"
     And statement homes: links to all are open
     And statement path: no primary is recorded
-    And statement path: the client asks "READ x", and after 600 ms b leads, and the proxy knows
-    Then statement path: it is told "1 done I" within 800 ms
+    And statement path: the client asks "READ x", and after 2400 ms b leads, and the proxy knows
+    Then statement path: it is told "1 done I" within 3200 ms
     And statement homes: h1 took 2 statements
 
   Scenario: statement homes: a statement is held until a home proxy reaches the next primary
--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -114,7 +114,7 @@
 
   Scenario: statement path: a connection that takes long to open is there for the next request
     Given statement path: a session database on primary a and replicas b c, the proxy beside b
-    And statement path: attempts to connect to a take 550 ms
+    And statement path: attempts to connect to a take 550 ms, and may take 3000 ms
     And statement path: statements may take 400 ms
     When statement path: the client asks "WRITE x 1" and is told "BUSY I"
     And statement path: 300 ms pass
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -137,6 +137,16 @@
     _delay_connecting(context, name, milliseconds / 1_000)
 
 
+@given(
+    "statement path: attempts to connect to {name:w} take {milliseconds:d} ms, "
+    "and may take {limit_ms:d} ms"
+)
+def step_connecting_may_take(context, name, milliseconds, limit_ms):
+    _delay_connecting(context, name, milliseconds / 1_000)
+    pool = context.path.groups.groups[GROUP].pools[name]
+    pool._connect_timeout_s = limit_ms / 1_000
+
+
 @when("statement path: {count:d} clients read at once")
 def step_read_at_once(context, count):
     _ask_at_once(context, count, "READ x")
