Take statements while a proxy stops only as long as an answer can follow

Cause: a stopping proxy took statements, transactions and sessions for as long as it lived, and its end depended on the clock alone: 5.1 s after the signal it ended with what was under way. Work was accepted without a bound that ends before the process does. Transactions begin until 0.4 of the time, statements are taken until 0.7, each bounded by the moment of the last answer (0.85), when what is left is told what is known of it: did not run, rolled back, or unknown. Sessions that end are told so, and a statement that crosses that on its way is answered by it. Home proxies go on running forwarded statements, and leave them to others from 0.4 on where there are others. A transaction that ends while its client rests is told so at its next statement. Tests of sessions that end look for the notice before the end now.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -20,4 +20,10 @@
     Examples:
       | habit              | state                                                   | proxies           |
       | read               | members work 700 ms on a read                           | the first         |
+      | read               | members are busy for good                               | the first         |
+      | write              | members answer after 300 ms                             | the first         |
       | run transactions   | members answer after 50 ms                              | the first         |
+      | rest between reads | members answer after 50 ms                              | the first         |
+      | read               | statements may take 8 s, and members work 7 s on a read | the first         |
+      | read               | members work 700 ms on a read                           | both, 0.4 s apart |
+      | run transactions   | members answer after 50 ms                              | both, 0.4 s apart |
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -18,7 +18,7 @@
 from features.support.persistent_clients import DATABASE, Habit, PersistentClient
 
 ALWAYS = 10**9
-BEFORE_STOP_S = 1.0
+BEFORE_STOP_S = 0.5
 STOP_GAP_S = 0.4
 STOP_LIMIT_S = 6.0
 """What the platform gives a process between SIGTERM and SIGKILL."""
--- a/features/support/persistent_clients.py
+++ b/features/support/persistent_clients.py
@@ -21,6 +21,7 @@
 REST_STEP_S = 0.07
 """Rests differ by so much: sessions return all the time while the proxy looks at them."""
 NOT_WHOLE = "closed"
+LEAVES_SERVICE = "LD3006"
 
 
 class Habit(enum.StrEnum):
@@ -60,11 +61,14 @@
 
     :param ip: of the proxy's machine
     :param habit: what it does
+    :param heeds: it ends a session when it is told that the proxy leaves service; else it uses its
+        connection until that ends
     """
 
-    def __init__(self, name: str, ip: str, habit: Habit) -> None:
+    def __init__(self, name: str, ip: str, habit: Habit, heeds: bool = True) -> None:
         self.told: list[Told] = []
         self._name = name
+        self._heeds = heeds
         self._ip = ip
         self._habit = habit
         self._sessions = 0
@@ -125,6 +129,10 @@
         readable, _, _ = select.select([self._socket.fileno()], [], [], 0)
         return bool(readable)
 
+    def _is_sent_elsewhere(self, lines: list[str]) -> bool:
+        """Tell whether the client was told to connect to another proxy, and does."""
+        return self._heeds and any(LEAVES_SERVICE in line for line in lines)
+
     async def _ask(self, text: str) -> str:
         """Ask a statement; keep and return what was told of it."""
         if self._was_told_unasked():
@@ -139,6 +147,6 @@
             words = NOT_WHOLE
         told = Told(self._client.request_id, text, sent_at, time.monotonic(), words)
         self.told.append(told)
-        if not told.is_whole:
+        if not told.is_whole or self._is_sent_elsewhere(lines):
             raise SessionOverError
         return words
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -88,6 +88,12 @@
         self.last_answer = await self.answer()
         return summary(self.last_answer)
 
+    async def expect_end(self) -> None:
+        """Be told that the session is over though nothing was asked, then the connection's end."""
+        told = await self.receive()
+        assert told.startswith("ERROR "), told
+        assert await self.receive() == ""
+
     async def close(self) -> None:
         """Close the connection."""
         await self._socket.close()
--- a/limedyke/core/statements/session.py
+++ b/limedyke/core/statements/session.py
@@ -18,6 +18,8 @@
 from limedyke.messages.work import LogPosition, TransactionStatus
 from limedyke.result_codes import ResultCode
 
+MS_PER_S = 1_000.0
+
 
 @dataclass(frozen=True, slots=True)
 class RunOnMember:
@@ -77,7 +79,10 @@
     :ivar tenant: whom the client speaks for, renewed likewise: its key may pass to another one;
         empty at a public database
     :ivar access_key: digest of the key that the client showed
-    :ivar was_sent: the statement under way was sent to a member or a home proxy
+    :ivar answer_by: when statements must be answered at the latest, seconds of the monotonic clock
+    :ivar tries_under_way: how often the statement under way was sent to a member or a home proxy
+        without an answer that it did not run
+    :ivar untold: why its transaction was ended while the client asked nothing, until it is told
     """
 
     database: Database
@@ -88,7 +93,26 @@
     written: LogPosition | None = None
     tenant: str = ""
     access_key: bytes = b""
-    was_sent: bool = False
+    answer_by: float = float("inf")
+    tries_under_way: int = 0
+    untold: ResultCode | None = None
+
+    @property
+    def was_sent(self) -> bool:
+        """Whether the statement under way may have run."""
+        return self.tries_under_way > 0
+
+    def begin_statement(self, answer_by: float) -> None:
+        """Begin the next statement.
+
+        :param answer_by: when the proxy answers the last one, seconds of the monotonic clock
+        """
+        self.answer_by = answer_by
+        self.tries_under_way = 0
+
+    def statement_time_s(self, now: float) -> float:
+        """Return how long a statement that begins now may take."""
+        return max(0.0, min(self.database.statement_timeout_ms / MS_PER_S, self.answer_by - now))
 
     def plan(self, statement: Statement) -> Plan:
         """Return what to do with the next statement."""
@@ -140,6 +164,14 @@
             self.transaction = None
             self.status = TransactionStatus.FAILED
 
+    def lose_transaction(self, reason: ResultCode) -> None:
+        """Note that the transaction was ended while its client asked nothing.
+
+        The client believes it open: its next statement is told that nothing was kept.
+        """
+        self.fail_transaction()
+        self.untold = reason
+
     def close_transaction(self) -> None:
         """Return to the state outside a transaction."""
         self.transaction = None
@@ -165,12 +197,15 @@
         return EndTransaction(StatementAnswer()) if was_at_member else StatementAnswer()
 
     def _plan_after_failure(self, statement: Statement) -> Plan:
+        untold, self.untold = self.untold, None
         if statement.kind is StatementKind.ROLLBACK:
             self.close_transaction()
             return StatementAnswer()
         if statement.kind is StatementKind.COMMIT:
             self.close_transaction()
-            return refusal(ResultCode.TRANSACTION_LOST)
+            return refusal(untold or ResultCode.TRANSACTION_LOST)
+        if untold is not None:
+            return refusal(untold)
         return refusal(ResultCode.PROTOCOL_VIOLATION, "The transaction failed: end it first.")
 
     def _deallocate(self, name: str) -> Plan:
--- a/limedyke/proxy/statements/attempt.py
+++ b/limedyke/proxy/statements/attempt.py
@@ -66,7 +66,7 @@
         """Begin an attempt: its time counts from now."""
         now = time.monotonic()
         database = session.database
-        whole_s = database.statement_timeout_ms / MS_PER_S
+        whole_s = session.statement_time_s(now)
         hold_until = now + HELD_SHARE_OF_TARGET * database.target_latency_ms / MS_PER_S
         return cls(session, run, group, log, now, whole_s, now + whole_s, hold_until)
 
--- a/limedyke/proxy/statements/clients/client.py
+++ b/limedyke/proxy/statements/clients/client.py
@@ -5,11 +5,11 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import curio
 from curio import socket
-from result import Err
+from result import Err, Result
 
 from limedyke.core.statements.session import (
     EndTransaction,
@@ -17,21 +17,26 @@
     StatementSession,
     refusal,
 )
+from limedyke.core.statements.stop_schedule import StopState
 from limedyke.event_log import EventLog
 from limedyke.messages.statements import Statement, StatementAnswer, StatementKind
 from limedyke.messages.work import TransactionStatus
 from limedyke.proxy.statements.clients.client_codec import (
     ClientCodec,
     ClientEvent,
+    LeaveAsked,
     MalformedStatement,
     SessionEnded,
     SessionRequested,
     StatementReceived,
 )
 from limedyke.proxy.statements.clients.session_admission import SessionAdmission
+from limedyke.proxy.statements.clients.session_end import end_session
 from limedyke.proxy.statements.executor import StatementExecutor
+from limedyke.proxy.statements.giving_up import give_up
 from limedyke.proxy.statements.groups import StatementGroups
-from limedyke.proxy.statements.placed_answer import TransactionPlace
+from limedyke.proxy.statements.placed_answer import PlacedAnswer, TransactionPlace
+from limedyke.proxy.statements.settlement import settle_unanswered
 from limedyke.proxy.statements.statement_log import StatementLog, StatementUnderWay
 from limedyke.result_codes import ResultCode
 
@@ -60,17 +65,26 @@
 """What a proxy that is cut off answers, though another one may serve it."""
 KEY_UNKNOWN = ResultCode.ACCESS_KEY_UNKNOWN.value.number
 """Ends the session: the key that it was opened with has been taken away."""
+STOPPED_RETRY_AFTER_MS = 10
+"""Another proxy may serve at once."""
 REST_BEFORE_LEAVING_S = 0.25
 EVENTS = EventLog("client")
 
 
+class LeaveAskedError(curio.CancelledError):
+    """The session is to end where it waits for its client."""
+
+
+class StopDeadlineError(LeaveAskedError):
+    """The proxy ends soon: the statement under way is told what is known of it."""
+
+
 @dataclass(slots=True)
 class ClientServices:
     """What all clients of a proxy share.
 
     :param is_cut_off: whether the proxy has lost the controllers, so that others may serve better
-    :param is_leaving: the proxy was asked to stop
-    :param transactions_end_at: when open transactions are ended, while it stops
+    :param stop: whether the proxy was asked to stop, and until when it does what
     """
 
     groups: StatementGroups
@@ -78,14 +92,13 @@
     executor: StatementExecutor
     log: StatementLog
     is_cut_off: Callable[[], bool] = lambda: False
-    is_leaving: bool = False
-    transactions_end_at: float = float("inf")
+    stop: StopState = field(default_factory=StopState)
 
 
 class StatementClient:
     """Serves one client until its connection ends.
 
-    :ivar is_idle: it waits for the client, outside a transaction
+    :ivar is_waiting: it waits for the client
     """
 
     def __init__(self, sock: socket.socket, codec: ClientCodec, services: ClientServices) -> None:
@@ -95,9 +108,10 @@
         self._session: StatementSession | None = None
         self._place: TransactionPlace | None = None
         self._is_sent_away = False
+        self._is_over = False
         self._events: deque[ClientEvent] = deque()
-        self.is_idle = False
-        self._idle_since = 0.0
+        self.is_waiting = False
+        self._waiting_since = 0.0
         self._under_way: StatementUnderWay | None = None
         self._ended_by = "process-end"
         self.task: curio.Task | None = None
@@ -144,13 +158,21 @@
                 return await self._serve_statement(event.statement)
             case MalformedStatement():
                 return await self._refuse_malformed(event)
+            case LeaveAsked():
+                await self._end_session(ResultCode.DRAINING)
         return False
 
     async def _next_event(self) -> ClientEvent:
         while not self._events:
-            data = await self._receive()
+            try:
+                data = await self._receive()
+            except LeaveAskedError:
+                if self._session is None or self._session.transaction is None:
+                    return LeaveAsked()
+                await self._lose_transaction(ResultCode.TRANSACTION_LOST)
+                continue
             if data is None:
-                await self._end_idle_transaction()
+                await self._lose_transaction(ResultCode.IDLE_IN_TRANSACTION)
                 continue
             if not data:
                 return SessionEnded("closed by the client")
@@ -159,14 +181,41 @@
         return self._events.popleft()
 
     async def leave(self) -> None:
-        """End the session, if it has waited for the client outside a transaction for a while.
+        """End the session, or its transaction, if it waits for the client and the stop is so far.
 
-        What a client has just been told may bring its next statement, which is on its way.
+        What a client has just been told may bring its next statement, which is on its way: at
+        first only sessions end that have rested for a while.
         """
-        has_rested = time.monotonic() - self._idle_since > REST_BEFORE_LEAVING_S
-        if self.is_idle and has_rested and self.task is not None:
-            self._ended_by = "leaving"
-            await self.task.cancel(blocking=False)
+        if self.is_waiting and self._is_due(time.monotonic()):
+            await self._interrupt(LeaveAskedError)
+
+    def _is_due(self, now: float) -> bool:
+        """Tell whether a session that waits for its client is to be ended now."""
+        schedule = self._services.stop.schedule
+        status = TransactionStatus.IDLE if self._session is None else self._session.status
+        match status:
+            case TransactionStatus.IDLE:
+                has_rested = now - self._waiting_since > REST_BEFORE_LEAVING_S
+                return has_rested or now >= schedule.statements_until
+            case TransactionStatus.IN_TRANSACTION:
+                return now >= schedule.statements_until
+        return now >= schedule.answers_until
+
+    async def cut_short(self) -> None:
+        """Have the statement under way answered now with what is known of it."""
+        if self.is_serving:
+            await self._interrupt(StopDeadlineError)
+
+    async def _interrupt(self, error: type[LeaveAskedError]) -> None:
+        if self.task is not None and not self._is_over:
+            await self.task.cancel(exc=error, blocking=False)
+
+    async def _end_session(self, code: ResultCode) -> None:
+        """Tell the client that its session is over; what it has sent by then did not run."""
+        self._is_over = True
+        limit_s = max(0.0, self._services.stop.schedule.ends_at - time.monotonic())
+        reason = refusal(code, retry_after_ms=STOPPED_RETRY_AFTER_MS)
+        await end_session(self._socket, self._codec, reason, tuple(self._events), limit_s)
 
     async def _stay_for_what_came(self) -> None:
         """Serve a statement that came at the moment the session was asked to leave.
@@ -174,15 +223,15 @@
         Cancellation can't just be disabled while a statement runs: its time limits are
         cancellations too.
         """
-        if self._services.is_leaving:
+        if self._services.stop.is_stopping:
             async with curio.disable_cancellation():
-                await curio.check_cancellation(curio.CancelledError)
+                await curio.check_cancellation(LeaveAskedError)
 
     async def _receive(self) -> bytes | None:
         """Return received bytes; None when an open transaction has rested for too long."""
         rest_s = self._rest_limit_s()
-        self.is_idle = self._session is not None and self._session.transaction is None
-        self._idle_since = time.monotonic()
+        self.is_waiting = True
+        self._waiting_since = time.monotonic()
         try:
             if rest_s is None:
                 return await self._socket.recv(RECEIVE_BYTES)
@@ -191,34 +240,25 @@
         except curio.TaskTimeout:
             return None
         finally:
-            self.is_idle = False
+            self.is_waiting = False
 
     def _rest_limit_s(self) -> float | None:
-        if self._session is None or self._session.transaction is None:
-            return None
-        limits = []
-        view = self._services.groups.view
-        if view is not None and view.session_limits.idle_in_transaction_ms:
-            limits.append(view.session_limits.idle_in_transaction_ms / 1_000)
-        ends_at = self._services.transactions_end_at
-        if ends_at != float("inf"):
-            limits.append(max(0.0, ends_at - time.monotonic()))
-        return min(limits, default=1.0)
-
-    async def _end_idle_transaction(self) -> None:
-        """Roll back a transaction that rests for too long, or because the proxy stops."""
+        """Return how long the client may rest; None for as long as it likes."""
         view = self._services.groups.view
-        is_limited = view is not None and view.session_limits.idle_in_transaction_ms > 0
-        is_stopping = time.monotonic() >= self._services.transactions_end_at
-        if not is_limited and not is_stopping:
-            return
-        self._session.fail_transaction()
+        is_open = self._session is not None and self._session.transaction is not None
+        if not is_open or view is None or not view.session_limits.idle_in_transaction_ms:
+            return None
+        return view.session_limits.idle_in_transaction_ms / 1_000
+
+    async def _lose_transaction(self, code: ResultCode) -> None:
+        """Roll back a transaction whose client rests; its next statement is told so."""
+        self._session.lose_transaction(code)
         if self._place is not None:
             place, self._place = self._place, None
             await self._services.executor.roll_back(place)
 
     async def _open_session(self, event: SessionRequested) -> bool:
-        opened = await self._services.admission.open(event)
+        opened = await self._admit(event)
         if isinstance(opened, Err):
             self._services.log.session_refused(event.database, opened.err_value)
             await self._socket.sendall(self._codec.refuse_session(opened.err_value))
@@ -227,6 +267,12 @@
         await self._socket.sendall(self._codec.ready())
         return True
 
+    async def _admit(self, event: SessionRequested) -> Result[StatementSession, StatementAnswer]:
+        """Open a session, unless the proxy takes no more statements."""
+        if not self._services.stop.schedule.takes(StatementKind.READ, time.monotonic()):
+            return Err(refusal(ResultCode.DRAINING, retry_after_ms=STOPPED_RETRY_AFTER_MS))
+        return await self._services.admission.open(event)
+
     async def _refuse_malformed(self, event: MalformedStatement) -> bool:
         answer = refusal(ResultCode.PROTOCOL_VIOLATION, event.reason)
         if self._session is None:
@@ -243,17 +289,38 @@
             return False
         started_at = time.monotonic()
         self._under_way = StatementUnderWay(session.database, statement, started_at)
-        session.was_sent = False
-        was_idle = session.status is TransactionStatus.IDLE
-        refused = self._services.admission.renew(session) if was_idle else None
-        answer = refused or await self._answer(session, statement)
+        session.begin_statement(self._services.stop.schedule.answers_until)
+        answer = self._refused_at_once(session, statement) or await self._answer(session, statement)
         self._services.log.answered(session.database, statement, answer, started_at)
         await self._socket.sendall(self._codec.answer(answer, session.status))
         self._under_way = None
         self._note_refusal(answer)
+        return await self._goes_on(session, statement, answer)
+
+    def _refused_at_once(
+        self, session: StatementSession, statement: Statement
+    ) -> StatementAnswer | None:
+        """Return why a statement is not served at all; None when it is."""
+        is_taken = self._services.stop.schedule.takes(statement.kind, time.monotonic())
+        match session.status:
+            case TransactionStatus.IDLE if not is_taken:
+                return refusal(ResultCode.DRAINING, retry_after_ms=STOPPED_RETRY_AFTER_MS)
+            case TransactionStatus.IDLE:
+                return self._services.admission.renew(session)
+        return None
+
+    async def _goes_on(
+        self, session: StatementSession, statement: Statement, answer: StatementAnswer
+    ) -> bool:
+        """Tell whether the session goes on behind an answer; end it when it does not."""
+        if answer.code == KEY_UNKNOWN:
+            await self._end_session(ResultCode.ACCESS_KEY_UNKNOWN)
+            return False
         is_over = session.status is TransactionStatus.IDLE and statement.kind in ENDS_AN_OPERATION
-        is_sent_away = self._services.is_leaving or self._is_sent_away
-        return answer.code != KEY_UNKNOWN and not (is_over and is_sent_away)
+        if is_over and self._is_sent_away:
+            await self._end_session(ResultCode.NO_LEASE)
+            return False
+        return True
 
     def _note_refusal(self, answer: StatementAnswer) -> None:
         """Have the client come back to another proxy if that may serve what was refused here.
@@ -277,6 +344,18 @@
         return plan
 
     async def _run(self, session: StatementSession, run: RunOnMember) -> StatementAnswer:
-        placed = await self._services.executor.run(session, run, self._place)
+        try:
+            placed = await self._services.executor.run(session, run, self._place)
+        except StopDeadlineError:
+            placed = await self._cut(session, run)
         self._place = placed.place
         return placed.answer
+
+    async def _cut(self, session: StatementSession, run: RunOnMember) -> PlacedAnswer:
+        """Give a statement up that no member has answered by the end of the stop."""
+        if self._place is not None:
+            await self._services.executor.abandon(self._place)
+        detail = "the proxy stops"
+        if session.was_sent or session.transaction is not None:
+            return settle_unanswered(session, run, detail)
+        return PlacedAnswer(give_up(session, ResultCode.DRAINING, detail))
--- a/limedyke/proxy/statements/clients/client_codec.py
+++ b/limedyke/proxy/statements/clients/client_codec.py
@@ -41,7 +41,12 @@
     reason: str = ""
 
 
-ClientEvent = SessionRequested | StatementReceived | MalformedStatement | SessionEnded
+@dataclass(frozen=True, slots=True)
+class LeaveAsked:
+    """The proxy itself wants the session to end: its client asks nothing."""
+
+
+ClientEvent = SessionRequested | StatementReceived | MalformedStatement | SessionEnded | LeaveAsked
 
 
 class ClientCodec(Protocol):
@@ -58,3 +63,12 @@
 
     def refuse_session(self, answer: StatementAnswer) -> bytes:
         """Say why no session is opened; the connection is closed behind it."""
+
+    def session_over(self, reason: StatementAnswer) -> bytes:
+        """Tell a client that asks nothing that its session is over.
+
+        To a client whose statement is on its way this begins the answer to it.
+        """
+
+    def end_of_answer(self, status: TransactionStatus) -> bytes:
+        """Return what is missing of an answer that ``session_over`` has begun."""
--- a/limedyke/proxy/statements/homes/forwarded_attempt.py
+++ b/limedyke/proxy/statements/homes/forwarded_attempt.py
@@ -59,7 +59,7 @@
         """Begin an attempt: its time counts from now."""
         now = time.monotonic()
         database = session.database
-        whole_s = database.statement_timeout_ms / MS_PER_S
+        whole_s = session.statement_time_s(now)
         target_s = database.target_latency_ms / MS_PER_S
         return cls(
             session,
--- a/limedyke/proxy/statements/homes/forwarding.py
+++ b/limedyke/proxy/statements/homes/forwarding.py
@@ -4,25 +4,22 @@
 
 import dataclasses
 import itertools
+import time
 
 import curio
 
-from limedyke.core.statements.session import RunOnMember, StatementSession, refusal
-from limedyke.messages.statements import (
-    StatementKind,
-    StatementUnit,
-    StatementUnitEnd,
-)
+from limedyke.core.statements.session import RunOnMember, StatementSession
+from limedyke.messages.statements import StatementAnswer, StatementUnit, StatementUnitEnd
 from limedyke.messages.work import AbandonWork, SessionSetting, TransactionStatus
 from limedyke.proxy.forwarding.home_links import HomeLinks
 from limedyke.proxy.forwarding.link import NEVER, HomeLink
 from limedyke.proxy.statements.attempt import MS_PER_S
-from limedyke.proxy.statements.giving_up import RETRY_AFTER_MS
 from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.homes.forwarded_attempt import UNREACHED_TRIES, ForwardedAttempt
 from limedyke.proxy.statements.placed_answer import ForwardedTransaction, PlacedAnswer
+from limedyke.proxy.statements.settlement import settle_unanswered
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
-from limedyke.result_codes import ResultCode
+from limedyke.result_codes import ResultCode, did_not_run
 
 OWN_LEASE_WAIT_S = 0.1
 """A home proxy that has no lease yet waits so long for it before it asks another one."""
@@ -42,6 +39,12 @@
 )
 
 
+_DRAINING = ResultCode.DRAINING.value.number
+_CROWDED = ResultCode.HOME_CROWDED.value.number
+_ASKED_LAST = frozenset({_DRAINING, _CROWDED})
+"""A home proxy that would leave a unit to others takes it where there are none."""
+
+
 class StatementForwarding:
     """Sends statements to home proxies; a transaction stays on one of them.
 
@@ -85,8 +88,9 @@
     ) -> PlacedAnswer | None:
         """Try one home proxy; None when another one should be tried."""
         attempt.tried.add(link.home)
-        unit = dataclasses.replace(unit, may_decline=not link.is_crowded)
-        attempt.session.was_sent = True
+        is_last_choice = link.is_crowded or link.is_draining
+        unit = dataclasses.replace(unit, may_decline=not is_last_choice)
+        attempt.session.tries_under_way += 1
         end = await self._run_at(link, unit, attempt.time_left(), attempt.patience_s(link))
         if end is None:
             may_be_sent_again = attempt.may_be_sent_again()
@@ -94,11 +98,12 @@
             attempt.last = f"no answer of home proxy {link.home}"
             if may_be_sent_again:
                 return None
-            return self._lost(attempt.session, attempt.run, attempt.last)
+            return settle_unanswered(attempt.session, attempt.run, attempt.last)
+        if did_not_run(end.answer.code):
+            attempt.session.tries_under_way -= 1
         if end.answer.code in _TRY_ANOTHER:
-            link.is_draining |= end.answer.code == ResultCode.DRAINING.value.number
-            if end.answer.code == ResultCode.HOME_CROWDED.value.number:
-                link.was_crowded()
+            _note_refusal(link, end.answer)
+            if unit.may_decline and end.answer.code in _ASKED_LAST:
                 attempt.tried.discard(link.home)
             attempt.refused(end.answer, link.home)
             return None
@@ -110,12 +115,12 @@
     ) -> PlacedAnswer:
         """Run a further statement of a transaction that is open at a home proxy."""
         unit = self._unit(session, run, place.number)
-        limit_s = session.database.statement_timeout_ms / MS_PER_S
-        session.was_sent = True
+        limit_s = session.statement_time_s(time.monotonic())
+        session.tries_under_way += 1
         end = await self._run_at(place.link, unit, limit_s)
         if end is None:
             place.link.transactions.discard(place.number)
-            return self._lost(session, run, f"no answer of home proxy {place.link.home}")
+            return settle_unanswered(session, run, f"no answer of home proxy {place.link.home}")
         return self._settle(session, run, end, place.link, place.number)
 
     async def roll_back(self, place: ForwardedTransaction) -> None:
@@ -181,22 +186,13 @@
         link.transactions.add(transaction)
         return PlacedAnswer(end.answer, ForwardedTransaction(link, transaction))
 
-    def _lost(self, session: StatementSession, run: RunOnMember, detail: str) -> PlacedAnswer:
-        """Say what is known of a statement whose home proxy gave no answer.
 
-        An open transaction can't be committed any more: the home proxy rolls it back.
-        """
-        is_commit = run.statement.kind is StatementKind.COMMIT
-        is_in_transaction = session.transaction is not None
-        if is_commit:
-            session.close_transaction()
-        else:
-            session.fail_transaction()
-        if run.writes and (is_commit or not is_in_transaction):
-            return PlacedAnswer(refusal(ResultCode.OUTCOME_UNKNOWN, detail))
-        if is_in_transaction:
-            return PlacedAnswer(refusal(ResultCode.TRANSACTION_LOST, detail, RETRY_AFTER_MS))
-        return PlacedAnswer(refusal(ResultCode.READ_UNANSWERED, detail))
+def _note_refusal(link: HomeLink, answer: StatementAnswer) -> None:
+    """Have a home proxy that leaves work to others asked last."""
+    if answer.code == _DRAINING:
+        link.is_draining = True
+    if answer.code == _CROWDED:
+        link.was_crowded()
 
 
 def home_time_s(limit_s: float, travel_s: float) -> float:
--- a/limedyke/proxy/statements/homes/home_service.py
+++ b/limedyke/proxy/statements/homes/home_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import time
 from dataclasses import dataclass
 
 import curio
@@ -13,6 +14,7 @@
     StatementSession,
     refusal,
 )
+from limedyke.core.statements.stop_schedule import StopState
 from limedyke.messages.statements import StatementKind, StatementUnit, StatementUnitEnd
 from limedyke.messages.work import AbandonWork, TransactionStatus
 from limedyke.proxy.executor import Relay
@@ -52,6 +54,7 @@
     :param groups: with the members' pools
     :param runner: runs statements on members
     :param log: gets a line for each statement that is not served
+    :param stop: whether the proxy was asked to stop, and until when it does what
     """
 
     def __init__(
@@ -60,7 +63,9 @@
         runner: StatementRunner,
         log: StatementLog,
         metrics: StatementMetrics,
+        stop: StopState | None = None,
     ) -> None:
+        self._stop = stop or StopState()
         self._groups = groups
         self._runner = runner
         self._log = log
@@ -106,12 +111,15 @@
             return refuse_unit(unit, ResultCode.TRANSACTION_LOST, "it is not open here")
         if held is None and (group is None or group.limit == 0):
             return refuse_unit(unit, ResultCode.NO_LEASE)
+        if held is None and unit.may_decline and self._is_leaving():
+            return refuse_unit(unit, ResultCode.DRAINING)
         if held is None and _is_for_another_home(unit, group):
             return refuse_unit(unit, ResultCode.PRIMARY_UNREACHED, group.primary)
         if held is None and unit.may_decline and _waits_long_here(unit, group):
             return refuse_unit(unit, ResultCode.HOME_CROWDED, group.primary)
         session = held.session if held is not None else _new_session(unit)
         _renew(session, unit)
+        session.begin_statement(self._stop.schedule.answers_until)
         run = RunOnMember(unit.statement, unit.begin, unit.writes, unit.prepared)
         pinned = held.pinned if held is not None else None
         try:
@@ -124,6 +132,10 @@
             self._held[key] = _HeldTransaction(session, placed.place)
         return StatementUnitEnd(unit.stream, placed.answer, session.status, session.written)
 
+    def _is_leaving(self) -> bool:
+        """Tell whether units go to another home proxy, if there is one that takes them."""
+        return time.monotonic() >= self._stop.schedule.transactions_until
+
     async def abandon(self, work: AbandonWork, origin: str) -> None:
         """Stop a unit, or roll a transaction back."""
         task = self._running.get(WorkKey(origin, work.stream))
--- a/limedyke/proxy/statements/members/member_exchange.py
+++ b/limedyke/proxy/statements/members/member_exchange.py
@@ -7,7 +7,7 @@
 import curio
 
 from limedyke.core.statements.member_belief import MemberBelief
-from limedyke.messages.statements import AnswerKind, MemberAnswer
+from limedyke.messages.statements import NOT_RUN, AnswerKind, MemberAnswer
 from limedyke.messages.work import LogPosition, TransactionStatus
 from limedyke.proxy.statements.attempt import Attempt
 from limedyke.proxy.statements.members.member_connection import (
@@ -86,7 +86,7 @@
         run = attempt.run
         started_at = time.monotonic()
         belief.sent(started_at)
-        attempt.session.was_sent = True
+        attempt.session.tries_under_way += 1
         is_answered = True
         was_primary = attempt.group.is_surely_primary(pinned.identity)
         try:
@@ -105,6 +105,8 @@
             raise
         finally:
             belief.ended(is_answered)
+        if answer.kind in NOT_RUN:
+            attempt.session.tries_under_way -= 1
         self._learn(pinned, attempt, answer, started_at, was_primary)
         return answer
 
--- /dev/null
+++ b/limedyke/proxy/statements/planned_stop.py
@@ -0,0 +1,107 @@
+"""The planned stop of a proxy: takes less and less, answers all that it took, then leaves."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable, Collection
+from typing import Protocol
+
+import curio
+
+from limedyke.core.statements.stop_schedule import StopSchedule, StopState
+from limedyke.event_log import EventLog
+from limedyke.proxy.forwarding.server import ForwardingServer
+from limedyke.proxy.statements.clients.client import StatementClient
+
+LOOK_INTERVAL_S = 0.05
+MS_PER_S = 1_000
+EVENTS = EventLog("proxy")
+
+
+class ForwardedWork(Protocol):
+    """What other proxies have here."""
+
+    @property
+    def has_work(self) -> bool:
+        """Whether a unit runs or a transaction is open here."""
+
+    @property
+    def under_way(self) -> int:
+        """How many units run here."""
+
+
+class LeavingControl(Protocol):
+    """Tells the controllers that the proxy leaves."""
+
+    async def leave(self, done: bool) -> None:
+        """Tell that the proxy drains, or is done with it."""
+
+
+class PlannedStop:
+    """Takes one proxy out of service.
+
+    :param state: told to all that takes work
+    :param clients: connected at present
+    :param forwarded: what other proxies have here
+    :param home_server: serves their links
+    """
+
+    def __init__(
+        self,
+        state: StopState,
+        clients: Collection[StatementClient],
+        forwarded: ForwardedWork,
+        home_server: ForwardingServer,
+        control: LeavingControl,
+    ) -> None:
+        self._state = state
+        self._clients = clients
+        self._forwarded = forwarded
+        self._home_server = home_server
+        self._control = control
+
+    async def run(self, whole_s: float, close_listener: Callable[[], Awaitable[None]]) -> None:
+        """Leave service.
+
+        :param whole_s: seconds until the process is killed
+        :param close_listener: lets no new client in
+        """
+        began_at = time.monotonic()
+        schedule = self._state.begin(began_at, whole_s)
+        EVENTS.info("stopping", clients=len(self._clients))
+        await curio.sleep(schedule.idle_sessions_until - began_at)
+        await self._serve_until(schedule.statements_until)
+        await close_listener()
+        self._home_server.draining = True
+        await self._serve_until(schedule.answers_until)
+        cut = await self._answer_the_rest(schedule)
+        await self._control.leave(done=True)
+        EVENTS.info(
+            "stopped",
+            clients=len(self._clients),
+            under_way=sum(client.is_serving for client in self._clients),
+            forwarded_under_way=self._forwarded.under_way,
+            cut_short=cut,
+            elapsed_ms=int((time.monotonic() - began_at) * MS_PER_S),
+        )
+
+    async def _serve_until(self, until: float) -> None:
+        """Serve what is here until a moment or the end of it; idle sessions end meanwhile."""
+        while self._clients or self._forwarded.has_work:
+            if time.monotonic() >= until:
+                return
+            for client in list(self._clients):
+                await client.leave()
+            await curio.sleep(LOOK_INTERVAL_S)
+
+    async def _answer_the_rest(self, schedule: StopSchedule) -> int:
+        """Have each statement under way told what is known of it; return how many there were."""
+        cut = 0
+        for client in list(self._clients):
+            cut += client.is_serving
+            await client.cut_short()
+        while self._clients and time.monotonic() < schedule.ends_at:
+            for client in list(self._clients):
+                await client.leave()
+            await curio.sleep(LOOK_INTERVAL_S)
+        return cut
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from pathlib import Path
 
@@ -10,6 +9,7 @@
 from curio import socket
 from result import Err
 
+from limedyke.core.statements.stop_schedule import StopState
 from limedyke.event_log import EventLog
 from limedyke.messages.handshake import PeerRole
 from limedyke.messages.statements import StatementUnit
@@ -27,6 +27,7 @@
 from limedyke.proxy.statements.homes.home_service import StatementHomeService, refuse_unit
 from limedyke.proxy.statements.members.member_codec import MemberCodec
 from limedyke.proxy.statements.memory_store import MemoryControlStore
+from limedyke.proxy.statements.planned_stop import PlannedStop
 from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.proxy.statements.statement_log import StatementLog
@@ -43,14 +44,8 @@
 EXIT_FAILED = 1
 ACCEPT_PAUSE_S = 0.05
 READY_BODY_BYTES = 1_024
-MS_PER_S = 1_000
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
-IDLE_CLOSE_FROM = 0.4
-"""While it stops: idle sessions are closed after so much of the deadline; the platform has taken
-the proxy out by then."""
-TRANSACTIONS_UNTIL = 0.45
-STOP_UNTIL = 0.85
 EVENTS = EventLog("proxy")
 
 
@@ -96,7 +91,8 @@
         self._links = HomeLinks(settings, secrets, self._traffic)
         forwarding = StatementForwarding(self._links, metrics)
         self._executor = StatementExecutor(self._groups, runner, forwarding)
-        self._home = StatementHomeService(self._groups, runner, log, metrics)
+        self._stop = StopState()
+        self._home = StatementHomeService(self._groups, runner, log, metrics, self._stop)
         self._home_server = ForwardingServer(self._home, StatementUnit, refuse_unit)
         self._services = ClientServices(
             self._groups,
@@ -104,6 +100,7 @@
             self._executor,
             log,
             lambda: not self._control.holds_primary_lease,
+            self._stop,
         )
         self._clients: set[StatementClient] = set()
         metrics.sessions.set_function(lambda: len(self._clients))
@@ -137,8 +134,7 @@
             await tasks.spawn(
                 serve_links, links.ok_value, identity, self._link_key, self._serve_link
             )
-            await tasks.spawn(self._accept, listeners[0].ok_value)
-            stopping = await tasks.spawn(self._stop_when_asked, stop)
+            stopping = await tasks.spawn(self._serve_until_asked, listeners[0].ok_value, stop)
         finished = tasks.completed
         if finished is stopping and finished.exception is None:
             return 0
@@ -182,7 +178,7 @@
             self._clients.discard(client)
 
     def _ready_state(self) -> ReadyState:
-        if self._services.is_leaving:
+        if self._stop.is_stopping:
             return ReadyState(False, "stopping")
         if not self._control.view_confirmed:
             return ReadyState(False, "no leader has confirmed the state yet")
@@ -197,33 +193,20 @@
         status = STATUS_OK if state.ready else STATUS_UNAVAILABLE
         return HttpAnswer(status, f"{state.reason}\n".encode(), "text/plain")
 
-    def _has_work(self) -> bool:
-        """Tell whether a client is connected or a forwarded statement or transaction is here."""
-        return bool(self._clients) or self._home.has_work
+    async def _serve_until_asked(self, listener: socket.socket, stop: StopSignal) -> None:
+        """Let clients in until the process is asked to stop; then leave service."""
+        accepting = await curio.spawn(self._accept, listener, daemon=True)
+
+        async def close_listener() -> None:
+            await accepting.cancel()
+            await listener.close()
 
-    async def _stop_when_asked(self, stop: StopSignal) -> None:
-        """Leave service: no longer ready, then idle sessions, then transactions."""
         await stop.wait()
-        began_at = time.monotonic()
         whole_s = self._settings.drain_deadline_ms / 1_000
-        EVENTS.info("stopping", clients=len(self._clients))
-        self._services.is_leaving = True
-        self._home_server.draining = True
-        self._services.transactions_end_at = began_at + TRANSACTIONS_UNTIL * whole_s
-        await curio.sleep(IDLE_CLOSE_FROM * whole_s)
-        while self._has_work() and time.monotonic() < began_at + STOP_UNTIL * whole_s:
-            for client in list(self._clients):
-                await client.leave()
-            await curio.sleep(ACCEPT_PAUSE_S)
-        await self._control.leave(done=True)
-        under_way = sum(client.is_serving for client in self._clients)
-        EVENTS.info(
-            "stopped",
-            clients=len(self._clients),
-            under_way=under_way,
-            forwarded_under_way=self._home.under_way,
-            elapsed_ms=int((time.monotonic() - began_at) * MS_PER_S),
+        planned = PlannedStop(
+            self._stop, self._clients, self._home, self._home_server, self._control
         )
+        await planned.run(whole_s, close_listener)
 
 
 def run_statement_proxy(
--- a/limedyke/proxy/statements/settlement.py
+++ b/limedyke/proxy/statements/settlement.py
@@ -48,6 +48,24 @@
     return PlacedAnswer(_done(answer))
 
 
+def settle_unanswered(session: StatementSession, run: RunOnMember, detail: str) -> PlacedAnswer:
+    """Say what is known of a statement that was sent, and of which no answer comes any more.
+
+    An open transaction can't be committed any more: who has it rolls it back.
+    """
+    is_commit = run.statement.kind is StatementKind.COMMIT
+    is_in_transaction = session.transaction is not None
+    if is_commit:
+        session.close_transaction()
+    else:
+        session.fail_transaction()
+    if session.was_sent and run.writes and (is_commit or not is_in_transaction):
+        return PlacedAnswer(refusal(ResultCode.OUTCOME_UNKNOWN, detail))
+    if is_in_transaction:
+        return PlacedAnswer(refusal(ResultCode.TRANSACTION_LOST, detail, RETRY_AFTER_MS))
+    return PlacedAnswer(refusal(ResultCode.READ_UNANSWERED, detail))
+
+
 async def _transaction_failed(
     session: StatementSession, run: RunOnMember, pinned: PinnedConnection, answer: MemberAnswer
 ) -> PlacedAnswer:
