Tell what is known of work that a stopping proxy cuts, to PostgreSQL's clients too

Cause: the same class as the statements' stop: at the drain deadline what still ran was cut and told LD3006, 'did not run', which is untrue of a write that its member goes on with. Sessions that ask nothing are told so rightly. Ruled out: requests taken without a bound. Idle sessions refuse what comes 0.2 s after the stop; only open transactions go on, up to the deadline. Change: a unit under way at the deadline is judged as one whose end is lost: unknown where it may have committed, transaction lost, or a read that was cut. Left: units of transactions keep their whole deadline (30 s) instead of what is left of the drain.

--- a/features/client_drain.feature
+++ b/features/client_drain.feature
@@ -34,6 +34,19 @@
     When client: a proxy without clients is drained
     Then client: it refuses new work, tells the controllers, drains its back ends, tells the controllers
 
+  Scenario Outline: client: what runs at the deadline is told what is known of it: <state>
+    Given client: a proxy of its own with a driver that is <state>
+    When client: the stop is asked
+    Then client: the driver is told <code> of its work
+    And client: the proxy exits with 1
+
+    Examples:
+      | state                             | code   |
+      | running a read forever            | LD3008 |
+      | running a write forever           | LD3001 |
+      | running in a transaction forever  | LD2004 |
+      | running a batch that commits forever | LD3001 |
+
   Scenario: client: work that doesn't end is cut at the deadline, and that is told
     Given client: a proxy of its own with a driver that is running forever
     When client: the stop is asked
--- a/features/steps/client_drain_steps.py
+++ b/features/steps/client_drain_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import select
 import signal
 import threading
@@ -30,6 +31,7 @@
 REFUSED = "LD3006"
 DID_NOT_RUN = "Outcome: did not run."
 BATCH = 40
+CODE = re.compile(r"LD\d{4}")
 
 
 def _own_proxy(context: Context, certificate: str = "", weakened: str = "") -> ClientSide:
@@ -43,8 +45,18 @@
     try:
         return action()
     except psycopg.Error as error:
-        text = str(error)
-        return REFUSED if REFUSED in text and DID_NOT_RUN in text else LOST
+        return _outcome_of(error)
+
+
+def _outcome_of(error: psycopg.Error) -> str:
+    text = str(error)
+    return REFUSED if REFUSED in text and DID_NOT_RUN in text else LOST
+
+
+def _code_in(text: str) -> str:
+    """Return the product's code in an error's text, or ``LOST``."""
+    found = CODE.search(text)
+    return found[0] if found is not None else LOST
 
 
 class Driver:
@@ -56,6 +68,7 @@
         options = {"sslmode": "require"} if state == "idle over TLS" else {}
         self.connection = side.psycopg(**options)
         self._result = "nothing"
+        self.code = ""
         self._finish: Callable[[], str] | None = None
         self._thread: threading.Thread | None = None
         self._enter(state)
@@ -68,6 +81,20 @@
             case "running forever":
                 self._name = "never"
                 self._start(lambda: self._row("select pause(never)"))
+            case "running a read forever":
+                self._name = "never"
+                self._start(lambda: self._row("select 'pause(never)'"))
+            case "running a write forever":
+                self._name = "never"
+                self._start(lambda: self._tag("insert into a values (pause(never))"))
+            case "running in a transaction forever":
+                self._name = "never"
+                self._tag("begin")
+                self._start(lambda: self._tag("update a set b = pause(never)"))
+            case "running a batch that commits forever":
+                self._name = "never"
+                self._tag("begin")
+                self._start(lambda: self._tag("update a set b = pause(never); commit"))
             case "running a write":
                 self._start(lambda: self._tag(f"insert into a values ({pause})"))
             case "running in a transaction":
@@ -91,7 +118,11 @@
 
     def _start(self, action: Callable[[], str]) -> None:
         def run() -> None:
-            self._result = _outcome(action)
+            try:
+                self._result = action()
+            except psycopg.Error as error:
+                self.code = _code_in(str(error))
+                self._result = _outcome_of(error)
 
         self._thread = threading.Thread(target=run, daemon=True)
         self._thread.start()
@@ -229,6 +260,12 @@
     assert found in expected, found
 
 
+@then("client: the driver is told {code} of its work")
+def then_code(context: Context, code: str) -> None:
+    context.driver.end_work()
+    assert context.driver.code == code, context.driver.code
+
+
 @then("client: its next statement gets {code}")
 def then_next(context: Context, code: str) -> None:
     found = context.driver.next_statement()
--- a/limedyke/core/sessions/session.py
+++ b/limedyke/core/sessions/session.py
@@ -35,7 +35,12 @@
 from limedyke.core.units.answer_tracker import AnswerTracker
 from limedyke.core.units.unit_answer import answer_locally, end_answer
 from limedyke.core.units.unit_builder import build_unit
-from limedyke.core.units.unit_outcome import RunningUnit, as_write, take_answer_part
+from limedyke.core.units.unit_outcome import (
+    RunningUnit,
+    as_write,
+    failure_when_cut,
+    take_answer_part,
+)
 from limedyke.messages.work import AbandonWork, AnswerEnd, TransactionStatus, WorkUnit
 from limedyke.postgres.client_framing import ClientMessage
 from limedyke.postgres.client_messages import failure_response
@@ -110,9 +115,15 @@
         return self._abandon_transaction()
 
     def end_now(self, failure: Failure) -> list[SessionCommand]:
-        """End the session whatever is under way."""
+        """End the session whatever is under way.
+
+        :param failure: told where nothing is: it says that a request did not run
+        """
         commands: list[SessionCommand] = []
-        self._close(failure, commands)
+        told = failure
+        if self._running is not None:
+            told = failure_when_cut(self.state, self._running, failure.code.value.meaning)
+        self._close(told, commands)
         return commands
 
     def cancel(self) -> list[SessionCommand]:
--- a/limedyke/core/units/unit_outcome.py
+++ b/limedyke/core/units/unit_outcome.py
@@ -167,12 +167,30 @@
 def judge_failure(state: SessionState, running: RunningUnit, end: AnswerEnd) -> Failure:
     """Return what the client is told of a unit that the proxy refused or lost."""
     code = CODE_BY_NUMBER.get(end.code, ResultCode.INTERNAL_ERROR)
-    if code.outcome is Outcome.UNKNOWN and not _may_have_committed(state, running):
-        in_transaction = state.is_in_transaction or running.plan.may_open
-        code = ResultCode.TRANSACTION_LOST if in_transaction else ResultCode.READ_FAILED
+    if code.outcome is Outcome.UNKNOWN:
+        code = _code_of_lost(state, running, code)
     return Failure(code, end.detail, end.retry_after_ms or None)
 
 
+def _code_of_lost(state: SessionState, running: RunningUnit, unknown: ResultCode) -> ResultCode:
+    """Return what is known of a unit whose end is lost.
+
+    :param unknown: that it may have committed
+    """
+    if _may_have_committed(state, running):
+        return unknown
+    in_transaction = state.is_in_transaction or running.plan.may_open
+    return ResultCode.TRANSACTION_LOST if in_transaction else ResultCode.READ_FAILED
+
+
+def failure_when_cut(state: SessionState, running: RunningUnit, detail: str) -> Failure:
+    """Return what is known of a unit whose end is not waited for any longer.
+
+    It may run on at its member: that it did not run would be untrue.
+    """
+    return Failure(_code_of_lost(state, running, ResultCode.OUTCOME_UNKNOWN), detail)
+
+
 def _may_have_committed(state: SessionState, running: RunningUnit) -> bool:
     if state.is_in_transaction:
         return running.plan.may_commit and not state.read_only
