Wait for the link whose answer is tested, not for the first greeting of the process

Ruled out: the dial back itself; it begins in the millisecond in which the peer has dialled. Change: the test waits for the peer's dial, then gives the dial back 20 ms.

--- a/features/steps/controller_links_steps.py
+++ b/features/steps/controller_links_steps.py
@@ -20,6 +20,7 @@
 HANGS_S = 60.0
 SENDS_FOR_S = 2.0
 PAUSE_S = 0.02
+DIALLED_WITHIN_S, LOOK_S = 2.0, 0.001
 
 
 class Peer:
@@ -144,7 +145,15 @@
     context.kernel.run(curio.sleep, PAUSE_S)
     context.b.network.set_address("a", context.a.address)
     context.kernel.run(context.b.network.send, context.a.identity, MESSAGE)
-    context.kernel.run(curio.sleep, 3 * PAUSE_S)
+    context.kernel.run(_wait_for_link, context)
+    context.kernel.run(curio.sleep, PAUSE_S)
+
+
+async def _wait_for_link(context):
+    """Wait until b has dialled a; a process's first greeting takes up to 70 ms of its own."""
+    async with curio.timeout_after(DIALLED_WITHIN_S):
+        while not context.dialled:
+            await curio.sleep(LOOK_S)
 
 
 @when("controller links: a sends to b again and again")
