Answer all calls before a controller that was told to stop ends

Ruled out: calls that come after the handover; they are passed on to the new leader. Change: no new connection is let in, calls under way are answered, each 4.5 s after the signal at the latest, and the process ends by 5 s. Connections are told that they end. UnderWay counts work for the server, the desk and operators' links.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -27,3 +27,17 @@
       | read               | statements may take 8 s, and members work 7 s on a read | the first         |
       | read               | members work 700 ms on a read                           | both, 0.4 s apart |
       | run transactions   | members answer after 50 ms                              | both, 0.4 s apart |
+
+  Scenario Outline: planned stop: a controller that is told to stop answers every call that it took: <which>, <state>
+    Given planned stop: two proxies that serve "db1"
+    When planned stop: 8 callers call <which> without end, <state>, and it stops
+    Then planned stop: every call got a whole answer
+    And planned stop: some were answered with <status>
+    And planned stop: the controller ended with 0 within 6 s
+
+    Examples:
+      | which      | state                  | status |
+      | the leader | the others work        | 200    |
+      | a follower | the others work        | 200    |
+      | the leader | the others stand still | 503    |
+      | a follower | the others stand still | 503    |
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -14,7 +14,8 @@
     step_ready,
     step_start,
 )
-from features.support.line_platform.deployment import PROXIES
+from features.support.line_platform.deployment import CONTROLLERS, PROXIES
+from features.support.persistent_callers import PersistentCaller
 from features.support.persistent_clients import DATABASE, Habit, PersistentClient
 
 ALWAYS = 10**9
@@ -24,6 +25,7 @@
 """What the platform gives a process between SIGTERM and SIGKILL."""
 LOOK_S = 0.02
 START_LIMIT_S = 15
+LEADS = "event=serving-as-leader"
 ONE_STOPS, BOTH_STOP = PROXIES[:1], PROXIES
 
 
@@ -131,3 +133,55 @@
         assert context.deployment.process(ip).poll() == 0, context.deployment.log(ip)[-2_000:]
         took_s = context.ended_at[ip] - context.signalled_at[ip]
         assert took_s < STOP_LIMIT_S, took_s
+
+
+@when("planned stop: {count:d} callers call {which} without end, the others {state}, and it stops")
+def step_stop_controller(context, count, which, state):
+    step_declared(context, DATABASE, START_LIMIT_S)
+    step_ready(context, START_LIMIT_S)
+    leader = next(ip for ip in CONTROLLERS if LEADS in context.deployment.log(ip))
+    follower = next(ip for ip in CONTROLLERS if ip != leader)
+    context.controller = leader if which == "the leader" else follower
+    if state == "stand still":
+        for ip in CONTROLLERS:
+            if ip != context.controller:
+                context.deployment.process(ip).send_signal(signal.SIGSTOP)
+    context.callers = [PersistentCaller(context.controller) for _ in range(count)]
+    run(context, _play_controller, context)
+
+
+async def _play_controller(context) -> None:
+    process = context.deployment.process(context.controller)
+
+    def is_gone() -> bool:
+        return process.poll() is not None
+
+    tasks = [await curio.spawn(caller.run, is_gone) for caller in context.callers]
+    await curio.sleep(BEFORE_STOP_S)
+    process.send_signal(signal.SIGTERM)
+    context.signalled_at = time.monotonic()
+    end = context.signalled_at + 2 * STOP_LIMIT_S
+    while not is_gone() and time.monotonic() < end:
+        await curio.sleep(LOOK_S)
+    context.controller_ended_at = time.monotonic()
+    for task in tasks:
+        await task.join()
+
+
+@then("planned stop: every call got a whole answer")
+def step_calls_whole(context):
+    calls = [call for caller in context.callers for call in caller.calls]
+    broken = [round(call.sent_at - context.signalled_at, 3) for call in calls if not call.status]
+    assert not broken, (len(broken), "seconds after the signal", broken[:8])
+
+
+@then("planned stop: some were answered with {status:d}")
+def step_calls_answered(context, status):
+    calls = [call for caller in context.callers for call in caller.calls]
+    assert any(call.status == status for call in calls), {call.status for call in calls}
+
+
+@then("planned stop: the controller ended with 0 within 6 s")
+def step_controller_ended(context):
+    assert context.deployment.process(context.controller).poll() == 0
+    assert context.controller_ended_at - context.signalled_at < STOP_LIMIT_S
--- a/limedyke/controller/call_desk.py
+++ b/limedyke/controller/call_desk.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Awaitable, Callable
 from itertools import count
 
@@ -14,6 +15,7 @@
 from limedyke.messages.calls import Call, CallAnswer, ForwardedAnswer, ForwardedCall
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.transport.link import KeyLookup, Link, LinkClosedError, LinkIdentity, dial
+from limedyke.under_way import UnderWay
 
 DIAL_TIMEOUT_S = 0.6
 ASK_LIMIT_S = 1.0
@@ -102,10 +104,21 @@
         self._source_ip = source_ip
         self._link: _LeaderLink | None = None
         self._dialling = curio.Lock()
+        self._answer_by = float("inf")
+        self._forwarded = UnderWay()
+
+    def stop_at(self, answer_by: float) -> None:
+        """Answer each call by a moment of the monotonic clock: the process ends soon after."""
+        self._answer_by = answer_by
+
+    async def drain(self) -> None:
+        """Return once all calls that other controllers passed on are answered."""
+        await self._forwarded.ended()
 
     async def ask(self, call: Call, timeout_s: float) -> CallAnswer:
         """Return the answer to a call within ``timeout_s``."""
-        async with curio.ignore_after(timeout_s):
+        limit_s = min(timeout_s, self._answer_by - time.monotonic())
+        async with curio.ignore_after(max(0.0, limit_s)):
             return await self._ask(call)
         return _lost("no answer in time")
 
@@ -151,9 +164,10 @@
     async def _answer_forwarded(self, link: Link, message: ForwardedCall) -> None:
         calls = self._calls()
         answer = failed(Failure(ResultCode.NOT_LEADER))
-        if calls is not None:
-            answer = await calls.answer_forwarded(message.call)
-        await until_closed(link.send, ForwardedAnswer(message.number, answer))
+        with self._forwarded:
+            if calls is not None:
+                answer = await calls.answer_forwarded(message.call)
+            await until_closed(link.send, ForwardedAnswer(message.number, answer))
 
     async def _ask(self, call: Call) -> CallAnswer:
         calls = self._calls()
--- a/limedyke/controller/server.py
+++ b/limedyke/controller/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import secrets as random_secrets
+import time
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Protocol
@@ -42,10 +43,16 @@
 from limedyke.storage.open_log import open_durable_log
 from limedyke.transport.link import Link, LinkIdentity, listen, serve_links
 from limedyke.transport.traffic import Place
+from limedyke.under_way import UnderWay
 
 INCARNATION_BYTES = 8
 LEADERSHIP_CHECK_S = 0.02
 TRANSFER_LIMIT_S = 3.0
+CALLS_ANSWERED_S = 4.5
+STOP_LIMIT_S = 5.0
+"""The platform kills a process 6 s after it told it to stop; a call may take 3 s, and one that
+came while the leadership was handed over gets what is left."""
+MS_PER_S = 1_000
 HELLO_TIMEOUT_S = 3.0
 LEADER_WAIT_S = 1.0
 EXIT_FAILED = 1
@@ -66,6 +73,9 @@
         :param learn_peers: takes the controllers that changed settings name
         """
 
+    async def drain(self) -> None:
+        """Take no new calls, and return once those under way are answered."""
+
 
 class Controller:
     """One controller process.
@@ -122,6 +132,7 @@
             settings.source_ip,
             self._leader_lost,
         )
+        self._operators_under_way = UnderWay()
         self._search: MembershipSearch | None = None
 
     async def _leader_lost(self) -> None:
@@ -330,14 +341,23 @@
             request = await link.receive()
             if self._requests is None:
                 return
-            await link.send(await self._requests.answer(link.peer_name, request))
+            with self._operators_under_way:
+                await link.send(await self._requests.answer(link.peer_name, request))
 
     async def _wait_for_stop(self, stop: StopSignal) -> None:
-        """Hand the leadership over before the process ends."""
+        """Hand the leadership over and answer all calls before the process ends."""
         await stop.wait()
         EVENTS.info("stopping")
-        if self._replica is None or self._replica.agreement.role is not Role.LEADER:
-            return
+        began_at = time.monotonic()
+        self._desk.stop_at(began_at + CALLS_ANSWERED_S)
+        if self._replica is not None and self._replica.agreement.role is Role.LEADER:
+            await self._hand_over()
+        left_s = began_at + STOP_LIMIT_S - time.monotonic()
+        async with curio.ignore_after(left_s):
+            await self._answer_calls()
+        EVENTS.info("stopped", elapsed_ms=int((time.monotonic() - began_at) * MS_PER_S))
+
+    async def _hand_over(self) -> None:
         await self._replica.transfer_leadership()
         async with curio.ignore_after(TRANSFER_LIMIT_S):
             while self._replica.agreement.role is Role.LEADER:
@@ -345,6 +365,13 @@
         await self._stop_leading()
         await curio.sleep(LEADERSHIP_CHECK_S)
 
+    async def _answer_calls(self) -> None:
+        """Answer the calls under way: a caller that gets no answer has to ask somebody else."""
+        if self._edge is not None:
+            await self._edge.drain()
+        await self._desk.drain()
+        await self._operators_under_way.ended()
+
 
 def run_controller(
     settings: ControllerSettings,
--- a/limedyke/transport/http_server.py
+++ b/limedyke/transport/http_server.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import curio
 import h11
 from curio import socket
 
+from limedyke.under_way import UnderWay
+
 RECEIVE_BYTES = 64 * 1024
 MAXIMUM_HEAD_BYTES = 16 * 1024
 SEND_TIMEOUT_S = 10.0
@@ -71,21 +73,44 @@
         self._handler = handler
         self._limits = limits
         self._open = 0
+        self._under_way = UnderWay()
+        self._accepting: curio.Task | None = None
+        self._is_draining = False
 
     async def run(self, listener: socket.socket) -> None:
-        """Accept connections until cancelled."""
+        """Accept connections until cancelled; none any more once it drains."""
         async with listener:
-            while True:
-                try:
-                    client, _ = await listener.accept()
-                except OSError:
-                    await curio.sleep(CLOSE_TIMEOUT_S)
-                    continue
-                if self._open >= self._limits.connections:
-                    await client.close()
-                    continue
-                self._open += 1
-                await curio.spawn(self._serve_connection, client, daemon=True)
+            self._accepting = await curio.spawn(self._accept, listener)
+            try:
+                await self._accepting.wait()
+                await listener.close()
+                await curio.Event().wait()
+            finally:
+                await self._accepting.cancel()
+
+    async def drain(self) -> None:
+        """Let no new connection in, and return once all requests under way are answered.
+
+        What comes meanwhile on open connections is answered too; a process that ends without this
+        cuts what it has taken.
+        """
+        self._is_draining = True
+        if self._accepting is not None:
+            await self._accepting.cancel()
+        await self._under_way.ended()
+
+    async def _accept(self, listener: socket.socket) -> None:
+        while True:
+            try:
+                client, _ = await listener.accept()
+            except OSError:
+                await curio.sleep(CLOSE_TIMEOUT_S)
+                continue
+            if self._open >= self._limits.connections:
+                await client.close()
+                continue
+            self._open += 1
+            await curio.spawn(self._serve_connection, client, daemon=True)
 
     async def _serve_connection(self, sock: socket.socket) -> None:
         connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAXIMUM_HEAD_BYTES)
@@ -112,10 +137,20 @@
             return False
         if request is None:
             return False
-        await _send(sock, connection, await self._handler(request))
+        await self._answer(sock, connection, request)
         is_reusable = connection.our_state is h11.DONE and connection.their_state is h11.DONE
         return is_reusable
 
+    async def _answer(
+        self, sock: socket.socket, connection: h11.Connection, request: HttpRequest
+    ) -> None:
+        """Answer a request; while it drains the client is told that the connection ends."""
+        with self._under_way:
+            answer = await self._handler(request)
+            if self._is_draining:
+                answer = replace(answer, headers=(*answer.headers, ("connection", "close")))
+            await _send(sock, connection, answer)
+
     async def _receive(self, sock: socket.socket, connection: h11.Connection) -> HttpRequest | None:
         head = await _next_event(sock, connection)
         if not isinstance(head, h11.Request):
