--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -41,3 +41,10 @@
       | a follower | the others work        | 200    |
       | the leader | the others stand still | 503    |
       | a follower | the others stand still | 503    |
+
+  Scenario: planned stop: signals that come early, or again and again, end no process before its time
+    Given planned stop: two proxies that serve "db1"
+    When planned stop: the first proxy is started anew, and gets SIGHUP while it loads
+    Then planned stop: the proxies serve
+    When planned stop: the first proxy gets SIGTERM each 20 ms until it ends
+    Then planned stop: the proxies that stopped ended with 0 within 6 s
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -7,6 +7,7 @@
 
 import curio
 from behave import given, then, when
+from curio import socket
 
 from features.steps.platform_processes_steps import (
     run,
@@ -14,7 +15,7 @@
     step_ready,
     step_start,
 )
-from features.support.line_platform.deployment import CONTROLLERS, PROXIES
+from features.support.line_platform.deployment import CONTROLLERS, FRONT_PORT, PROXIES
 from features.support.persistent_callers import PersistentCaller
 from features.support.persistent_clients import DATABASE, Habit, PersistentClient
 
@@ -185,3 +186,42 @@
 def step_controller_ended(context):
     assert context.deployment.process(context.controller).poll() == 0
     assert context.controller_ended_at - context.signalled_at < STOP_LIMIT_S
+
+
+@when("planned stop: the first proxy is started anew, and gets SIGHUP while it loads")
+def step_early_hang_up(context):
+    deployment = context.deployment
+    ip = PROXIES[0]
+    deployment.kill(ip)
+    deployment.start_process(ip, "run_proxy.py")
+    run(context, _wait_until_it_listens, ip)
+    deployment.process(ip).send_signal(signal.SIGHUP)
+
+
+async def _wait_until_it_listens(ip: str) -> None:
+    """Return once a process takes connections, which it does before its modules are loaded."""
+    while True:
+        async with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+            try:
+                await sock.connect((ip, FRONT_PORT))
+                return
+            except OSError:
+                await curio.sleep(LOOK_S / 10)
+
+
+@when("planned stop: the first proxy gets SIGTERM each {pause_ms:d} ms until it ends")
+def step_signals_again(context, pause_ms):
+    ip = PROXIES[0]
+    process = context.deployment.process(ip)
+    context.stopped = (ip,)
+    context.signalled_at = {ip: time.monotonic()}
+    while process.poll() is None and time.monotonic() < context.signalled_at[ip] + STOP_LIMIT_S:
+        process.send_signal(signal.SIGTERM)
+        run(context, curio.sleep, pause_ms / 1_000)
+    context.ended_at = {ip: time.monotonic()}
+
+
+@then("planned stop: the proxies serve")
+def step_serve(context):
+    step_declared(context, DATABASE, START_LIMIT_S)
+    step_ready(context, START_LIMIT_S)
--- a/limedyke/stop_signal.py
+++ b/limedyke/stop_signal.py
@@ -18,7 +18,9 @@
         signal.signal(signal.SIGINT, self._note)
 
     def _note(self, number: int, frame: object) -> None:
+        """Take the signal; the process's last moments are not to be cut by a second one."""
         self.is_set = True
+        signal.signal(number, signal.SIG_IGN)
 
     async def wait(self) -> None:
         """Return once one of the signals has come."""
