Stop processes in series that overlap in the soak, and check that all that was taken is answered

Cause: the soak held no promise on a whole answer, stopped one proxy at a time, had members that answer at once, and took a client without an answer for one whose outcome is unknown. It could not find the planned stops' fault. Change: the shape 'stops': proxies and controllers stopped in series that overlap, twice, SIGHUP, changed seeds, beside configurations; members that take 10 to 300 ms; any number of proxies; half of the clients use their connections until these end. Two promises: a statement that was taken is answered whole unless its process was struck, and a process that is told to stop ends with 0 in its time. What reached a proxy as its connection ended is allowed: it ran nowhere, and the client learned within 0.2 s. Faults drawn by a seed are as before.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -17,6 +17,20 @@
       | an acknowledged write is nowhere      | what was acknowledged was committed |
       | a session read an older value         | a session sees its own work        |
       | a client was not served at the end    | service comes back                 |
+      | a stopping proxy ran a statement and did not answer | a statement that is taken is answered whole |
+      | a stopping proxy held a statement and did not answer | a statement that is taken is answered whole |
+      | a proxy that was told to stop ended after 8 s | a process that is told to stop ends with 0 in its time |
+      | a proxy that was told to stop ended with 1 | a process that is told to stop ends with 0 in its time |
+
+  Scenario Outline: soak: what is owed to nobody: <what>
+    Given soak: a sound history
+    When soak: <what>
+    Then soak: no promise is broken
+
+    Examples:
+      | what                                                  |
+      | a killed proxy ran a statement and did not answer     |
+      | a statement reached a proxy as its connection ended   |
 
   Scenario: soak: a sound history breaks no promise
     Given soak: a sound history
@@ -24,7 +38,16 @@
 
   Scenario: soak: the same seed draws the same faults
     Then soak: seed 7 draws the same faults twice, and seed 8 others
+    And soak: seed 7 draws the same series of stops twice, and seed 8 others
 
   Scenario: soak: real processes under the faults of a fixed seed
     When soak: seed 1 is played for 8 s
     Then soak: it broke no promise, and served 500 statements
+
+  Scenario: soak: real processes that are stopped in series of a fixed seed, while they answer
+    When soak: the stops of seed 2 are played for 10 s with 16 clients
+    Then soak: it broke no promise, and served 500 statements
+
+  Scenario: soak: real processes under the faults and stops of a fixed seed at once
+    When soak: the faults and stops of seed 4 are played for 10 s with 8 clients
+    Then soak: it broke no promise, and served 100 statements
--- a/features/soak/checks.py
+++ b/features/soak/checks.py
@@ -3,14 +3,21 @@
 from __future__ import annotations
 
 import bisect
+import signal
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from features.soak.lives import GRACE_S, Lives
 from features.soak.load import BURST, NOTHING_KEPT, ClientRecord
 from features.support.line_platform.group import StandInGroup
 
 SHOWN = 5
+UNANSWERED_SLACK_S = 0.2
+LOADED_WITHIN_S = 2.0
+"""A process that is told to stop while it loads may end by the signal: it has taken nothing."""
+LIFE_LOOK_S = 0.5
+"""The end of a process is noticed so much later at most."""
 WINDOW_S, OVERSHOOT, SLACK = 5.0, 0.1, 20
 """Within any window so long, a limit may be exceeded by this share and so many operations."""
 
@@ -26,6 +33,47 @@
         return f"{self.promise}: {self.detail}"
 
 
+def check_stops(
+    records: Iterable[ClientRecord], group: StandInGroup, lives: Lives
+) -> list[Violation]:
+    """Return what processes broke that were told to stop, or were left alone."""
+    ran = {run.request_id for run in group.runs}
+    return [*_answered_whole(records, ran, lives), *_ended_in_time(lives)]
+
+
+def _answered_whole(
+    records: Iterable[ClientRecord], ran: set[str], lives: Lives
+) -> list[Violation]:
+    """Check that what a proxy took was answered, unless its process was struck.
+
+    What reached it as its connection ended may be unanswered: nobody ran it, and its client
+    learned at once.
+    """
+    found = []
+    for asked in (asked for record in records for asked in record.asks if not asked.is_answered):
+        life = lives.at(asked.ip, asked.sent_at)
+        if life is None or life.was_struck(asked.sent_at - GRACE_S, asked.ended_at):
+            continue
+        held_s = asked.ended_at - asked.sent_at
+        if asked.request_id in ran or held_s > UNANSWERED_SLACK_S:
+            since_stop_s = asked.sent_at - life.stopped_at
+            found.append(f"{asked.request_id} at {asked.ip}, {since_stop_s:.3f} s after the stop")
+    return [Violation("a statement that is taken is answered whole", text) for text in found]
+
+
+def _ended_in_time(lives: Lives) -> list[Violation]:
+    found = []
+    for life in lives.all:
+        if life.status is None or life.was_struck(life.started_at, life.ended_at):
+            continue
+        took_s = life.ended_at - life.stopped_at
+        age_s = life.stopped_at - life.started_at
+        is_loading = age_s < LOADED_WITHIN_S and life.status == -signal.SIGTERM
+        if took_s > GRACE_S + LIFE_LOOK_S or not (life.status == 0 or is_loading):
+            found.append(f"{life.ip} ended with {life.status}, {took_s:.2f} s after the stop")
+    return [Violation("a process that is told to stop ends with 0 in its time", t) for t in found]
+
+
 def check(
     records: Iterable[ClientRecord], group: StandInGroup, healed_at: float
 ) -> list[Violation]:
--- a/features/soak/load.py
+++ b/features/soak/load.py
@@ -38,7 +38,12 @@
 NOTHING_KEPT = frozenset({"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "MAXCONN"})
 """Words by which a client is promised that nothing of its attempt is kept."""
 PAUSE_S = 0.03
+HEEDING_SHARE = 0.5
+"""So many clients end a session when they are told that its proxy leaves; the others use their
+connections until these end."""
 CONNECT_LIMIT_S = 2.0
+UNANSWERED = "closed"
+LEAVES_SERVICE = "LD3006"
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +69,26 @@
     at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """A statement that was sent whole, and what became of it.
+
+    :param ip: of the proxy's machine
+    :param words: its answer; ``UNANSWERED`` alone when the connection ended before READY
+    """
+
+    request_id: str
+    ip: str
+    sent_at: float
+    ended_at: float
+    words: tuple[str, ...]
+
+    @property
+    def is_answered(self) -> bool:
+        """Whether the client got a whole answer."""
+        return self.words != (UNANSWERED,)
+
+
 @dataclass(slots=True)
 class ClientRecord:
     """All that one client knows."""
@@ -71,6 +96,7 @@
     name: str
     tenant: SoakTenant
     asked: set[str] = field(default_factory=set)
+    asks: list[Asked] = field(default_factory=list)
     writes: list[WriteTold] = field(default_factory=list)
     reads: list[ReadTold] = field(default_factory=list)
     served: list[float] = field(default_factory=list)
@@ -86,6 +112,10 @@
         return frozenset(allowed)
 
 
+class SessionOverError(Exception):
+    """The proxy has told that the session is over."""
+
+
 class SoakClient:
     """One client with a session at a time, at one proxy after the other.
 
@@ -101,6 +131,8 @@
         self._number = 0
         self._sessions = 0
         self._client: LineClient | None = None
+        self._ip = ""
+        self._heeds = self._generator.random() < HEEDING_SHARE
 
     async def run(self) -> None:
         """Ask one thing after the other until cancelled."""
@@ -108,7 +140,7 @@
             await curio.sleep(self._generator.uniform(0.0, 2 * PAUSE_S))
             try:
                 await self._operate()
-            except (OSError, curio.TaskTimeout):
+            except (OSError, curio.TaskTimeout, SessionOverError):
                 await self._drop()
 
     async def _operate(self) -> None:
@@ -122,8 +154,9 @@
 
     async def _connect(self) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._ip = self._generator.choice(self._proxies)
         async with curio.timeout_after(CONNECT_LIMIT_S):
-            await sock.connect((self._generator.choice(self._proxies), FRONT_PORT))
+            await sock.connect((self._ip, FRONT_PORT))
         self._sessions += 1
         client = LineClient(sock, f"{self.record.name}-{self._sessions}-")
         await client.send(f"START {DATABASE} {self.record.tenant.key}\r\n")
@@ -140,13 +173,24 @@
     async def _ask(self, text: str) -> list[str]:
         """Ask a statement; return its answer in words, ``["closed"]`` when there was none."""
         client = self._client
+        if client.was_told_unasked():
+            await self._drop()
+            raise SessionOverError
+        sent_at = time.monotonic()
         try:
             words = (await client.ask(text)).split(" ")
         except (OSError, curio.TaskTimeout):
-            words = ["closed"]
+            words = [UNANSWERED]
         finally:
             self.record.asked.add(client.request_id)
-        if words[0] == "closed":
+        lines = client.last_answer
+        if not lines or not lines[-1].startswith("READY"):
+            words = [UNANSWERED]
+        self.record.asks.append(
+            Asked(client.request_id, self._ip, sent_at, time.monotonic(), tuple(words))
+        )
+        is_sent_elsewhere = self._heeds and any(LEAVES_SERVICE in line for line in lines)
+        if words[0] == UNANSWERED or (is_sent_elsewhere and words[-1] == "I"):
             await self._drop()
         elif "done" in words:
             self.record.served.append(time.monotonic())
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -1,7 +1,8 @@
-"""Runs the soak: ``python -m features.soak.run SEEDS [SECONDS]``, such as ``1-5 20``.
+"""Runs the soak: ``python -m features.soak.run SEEDS [SECONDS]``; ``--help`` lists the options.
 
-Each seed prints one line; one that breaks a promise prints the faults, what is broken and the
-folder of its logs, and the exit status is 1.
+Seeds are such as ``1-5``; the shape is ``faults``, ``stops`` for planned work in series that
+overlap, or ``both``.  Each seed prints one line; one that breaks a promise prints what was done,
+what is broken and the folder of its logs, and the exit status is 1.
 """
 
 from __future__ import annotations
@@ -14,16 +15,21 @@
 from pathlib import Path
 
 import curio
+import fire
 
-from features.soak.checks import Violation, check
+from features.soak.checks import Violation, check, check_stops
 from features.soak.load import DATABASE, TENANTS, SoakClient
 from features.soak.plan import Fault, draw_plan
-from features.soak.world import SoakDeployment, Striker
-from features.support.line_platform.deployment import CONTROLLERS, PROXIES
+from features.soak.stops import Series, draw_answer_time_s, draw_series
+from features.soak.world import SoakDeployment, Striker, Worker
+from features.support.line_platform.deployment import CONTROLLERS, PROXIES, ZONES
 
 DEFAULT_SECONDS = 15.0
 CLIENTS = 8
 START_LIMIT_S = 15.0
+START_EACH_S = 0.3
+"""Processes that start together share the machine's processors: 0.3 s of one for each."""
+FIRST_FURTHER = 10
 RECOVERY_S = 10.0
 SETTLE_S = 3.0
 CHANGE_INTERVAL_S = 2.5
@@ -31,12 +37,38 @@
 HTTP_OK = 200
 
 
+@dataclass(frozen=True, slots=True)
+class SoakShape:
+    """What is played.
+
+    :param has_faults: faults strike
+    :param has_stops: processes are stopped, and told of changed settings, in series that overlap
+    """
+
+    has_faults: bool = True
+    has_stops: bool = False
+    proxies: int = len(PROXIES)
+    clients: int = CLIENTS
+
+    def machines(self) -> tuple[str, ...]:
+        """Return the addresses of the proxies' machines, spread over the zones."""
+        zones = list(ZONES)
+        further = [
+            f"{zones[number % len(zones)]}.{FIRST_FURTHER + number // len(zones)}"
+            for number in range(max(0, self.proxies - len(PROXIES)))
+        ]
+        return (*PROXIES[: self.proxies], *further)
+
+
+FAULTS = SoakShape()
+
+
 @dataclass(frozen=True, slots=True)
 class SoakResult:
     """What one seed gave."""
 
     seed: int
-    plan: tuple[Fault, ...]
+    plan: tuple[Fault | Series, ...]
     violations: tuple[Violation, ...]
     served: int
     writes: int
@@ -72,24 +104,31 @@
             await self.change()
 
 
-async def _play(seed: int, seconds: float, folder: Path) -> SoakResult:
-    deployment = SoakDeployment(folder)
+async def _play(seed: int, seconds: float, shape: SoakShape, folder: Path) -> SoakResult:
+    deployment = SoakDeployment(folder, shape.machines())
     deployment.tenants = [tenant.document() for tenant in TENANTS]
     clients = [
-        SoakClient(f"c{number}", PROXIES, seed, TENANTS[number % len(TENANTS)])
-        for number in range(CLIENTS)
+        SoakClient(f"c{number}", deployment.proxies, seed, TENANTS[number % len(TENANTS)])
+        for number in range(shape.clients)
     ]
-    plan = draw_plan(seed, seconds)
+    faults = draw_plan(seed, seconds) if shape.has_faults else ()
+    series = draw_series(seed, seconds) if shape.has_stops else ()
+    if shape.has_stops:
+        deployment.let_members_work(draw_answer_time_s(seed))
     operator = Operator(deployment)
     try:
         await deployment.start()
         await operator.change()
         await deployment.wait_until(
-            lambda: _all_ready(deployment), START_LIMIT_S, "all proxies ready"
+            lambda: _all_ready(deployment),
+            START_LIMIT_S + shape.proxies * START_EACH_S,
+            "all proxies ready",
         )
         tasks = [await curio.spawn(client.run) for client in clients]
         tasks.append(await curio.spawn(operator.run))
-        await Striker(deployment, seed).run(plan)
+        async with curio.TaskGroup() as work:
+            await work.spawn(Striker(deployment, seed).run, faults)
+            await work.spawn(Worker(deployment).run, series)
         await curio.sleep(RECOVERY_S)
         healed_at = time.monotonic()
         await curio.sleep(SETTLE_S)
@@ -100,13 +139,14 @@
         await deployment.stop()
     records = [client.record for client in clients]
     violations = check(records, deployment.group, healed_at)
+    violations += check_stops(records, deployment.group, deployment.lives)
     violations += [
         Violation("a change is acknowledged", f"version {version}")
         for version in operator.unacknowledged
     ]
     return SoakResult(
         seed,
-        plan,
+        (*faults, *series),
         tuple(violations),
         sum(len(record.served) for record in records),
         sum(len(record.writes) for record in records),
@@ -116,13 +156,13 @@
 
 
 async def _all_ready(deployment: SoakDeployment) -> bool:
-    return all([await deployment.is_ready(ip) for ip in PROXIES])
+    return all([await deployment.is_ready(ip) for ip in deployment.proxies])
 
 
-def run_soak(seed: int, seconds: float) -> SoakResult:
+def run_soak(seed: int, seconds: float, shape: SoakShape = FAULTS) -> SoakResult:
     """Play one seed; its folder of logs stays only when a promise was broken."""
     folder = Path(tempfile.mkdtemp(prefix=f"limedyke-soak-{seed}-"))
-    result = curio.run(_play, seed, seconds, folder)
+    result = curio.run(_play, seed, seconds, shape, folder)
     if not result.violations:
         shutil.rmtree(folder, ignore_errors=True)
     return result
@@ -141,17 +181,23 @@
     return "\n".join([*lines, *(f"  {violation}" for violation in result.violations)])
 
 
-def main(arguments: list[str]) -> int:
-    """Play the seeds; return 1 when a promise was broken."""
-    first, _, last = (arguments[0] if arguments else "1").partition("-")
-    seconds = float(arguments[1]) if len(arguments) > 1 else DEFAULT_SECONDS
+def main(
+    seeds: str = "1",
+    seconds: float = DEFAULT_SECONDS,
+    shape: str = "faults",
+    proxies: int = len(PROXIES),
+    clients: int = CLIENTS,
+) -> None:
+    """Play seeds; exit with 1 when a promise was broken."""
+    first, _, last = str(seeds).partition("-")
+    played = SoakShape(shape != "stops", shape != "faults", proxies, clients)
     is_broken = False
     for seed in range(int(first), int(last or first) + 1):
-        result = run_soak(seed, seconds)
+        result = run_soak(seed, seconds, played)
         print(report(result), flush=True)
         is_broken = is_broken or bool(result.violations)
-    return int(is_broken)
+    sys.exit(int(is_broken))
 
 
 if __name__ == "__main__":
-    sys.exit(main(sys.argv[1:]))
+    fire.Fire(main)
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -11,12 +11,15 @@
 
 import curio
 
+from features.soak.lives import Lives
 from features.soak.plan import Fault, FaultKind
 from features.soak.relay import MemberRelay
+from features.soak.stops import Series, StopKind
 from features.support.line_platform.deployment import CONTROLLERS, PROXIES, Deployment
 from features.support.line_platform.group import StandInMember
 
 RESTART_S = 0.3
+SECOND_SIGNAL_S = 0.2
 LOOK_S = 0.05
 BUSY_ANSWERS, LOST_ANSWERS = 40, 3
 LAG_S, DELAY_S = 0.6, 0.15
@@ -26,8 +29,9 @@
 class SoakDeployment(Deployment):
     """Members stand behind relays; processes that end are started again, as on the platform."""
 
-    def __init__(self, folder: Path) -> None:
-        super().__init__(folder)
+    def __init__(self, folder: Path, proxies: tuple[str, ...] = PROXIES) -> None:
+        super().__init__(folder, proxies)
+        self.lives = Lives()
         self.relays: dict[str, MemberRelay] = {}
         self._is_over = False
 
@@ -48,10 +52,33 @@
         self._is_over = True
         await super().stop()
 
+    def start_process(self, ip: str, program: str, bootstrap: bool = False) -> None:
+        """Start one process, and keep note of it."""
+        super().start_process(ip, program, bootstrap)
+        self.lives.started(ip)
+
+    def let_members_work(self, answer_s: float) -> None:
+        """Have members take so long to answer."""
+        for member in self.group.members.values():
+            member.faults.answers_travel_s = answer_s
+
+    def signal(self, ip: str, number: signal.Signals) -> None:
+        """Send a signal to the process of a machine, and keep note of what it meant."""
+        process = self.process(ip)
+        if process.poll() is not None:
+            return
+        if number == signal.SIGTERM:
+            self.lives.stopped(ip)
+        elif number != signal.SIGHUP:
+            self.lives.struck(ip)
+        process.send_signal(number)
+
     async def _supervise(self) -> None:
         while not self._is_over:
-            for ip in (*CONTROLLERS, *PROXIES):
-                if self.process(ip).poll() is not None:
+            for ip in (*CONTROLLERS, *self.proxies):
+                status = self.process(ip).poll()
+                if status is not None:
+                    self.lives.ended(ip, status)
                     await curio.spawn(self._restart, ip, daemon=True)
             await curio.sleep(RESTART_S)
 
@@ -61,6 +88,53 @@
             self.start_process(ip, program)
 
 
+class Worker:
+    """Does planned work, in series that may overlap."""
+
+    def __init__(self, deployment: SoakDeployment) -> None:
+        self._deployment = deployment
+
+    async def run(self, plan: tuple[Series, ...]) -> None:
+        """Do all that a plan holds; return when the last series is over."""
+        began_at = time.monotonic()
+        async with curio.TaskGroup() as tasks:
+            for series in plan:
+                await curio.sleep(max(0.0, began_at + series.at_s - time.monotonic()))
+                await tasks.spawn(self._do, series)
+
+    async def _do(self, series: Series) -> None:
+        for ip in self._machines(series):
+            await self._do_to(ip, series.kind)
+            await curio.sleep(series.gap_s)
+
+    def _machines(self, series: Series) -> list[str]:
+        """Return the machines of a series in turn; one at least."""
+        match series.kind:
+            case StopKind.STOP_CONTROLLERS:
+                machines = CONTROLLERS
+            case StopKind.STOP_PROXIES | StopKind.STOP_TWICE:
+                machines = self._deployment.proxies
+            case _:
+                machines = (*CONTROLLERS, *self._deployment.proxies)
+        count = max(1, round(series.share * len(machines)))
+        return [machines[(series.first + number) % len(machines)] for number in range(count)]
+
+    async def _do_to(self, ip: str, kind: StopKind) -> None:
+        match kind:
+            case StopKind.STOP_PROXIES | StopKind.STOP_CONTROLLERS:
+                self._deployment.signal(ip, signal.SIGTERM)
+            case StopKind.STOP_TWICE:
+                self._deployment.signal(ip, signal.SIGTERM)
+                await curio.sleep(SECOND_SIGNAL_S)
+                self._deployment.signal(ip, signal.SIGTERM)
+            case StopKind.HANG_UP:
+                self._deployment.signal(ip, signal.SIGHUP)
+            case StopKind.CHANGE_SEEDS:
+                self._deployment.seeds = self._deployment.seeds[1:] + self._deployment.seeds[:1]
+                self._deployment.write_node_file(ip)
+                self._deployment.signal(ip, signal.SIGHUP)
+
+
 class Striker:
     """Brings faults about, and ends them.
 
@@ -81,7 +155,8 @@
 
     async def _strike(self, fault: Fault) -> None:
         controller = CONTROLLERS[fault.target % len(CONTROLLERS)]
-        proxy = PROXIES[fault.target % len(PROXIES)]
+        proxies = self._deployment.proxies
+        proxy = proxies[fault.target % len(proxies)]
         match fault.kind:
             case FaultKind.KILL_CONTROLLER:
                 self._signal(controller, signal.SIGKILL)
@@ -106,28 +181,29 @@
                 await self._strike_members(fault)
 
     def _signal(self, ip: str, number: signal.Signals) -> None:
-        process = self._deployment.process(ip)
-        if process.poll() is None:
-            process.send_signal(number)
+        self._deployment.signal(ip, number)
 
     async def _pause(self, ip: str, seconds: float) -> None:
         process = self._deployment.process(ip)
         self._signal(ip, signal.SIGSTOP)
         await curio.sleep(seconds)
-        if process.poll() is None:
-            process.send_signal(signal.SIGCONT)
+        if process is self._deployment.process(ip):
+            self._signal(ip, signal.SIGCONT)
 
     async def _wipe(self, ip: str) -> None:
+        process = self._deployment.process(ip)
         self._signal(ip, signal.SIGKILL)
-        while self._deployment.process(ip).poll() is None:
+        while process.poll() is None:
             await curio.sleep(LOOK_S)
-        shutil.rmtree(self._deployment.data_folder(ip), ignore_errors=True)
+        if process is self._deployment.process(ip):
+            shutil.rmtree(self._deployment.data_folder(ip), ignore_errors=True)
 
     async def _fill_disk(self, ip: str, seconds: float) -> None:
         """Let no file of a controller grow, as on a full disk."""
         process = self._deployment.process(ip)
         if process.poll() is not None:
             return
+        self._deployment.lives.struck(ip)
         try:
             resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (0, resource.RLIM_INFINITY))
             await curio.sleep(seconds)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -4,10 +4,12 @@
 
 from behave import given, step, then, when
 
-from features.soak.checks import check
-from features.soak.load import TENANTS, ClientRecord, ReadTold, WriteTold
+from features.soak.checks import check, check_stops
+from features.soak.lives import Life, Lives
+from features.soak.load import TENANTS, UNANSWERED, Asked, ClientRecord, ReadTold, WriteTold
 from features.soak.plan import draw_plan
-from features.soak.run import report, run_soak
+from features.soak.run import SoakShape, report, run_soak
+from features.soak.stops import draw_series
 from features.support.line_platform.group import StandInGroup
 from features.support.line_platform.member_log import Commit, Run
 
@@ -36,6 +38,7 @@
     ]
     record.reads = [ReadTold("r1", "v2", record.allowed_values(), 4.0)]
     record.served = [LAST_SERVED_AT]
+    context.lives = Lives()
 
 
 @when("soak: a member ran what nobody asked")
@@ -83,8 +86,71 @@
     context.record.served = [HEALED_AT - 1]
 
 
+STOPPED_AT = 20.0
+PROXY = "127.31.1.2"
+
+
+def _stopped_proxy(context, took_s: float = 3.0, status: int = 0) -> Life:
+    """Have a proxy be told to stop and end; return its life."""
+    life = Life(PROXY, 0.0, STOPPED_AT, STOPPED_AT + took_s, status)
+    context.lives.all.append(life)
+    return life
+
+
+def _unanswered(context, held_s: float, member: str = "") -> None:
+    """Have a statement sent while the proxy stops, and not answered.
+
+    :param member: that ran it; empty for none
+    """
+    sent_at = STOPPED_AT + 2.0
+    asked = Asked("u1", PROXY, sent_at, sent_at + held_s, (UNANSWERED,))
+    context.record.asked.add(asked.request_id)
+    context.record.asks.append(asked)
+    if member:
+        run = Run(member, asked.request_id, "READ c0", {}, False, sent_at, LIMITED.name)
+        context.group.runs.append(run)
+
+
+@when("soak: a stopping proxy ran a statement and did not answer")
+def step_ran_unanswered(context):
+    _stopped_proxy(context)
+    _unanswered(context, 0.05, "a")
+
+
+@when("soak: a stopping proxy held a statement and did not answer")
+def step_held_unanswered(context):
+    _stopped_proxy(context)
+    _unanswered(context, 0.6)
+
+
+@when("soak: a proxy that was told to stop ended after {took:d} s")
+def step_ended_late(context, took):
+    _stopped_proxy(context, took)
+
+
+@when("soak: a proxy that was told to stop ended with {status:d}")
+def step_ended_badly(context, status):
+    _stopped_proxy(context, status=status)
+
+
+@when("soak: a killed proxy ran a statement and did not answer")
+def step_killed(context):
+    _stopped_proxy(context, status=-9).struck_at.append(STOPPED_AT + 2.04)
+    _unanswered(context, 0.05, "a")
+
+
+@when("soak: a statement reached a proxy as its connection ended")
+def step_crossed(context):
+    _stopped_proxy(context)
+    _unanswered(context, 0.05)
+
+
 def _violations(context):
-    return check([context.record], context.group, HEALED_AT)
+    records = [context.record]
+    return [
+        *check(records, context.group, HEALED_AT),
+        *check_stops(records, context.group, context.lives),
+    ]
 
 
 @then('soak: the promise "{promise}" is broken')
@@ -102,6 +168,17 @@
     assert draw_plan(one, PLAN_S) == draw_plan(one, PLAN_S) != draw_plan(other, PLAN_S)
 
 
+@then("soak: seed {one:d} draws the same series of stops twice, and seed {other:d} others")
+def step_same_series(context, one, other):
+    assert draw_series(one, PLAN_S) == draw_series(one, PLAN_S) != draw_series(other, PLAN_S)
+
+
+@when("soak: the {what} of seed {seed:d} are played for {seconds:d} s with {clients:d} clients")
+def step_stops_played(context, what, seed, seconds, clients):
+    shape = SoakShape(has_faults="faults" in what, has_stops=True, clients=clients)
+    context.result = run_soak(seed, seconds, shape)
+
+
 @when("soak: seed {seed:d} is played for {seconds:d} s")
 def step_played(context, seed, seconds):
     context.result = run_soak(seed, seconds)
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -31,13 +31,17 @@
 
 
 class Deployment:
-    """Three controllers, two proxies, one group of members.
+    """Three controllers, two proxies or more, one group of members.
 
     :param folder: for data, node files and logs
+    :param proxies: addresses of the machines of the proxies
+    :ivar seeds: the controllers that node files name
     """
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, proxies: tuple[str, ...] = PROXIES) -> None:
         self._folder = folder
+        self.proxies = proxies
+        self.seeds = CONTROLLERS
         self._processes: dict[str, subprocess.Popen] = {}
         self._further: set[str] = set()
         self.tenants: list[dict] | None = None
@@ -55,7 +59,7 @@
         await curio.spawn(server.run, listener, daemon=True)
         for ip in CONTROLLERS:
             self.start_process(ip, "run_controller.py", bootstrap=True)
-        for ip in PROXIES:
+        for ip in self.proxies:
             self.start_process(ip, "run_proxy.py", bootstrap=True)
         await curio.spawn(self._beat, daemon=True)
 
@@ -66,8 +70,7 @@
 
     def start_process(self, ip: str, program: str, bootstrap: bool = False) -> None:
         """Start one process with a node file of its own."""
-        path = self._folder / f"{ip}.json"
-        path.write_text(json.dumps(self._node_file(ip, bootstrap)))
+        path = self.write_node_file(ip, bootstrap)
         environment = {**os.environ, "LIMEDYKE_NODE_FILE": str(path)}
         with open(self._folder / f"{ip}.log", "ab") as log:
             self._processes[ip] = subprocess.Popen(
@@ -78,6 +81,12 @@
                 cwd=PLATFORM_FOLDER.parent,
             )
 
+    def write_node_file(self, ip: str, bootstrap: bool = False) -> Path:
+        """Write a machine's node file as it is now; return its path."""
+        path = self._folder / f"{ip}.json"
+        path.write_text(json.dumps(self._node_file(ip, bootstrap)))
+        return path
+
     def _node_file(self, ip: str, bootstrap: bool) -> dict:
         is_controller = ip in CONTROLLERS or ip in self._further
         front = {"front": f"{ip}:{FRONT_PORT}", "readiness": f"{ip}:{READY_PORT}"}
@@ -87,7 +96,7 @@
             "zone": ZONES[ip.rpartition(".")[0]],
             "listen": {"control": f"{ip}:{CONTROL_PORT}"} if is_controller else front,
             "internalPortRange": [FIRST_INTERNAL_PORT, FIRST_INTERNAL_PORT + 15],
-            "seedNodes": [f"{seed}:{CONTROL_PORT}" for seed in CONTROLLERS],
+            "seedNodes": [f"{seed}:{CONTROL_PORT}" for seed in self.seeds],
             "bootstrap": bootstrap,
             "dataDir": str(self.data_folder(ip)) if is_controller else None,
             "heartbeatIntervalMs": int(HEARTBEAT_S * 1_000),
--- a/features/support/line_platform/member_session.py
+++ b/features/support/line_platform/member_session.py
@@ -49,9 +49,12 @@
             await self._socket.close()
 
     async def abort(self) -> None:
-        """Reset the connection."""
-        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-        await self._socket.shutdown(socket.SHUT_RDWR)
+        """Reset the connection, unless its other end has closed it already."""
+        try:
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            await self._socket.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            return
 
     async def _open(self) -> bool:
         member = self._member
--- a/features/support/persistent_clients.py
+++ b/features/support/persistent_clients.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-import select
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -124,18 +123,13 @@
                 return
             await curio.sleep(RETURN_PAUSE_S)
 
-    def _was_told_unasked(self) -> bool:
-        """Tell whether something came while nothing was asked: the session is over then."""
-        readable, _, _ = select.select([self._socket.fileno()], [], [], 0)
-        return bool(readable)
-
     def _is_sent_elsewhere(self, lines: list[str]) -> bool:
         """Tell whether the client was told to connect to another proxy, and does."""
         return self._heeds and any(LEAVES_SERVICE in line for line in lines)
 
     async def _ask(self, text: str) -> str:
         """Ask a statement; keep and return what was told of it."""
-        if self._was_told_unasked():
+        if self._client.was_told_unasked():
             raise SessionOverError
         sent_at = time.monotonic()
         try:
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import select
 import time
 
 import curio
@@ -88,6 +89,13 @@
         self.last_answer = await self.answer()
         return summary(self.last_answer)
 
+    def was_told_unasked(self) -> bool:
+        """Tell whether something came that no answer belongs to: the session is over then."""
+        if self._stream._buffer:
+            return True
+        readable, _, _ = select.select([self._socket.fileno()], [], [], 0)
+        return bool(readable)
+
     async def expect_end(self) -> None:
         """Be told that the session is over though nothing was asked, then the connection's end."""
         told = await self.receive()
