Promote a former primary last while its log is of a term before

A primary is cut off for 7 s and replaced in term 2; after the cut the new one is doubted for 0.1 s, and the former one is promoted in term 3: its position counted as further on (37 against 22) since terms were left out, it seemed to lead by a late announcement, and the replica was seen unreachable by one proxy. Its log of term 1 brought back commits that reads in term 2 lacked, and 8 to 13 acknowledged ones of term 2 were rolled back. Change: members whose log is of an older term than the newest reported are asked last (before those that are silent); proxies report a member again when the term of its log changes, so that a replica that follows is known. Left: the doubt itself. Proxies that have just been leased connections judge a member unreachable when it resets what is over its limit.

--- a/features/announced_members.feature
+++ b/features/announced_members.feature
@@ -138,6 +138,34 @@
     And authority: 5000 ms pass
     Then authority: it was asked 1 times
 
+  Scenario Outline: authority: a member that has not followed the last change of primary is asked last: <event>
+    A primary was cut off, and b led in its place in term 4. When b was doubted 2 s after the cut had healed, the former
+    primary was promoted: "authority-answered member=i-d046ee48de", then "primary-recorded term=3 primary=i-f179c001ad".
+    Its log of the term before held commits that b's lacked, and lacked 13 acknowledged ones of b's. It was seen
+    further on, 37 against 22, as terms were left out of the comparison; and one proxy could not reach the replica.
+
+    Given authority: primary a, replicas b and c, proxies p q r that follow
+    When authority: p q report a unreachable
+    And authority: 1000 ms pass
+    And authority: the authority answers promoted
+    And authority: b says primary
+    And authority: 1000 ms pass
+    And authority: p q r see a in term 3 at 900
+    And authority: p q r see c in term 4 at 20
+    And authority: <event>
+    And authority: p q report b unreachable
+    And authority: 1000 ms pass
+    Then authority: promotion is asked of <asked>
+
+    Examples:
+      | event                                    | asked |
+      | nothing happens                          | c     |
+      | a says primary                           | c     |
+      | p reports c unreachable                  | c     |
+      | c withdraws                              | a     |
+      | c says draining replica                  | a     |
+      | p q r see a in term 4 at 21              | a     |
+
   Scenario: authority: a promotion carried out late is followed
     Given authority: primary a, replicas b and c, proxies p q r that follow
     When authority: 2000 ms pass
--- a/features/steps/announced_members_steps.py
+++ b/features/steps/announced_members_steps.py
@@ -122,6 +122,11 @@
     world.report(" ".join(others), member, MemberHealth.UNREACHABLE)
 
 
+@step("authority: p q r see {member:w} in term {term:d} at {position:d}")
+def step_seen_at(context, member, term, position):
+    context.world.report("p q r", member, MemberHealth.REACHABLE, position, term)
+
+
 @step("authority: nothing happens")
 def step_nothing(context):
     pass
--- a/features/support/announced_world.py
+++ b/features/support/announced_world.py
@@ -134,11 +134,18 @@
             self.apply(entry)
         self.post()
 
-    def report(self, proxies: str, members: str, health: MemberHealth, position: int = 0) -> None:
-        """Let proxies report on members."""
+    def report(
+        self,
+        proxies: str,
+        members: str,
+        health: MemberHealth,
+        position: int = 0,
+        term: int = 3,
+    ) -> None:
+        """Let proxies report on members, whose logs they have seen up to a position in a term."""
         for proxy in proxies.split():
             for member in members.split():
-                report = MemberReport(GROUP, member, health, 3, position, False)
+                report = MemberReport(GROUP, member, health, term, position, False)
                 self.post(MemberReported(proxy, report))
 
     def answer(self, outcome: AuthorityOutcome) -> None:
--- a/limedyke/core/control/authority_failover.py
+++ b/limedyke/core/control/authority_failover.py
@@ -29,6 +29,7 @@
 )
 from limedyke.messages.control_entries import PrimaryChange, TermGrant
 from limedyke.messages.databases import AnnouncedMember, MemberState
+from limedyke.messages.work import LogPosition
 
 NEVER = float("inf")
 PROPOSAL_RETRY_S = 1.0
@@ -313,15 +314,21 @@
 
     def _rank(
         self, care: _Care, member: AnnouncedMember, now: float
-    ) -> tuple[bool, int, bool, int, str]:
-        """Order members: heard lately, reached by proxies, leading already, far in the log."""
+    ) -> tuple[bool, bool, int, bool, int, str]:
+        """Order members: heard lately, following, reached, leading already, far in the log.
+
+        A member whose log is of an older term has not followed the last change of primary: to
+        promote it would bring commits back that are lost, and lose all that came since.
+        """
         reports = [r for (_, name), r in care.reports.items() if name == member.identity]
         unreachable = sum(report.health is MemberHealth.UNREACHABLE for report in reports)
-        position = max((report.position for report in reports), default=0)
+        log = max((LogPosition(r.term, r.position) for r in reports), default=LogPosition())
+        newest_term = max((report.term for report in care.reports.values()), default=0)
+        is_outdated = bool(reports) and log.term < newest_term
         heard_at = self._book.heard_at(member.identity)
         is_silent = now - heard_at > self._timing.member_silence_s
         leads = member.is_primary and heard_at > care.recorded_at
-        return is_silent, unreachable, not leads, -position, member.identity
+        return is_silent, is_outdated, unreachable, not leads, -log.position, member.identity
 
     def _grant(self, group: str, care: _Care, now: float) -> None:
         """Propose the next term; the group has no primary from then on."""
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -5,6 +5,7 @@
 import time
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 import curio
@@ -38,6 +39,19 @@
 EVENTS = EventLog("groups")
 
 
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    """What was last reported of a member.
+
+    :param log_term: of the newest commit in its log: it shows whether the member has followed the
+        last change of primary
+    """
+
+    health: MemberHealth
+    is_primary: bool
+    log_term: int
+
+
 class Reporter(Protocol):
     """What is told to the controllers."""
 
@@ -78,7 +92,7 @@
         self._outage_times = OutageTimes()
         self._leases: dict[tuple[str, str], int] = {}
         self._owed: set[tuple[str, str]] = set()
-        self._reported: dict[tuple[str, str], tuple[MemberHealth, bool]] = {}
+        self._reported: dict[tuple[str, str], _Seen] = {}
 
     async def control_changed(self, view: ControlView) -> None:
         """Take a newer view into force."""
@@ -172,9 +186,9 @@
             await pool.check_address(limit_s)
 
     async def _report(self, group: str, belief: MemberBelief, is_primary: bool) -> None:
-        """Report a member's health when it changed."""
+        """Report a member when its health or the term of its log has changed."""
         key = (group, belief.record.identity)
-        seen = (belief.health, is_primary)
+        seen = _Seen(belief.health, is_primary, belief.position.term)
         known = self._reported.get(key)
         is_news = known != seen and (known is not None or belief.contact_at > 0.0 or is_primary)
         if not is_news or self.reporter is None:
