Interrupt a client's session as often as needed, and test the stop in one process

Cause: found by a mutant of the stop. curio cancels a task once only. A session that was asked to leave and went on, since a statement came at that moment or since only its transaction was ended, could not be cancelled again: the process waited for it at its end until it was killed. Ruled out: forwarded units and transactions; their tasks are cancelled once, to end. Change: interrupt() raises an exception in a task that goes on, and lets it be cancelled again. Tests: statement_stop (23 scenarios: what is taken when, what each kind of statement is told at the end, notices that cross statements, transactions that rest), home proxies that stop beside others (4), clients that rest inside transactions, four mutants.

--- a/features/lab_mutants.feature
+++ b/features/lab_mutants.feature
@@ -26,3 +26,7 @@
   Scenario: mutants: each safeguard of the tenants is missed without it
     When mutants: those of the area "tenants" are run
     Then mutants: the run ends with 0 and no mutant was missed
+
+  Scenario: mutants: each safeguard of a planned stop is missed without it
+    When mutants: those of the area "stop" are run
+    Then mutants: the run ends with 0 and no mutant was missed
--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -28,6 +28,12 @@
       | read               | members work 700 ms on a read                           | both, 0.4 s apart |
       | run transactions   | members answer after 50 ms                              | both, 0.4 s apart |
 
+  Scenario: planned stop: clients that rest inside transactions keep no proxy from ending
+    Given planned stop: two proxies that serve "db1"
+    When planned stop: 12 clients rest inside transactions without end, and the first stop
+    Then planned stop: every statement got a whole answer
+    And planned stop: the proxies that stopped ended with 0 within 6 s
+
   Scenario Outline: planned stop: a controller that is told to stop answers every call that it took: <which>, <state>
     Given planned stop: two proxies that serve "db1"
     When planned stop: 8 callers call <which> without end, <state>, and it stops
--- a/features/statement_forwarding.feature
+++ b/features/statement_forwarding.feature
@@ -60,6 +60,24 @@
     And statement path: the client asks "WRITE x 1" and is told "done I"
     Then statement homes: h2 took 1 statements
 
+  Scenario Outline: statement homes: a home proxy that was told to stop <since> s ago, beside one that <other>
+    Given statement homes: a session database, home proxies h1 in z2, h2 in z3
+    When statement path: the client asks "WRITE x 1" and is told "done I"
+    And statement homes: links to all are open
+    And statement homes: h1 was told to stop <since> s ago, and has 6 s
+    And statement homes: h2 <state>
+    And statement path: the client asks "WRITE x 2" and is told "<told>"
+    And statement path: the client asks "WRITE x 3" and is told "<told>"
+    Then statement homes: "WRITE x 2" ran at most 1 times
+    And statement homes: h1 took <by_h1> statements
+
+    Examples: the first one is h1's; a unit that it leaves to others is taken too, and told so
+      | since | other           | state                                   | told   | by_h1 |
+      | 1.0   | serves          | was told to stop 0.0 s ago, and has 6 s | done I | 3     |
+      | 3.0   | serves          | was told to stop 0.0 s ago, and has 6 s | done I | 2     |
+      | 3.0   | stops as well   | was told to stop 3.0 s ago, and has 6 s | done I | 4     |
+      | 3.0   | holds no lease  | holds no lease                          | done I | 4     |
+
   Scenario Outline: statement homes: <fault> for "<asked>"
     Given statement homes: a session database, home proxies h1 in z2, h2 in z3
     When statement path: the client asks "WRITE x 1" and is told "done I"
--- /dev/null
+++ b/features/statement_stop.feature
@@ -0,0 +1,93 @@
+Feature: What a proxy takes and tells while it stops, in one process
+  Shares of the time that the process has: until 0.4 all is taken, until 0.7 statements, at 0.85 answers are due.
+
+  Scenario Outline: statement stop: <statement> at <share> of the time is <verdict>
+    Given statement stop: a stop of 10 s that begins at 100 s
+    Then statement stop: at <moment> s <statement> is <verdict>
+
+    Examples:
+      | statement | share | moment | verdict |
+      | READ x    | 0.00  | 100.0  | taken   |
+      | BEGIN     | 0.39  | 103.9  | taken   |
+      | BEGIN     | 0.41  | 104.1  | refused |
+      | BEGIN READ | 0.41 | 104.1  | refused |
+      | SET a b   | 0.41  | 104.1  | taken   |
+      | WRITE x 1 | 0.69  | 106.9  | taken   |
+      | WRITE x 1 | 0.71  | 107.1  | refused |
+      | READ x    | 0.71  | 107.1  | refused |
+
+  Scenario Outline: statement stop: a statement of <timeout> ms that is taken <late> ms before answers are due may take <time> ms
+    Then statement stop: a statement of <timeout> ms taken <late> ms before answers are due may take <time> ms
+
+    Examples:
+      | timeout | late | time |
+      | 800     | 2000 | 800  |
+      | 800     | 300  | 300  |
+      | 800     | -10  | 0    |
+
+  Scenario Outline: statement stop: "<statement>" under way when answers are due is told "<told>"
+    Given statement stop: a session database on primary a, and statements of 20 s
+    And statement stop: a transaction is <transaction>
+    When statement stop: <state>, the client asks "<statement>", and the proxy stops within 2 s
+    Then statement stop: it is told "<told>" when answers are due
+    And statement stop: the proxy has left service within 2 s
+
+    Examples: sent, and not answered
+      | statement | transaction | state                      | told       |
+      | READ x    | none        | members answer after 5 s   | FAILED I   |
+      | WRITE x 1 | none        | members answer after 5 s   | INDOUBT I  |
+      | WRITE x 2 | open        | members answer after 5 s   | ABORTED E  |
+      | COMMIT    | open        | members answer after 5 s   | INDOUBT I  |
+
+    Examples: sent nowhere
+      | statement | transaction | state                      | told       |
+      | READ x    | none        | no home proxy is reached   | BUSY I     |
+      | WRITE x 1 | none        | no home proxy is reached   | BUSY I     |
+
+  Scenario: statement stop: an idle session is told that it is over, and what crosses that did not run
+    Given statement stop: a session database on primary a
+    And statement stop: the proxy stops within 2 s
+    When statement stop: idle sessions are to end
+    And statement path: 400 ms pass
+    And statement stop: the client, which has not read anything yet, asks "WRITE x 1"
+    Then statement stop: it is told "BUSY I" with LD3006
+    And statement path: "WRITE x 1" ran nowhere
+
+  Scenario: statement stop: a session that goes on asking is served until statements are taken no more
+    Given statement stop: a session database on primary a
+    And statement stop: the proxy stops within 2 s
+    When statement stop: the client asks "READ x" again and again until it is told otherwise than "- done I"
+    Then statement stop: that was "BUSY I" with LD3006, when statements were taken no more
+    And statement stop: the proxy has left service within 2 s
+
+  Scenario: statement stop: no transaction begins that could not end
+    Given statement stop: a session database on primary a
+    And statement stop: the proxy stops within 2 s
+    When statement stop: the client asks again and again until transactions begin no more
+    And statement path: the client asks "BEGIN" and is told "BUSY I"
+    And statement path: the client asks "READ x" and is told "- done I"
+
+  Scenario: statement stop: a transaction that rests is ended, and its next statement is told so
+    Given statement stop: a session database on primary a
+    When statement path: the client asks "BEGIN" and is told "done T"
+    And statement path: the client asks "WRITE x 1" and is told "done T"
+    And statement stop: the proxy stops within 2 s
+    And statement stop: statements are taken no more
+    And statement path: 150 ms pass
+    And statement path: the client asks "WRITE x 2" and is told "ABORTED E"
+    And statement path: the client asks "READ x" and is told "MALFORMED E"
+    And statement path: the client asks "ROLLBACK" and is told "done I"
+    Then statement path: "WRITE x 2" ran nowhere
+
+  Scenario: statement stop: no session opens when statements are taken no more
+    Given statement stop: a session database on primary a
+    And statement stop: a client that keeps the proxy from ending
+    And statement stop: the proxy stops within 2 s
+    When statement stop: statements are taken no more
+    Then statement stop: a further session is told "BUSY"
+
+  Scenario: statement stop: a proxy without clients leaves when the platform has taken it out
+    Given statement stop: a session database on primary a
+    When statement path: the client leaves
+    And statement stop: the proxy stops within 2 s
+    Then statement stop: it has left service after 800 to 1000 ms
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -86,9 +86,12 @@
         context.signalled_at[ip] = time.monotonic()
         await curio.sleep(STOP_GAP_S)
     end = time.monotonic() + 2 * STOP_LIMIT_S
-    while not is_gone() and time.monotonic() < end:
+    while not is_gone():
         for ip in context.stopped:
-            if ip not in context.ended_at and deployment.process(ip).poll() is not None:
+            process = deployment.process(ip)
+            if time.monotonic() > end:
+                process.kill()
+            if ip not in context.ended_at and process.poll() is not None:
                 context.ended_at[ip] = time.monotonic()
         await curio.sleep(LOOK_S)
     for task in tasks:
--- a/features/steps/statement_forwarding_steps.py
+++ b/features/steps/statement_forwarding_steps.py
@@ -113,6 +113,11 @@
     run(context, context.path.move_home_away, name, milliseconds / 1_000)
 
 
+@step("statement homes: {name:w} was told to stop {seconds:g} s ago, and has 6 s")
+def step_stopping(context, name, seconds):
+    context.path.homes[name].stop.begin(time.monotonic() - seconds, 6.0)
+
+
 @step("statement homes: {name:w} drains")
 def step_drains(context, name):
     context.path.homes[name].server.draining = True
--- a/features/support/persistent_clients.py
+++ b/features/support/persistent_clients.py
@@ -30,6 +30,7 @@
     WRITE = "write"
     TRANSACT = "run transactions"
     REST = "rest between reads"
+    REST_INSIDE = "rest inside transactions"
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +82,7 @@
             try:
                 await self._open_session()
                 while not is_gone():
-                    await self._operate()
+                    await self._operate(is_gone)
             except (OSError, curio.TaskTimeout, SessionOverError):
                 await self._close()
                 await curio.sleep(RETURN_PAUSE_S)
@@ -101,7 +102,7 @@
         if sock is not None:
             await sock.close()
 
-    async def _operate(self) -> None:
+    async def _operate(self, is_gone: Callable[[], bool]) -> None:
         match self._habit:
             case Habit.READ:
                 await self._ask(f"READ {self._name}")
@@ -113,6 +114,16 @@
                 await self._ask(f"READ {self._name}")
             case Habit.TRANSACT:
                 await self._transact()
+            case Habit.REST_INSIDE:
+                await self._ask("BEGIN")
+                await self._ask(f"WRITE {self._name} 1")
+                await self._rest_until_told(is_gone)
+
+    async def _rest_until_told(self, is_gone: Callable[[], bool]) -> None:
+        """Ask nothing more until the session is over."""
+        while not self._client.was_told_unasked() and not is_gone():
+            await curio.sleep(RETURN_PAUSE_S)
+        raise SessionOverError
 
     async def _transact(self) -> None:
         for text in ("BEGIN", f"WRITE {self._name} 1", f"WRITE {self._name} 2", "COMMIT"):
--- a/features/support/statement_homes.py
+++ b/features/support/statement_homes.py
@@ -9,6 +9,7 @@
 
 from features.support.far_address import FarAddress
 from features.support.statement_path import GROUP, NEVER, StatementPath
+from limedyke.core.statements.stop_schedule import StopState
 from limedyke.messages.control import ConnectionLease, ProxyRecord, ProxyState
 from limedyke.messages.databases import Consistency
 from limedyke.messages.handshake import PeerRole
@@ -42,7 +43,8 @@
         self.groups = StatementGroups(
             path.settings, runner, LineMemberCodec, lambda: path.lease_ends_at
         )
-        self.service = StatementHomeService(self.groups, runner, log, self.metrics)
+        self.stop = StopState()
+        self.service = StatementHomeService(self.groups, runner, log, self.metrics, self.stop)
         self.server = ForwardingServer(self.service, StatementUnit, refuse_unit)
         self.links: set[Link] = set()
         self.is_frozen = False
--- a/limedyke/proxy/statements/clients/client.py
+++ b/limedyke/proxy/statements/clients/client.py
@@ -19,6 +19,7 @@
 )
 from limedyke.core.statements.stop_schedule import StopState
 from limedyke.event_log import EventLog
+from limedyke.interrupt import interrupt
 from limedyke.messages.statements import Statement, StatementAnswer, StatementKind
 from limedyke.messages.work import TransactionStatus
 from limedyke.proxy.statements.clients.client_codec import (
@@ -208,7 +209,7 @@
 
     async def _interrupt(self, error: type[LeaveAskedError]) -> None:
         if self.task is not None and not self._is_over:
-            await self.task.cancel(exc=error, blocking=False)
+            await interrupt(self.task, error)
 
     async def _end_session(self, code: ResultCode) -> None:
         """Tell the client that its session is over; what it has sent by then did not run."""
