Make room for callers at controllers when connections that rest hold all places

Cause: the server of calls closed each connection beyond 512 at once. Ruled out: the number of proxies or groups alone, and controllers that wait (docs/FINDINGS.md). Change: a further connection takes the place of the one that has rested longest; it is closed only when all have a call under way.

--- a/limedyke/transport/http_server.py
+++ b/limedyke/transport/http_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
@@ -55,7 +56,8 @@
 
     :param body_bytes: largest body
     :param idle_s: a connection without a whole request for so long is closed
-    :param connections: open connections at most; a further one is closed at once
+    :param connections: open connections at most; a further one takes the place of the one that
+        has rested longest, and is closed at once when all are in use
     """
 
     body_bytes: int
@@ -63,6 +65,51 @@
     connections: int = 512
 
 
+class _Peer:
+    """One open connection.
+
+    :ivar rests_since: since when nothing of a request has come; None while one comes or is answered
+    """
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.socket = sock
+        self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAXIMUM_HEAD_BYTES)
+        self.rests_since: float | None = time.monotonic()
+        self.task: curio.Task | None = None
+
+    async def next_event(self) -> h11.Event:
+        """Return the next part of a request."""
+        while True:
+            event = self.protocol.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            data = await self.socket.recv(RECEIVE_BYTES)
+            self.rests_since = None
+            self.protocol.receive_data(data)
+
+    async def send(self, answer: HttpAnswer) -> None:
+        """Send a whole answer, if the protocol still allows one."""
+        protocol = self.protocol
+        if protocol.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [
+            ("content-type", answer.content_type),
+            ("content-length", str(len(answer.body))),
+            *answer.headers,
+        ]
+        data = protocol.send(h11.Response(status_code=answer.status, headers=headers))
+        if answer.body:
+            data += protocol.send(h11.Data(data=answer.body))
+        data += protocol.send(h11.EndOfMessage())
+        async with curio.timeout_after(SEND_TIMEOUT_S):
+            await self.socket.sendall(data)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Whether the connection can take another request."""
+        return self.protocol.our_state is h11.DONE and self.protocol.their_state is h11.DONE
+
+
 class HttpServer:
     """Serves requests one after the other on each connection.
 
@@ -72,7 +119,7 @@
     def __init__(self, handler: HttpHandler, limits: HttpLimits) -> None:
         self._handler = handler
         self._limits = limits
-        self._open = 0
+        self._peers: set[_Peer] = set()
         self._under_way = UnderWay()
         self._accepting: curio.Task | None = None
         self._is_draining = False
@@ -106,60 +153,74 @@
             except OSError:
                 await curio.sleep(CLOSE_TIMEOUT_S)
                 continue
-            if self._open >= self._limits.connections:
+            if len(self._peers) >= self._limits.connections and not await self._make_room():
                 await client.close()
                 continue
-            self._open += 1
-            await curio.spawn(self._serve_connection, client, daemon=True)
+            peer = _Peer(client)
+            self._peers.add(peer)
+            peer.task = await curio.spawn(self._serve_peer, peer, daemon=True)
+
+    async def _make_room(self) -> bool:
+        """Close the connection that has rested longest; tell whether there was one.
 
-    async def _serve_connection(self, sock: socket.socket) -> None:
-        connection = h11.Connection(h11.SERVER, max_incomplete_event_size=MAXIMUM_HEAD_BYTES)
+        Callers that keep connections and use them seldom must not shut others out: with 300
+        machines members' connections held all places, and no configuration was taken.
+        """
+        resting = [peer for peer in self._peers if peer.rests_since is not None]
+        if not resting:
+            return False
+        longest = min(resting, key=lambda peer: peer.rests_since)
+        self._peers.discard(longest)
+        await longest.task.cancel(blocking=False)
+        return True
+
+    async def _serve_peer(self, peer: _Peer) -> None:
         try:
-            while await self._serve_request(sock, connection):
-                connection.start_next_cycle()
+            while await self._serve_request(peer):
+                peer.protocol.start_next_cycle()
         except (OSError, curio.TaskTimeout, h11.LocalProtocolError):
             return
         finally:
-            self._open -= 1
-            await sock.close()
+            self._peers.discard(peer)
+            await peer.socket.close()
 
-    async def _serve_request(self, sock: socket.socket, connection: h11.Connection) -> bool:
+    async def _serve_request(self, peer: _Peer) -> bool:
         """Serve one request; tell whether the connection can take another."""
+        peer.rests_since = time.monotonic()
         try:
             async with curio.timeout_after(self._limits.idle_s):
-                request = await self._receive(sock, connection)
+                request = await self._receive(peer)
         except h11.RemoteProtocolError as error:
             text = f"bad request: {error}\n".encode()
-            await _send(sock, connection, HttpAnswer(STATUS_BAD_REQUEST, text, "text/plain"))
+            await peer.send(HttpAnswer(STATUS_BAD_REQUEST, text, "text/plain"))
             return False
         except _BodyTooLargeError:
-            await _send(sock, connection, HttpAnswer(STATUS_TOO_LARGE, b"", "text/plain"))
+            await peer.send(HttpAnswer(STATUS_TOO_LARGE, b"", "text/plain"))
             return False
         if request is None:
             return False
-        await self._answer(sock, connection, request)
-        is_reusable = connection.our_state is h11.DONE and connection.their_state is h11.DONE
-        return is_reusable
+        peer.rests_since = None
+        await self._answer(peer, request)
+        return peer.is_reusable
 
-    async def _answer(
-        self, sock: socket.socket, connection: h11.Connection, request: HttpRequest
-    ) -> None:
+    async def _answer(self, peer: _Peer, request: HttpRequest) -> None:
         """Answer a request; while it drains the client is told that the connection ends."""
         with self._under_way:
             answer = await self._handler(request)
             if self._is_draining:
                 answer = replace(answer, headers=(*answer.headers, ("connection", "close")))
-            await _send(sock, connection, answer)
+            await peer.send(answer)
 
-    async def _receive(self, sock: socket.socket, connection: h11.Connection) -> HttpRequest | None:
-        head = await _next_event(sock, connection)
+    async def _receive(self, peer: _Peer) -> HttpRequest | None:
+        head = await peer.next_event()
         if not isinstance(head, h11.Request):
             return None
-        if connection.they_are_waiting_for_100_continue:
-            await sock.sendall(connection.send(h11.InformationalResponse(status_code=100)))
+        if peer.protocol.they_are_waiting_for_100_continue:
+            go_on = peer.protocol.send(h11.InformationalResponse(status_code=100))
+            await peer.socket.sendall(go_on)
         body = bytearray()
         while True:
-            event = await _next_event(sock, connection)
+            event = await peer.next_event()
             if isinstance(event, h11.EndOfMessage):
                 break
             if not isinstance(event, h11.Data):
@@ -169,27 +230,3 @@
                 raise _BodyTooLargeError
         path = head.target.split(b"?", 1)[0].decode("latin-1")
         return HttpRequest(head.method.decode("latin-1"), path, bytes(body))
-
-
-async def _next_event(sock: socket.socket, connection: h11.Connection) -> h11.Event:
-    while True:
-        event = connection.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        connection.receive_data(await sock.recv(RECEIVE_BYTES))
-
-
-async def _send(sock: socket.socket, connection: h11.Connection, answer: HttpAnswer) -> None:
-    if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-        return
-    headers = [
-        ("content-type", answer.content_type),
-        ("content-length", str(len(answer.body))),
-        *answer.headers,
-    ]
-    data = connection.send(h11.Response(status_code=answer.status, headers=headers))
-    if answer.body:
-        data += connection.send(h11.Data(data=answer.body))
-    data += connection.send(h11.EndOfMessage())
-    async with curio.timeout_after(SEND_TIMEOUT_S):
-        await sock.sendall(data)
