Answer calls on connections that a stopping controller has queued or let in, and not read yet

Cause: a controller that is told to stop closed its listener and ended once no call was being answered. Two kinds of callers were left without an answer: those whose connections were open for them and waited in the kernel's queue (closing the listener resets them), and those that had been let in and whose call had not been read yet. Ruled out: calls under way at the leader; the ones lost were sent 45 to 377 ms after the signal, just before the process ended. Change: the listener's queue is taken over before it is closed, behind a packet filter that lets nobody in between the two; a connection that has not called yet is waited for, 0.2 s at most. Where the kernel has no such filter, a log line says so, and the queue is taken over all the same.

--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -23,3 +23,26 @@
     Given http server: one with places for 2 connections
     When http server: 2 callers have sent half a call, and one more calls
     Then http server: it is closed at once, and the 2 are answered when they send the rest
+
+  Scenario: http server: calls on connections that wait to be accepted are answered when it is told to end
+  A leader that was told to stop let nobody in any more after 0.1 s, and left 3 of 8 callers without an answer: "3,
+  seconds after the signal, 0.096, 0.098, 0.098". Their connections were open, and not accepted yet.
+    Given http server: one with places for 8 connections
+    When http server: 5 callers call while it does not look, and it is told to end
+    Then http server: the 5 are answered, and the server has ended within 1000 ms
+
+  Scenario: http server: a caller that has connected and not called yet is waited for
+    Given http server: one with places for 8 connections
+    When http server: 3 callers connect, it is told to end, and they call 100 ms later
+    Then http server: the 3 are answered, and the server has ended within 1000 ms
+
+  Scenario: http server: connections that rest do not keep it from ending
+    Given http server: one with places for 8 connections
+    When http server: 4 callers call one after the other, and keep their connections
+    And http server: it is told to end
+    Then http server: the server has ended within 50 ms
+
+  Scenario: http server: nobody gets in once it is told to end
+    Given http server: one with places for 8 connections
+    When http server: it is told to end
+    Then http server: a further connection is refused
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -30,6 +30,12 @@
         await self._socket.connect(split_address(address))
         await self._socket.sendall(data)
 
+    def send_at_once(self, address: str, data: bytes) -> None:
+        """Connect and send without giving other tasks a turn."""
+        with self._socket.blocking() as raw:
+            raw.connect(split_address(address))
+            raw.sendall(data)
+
     async def send_rest(self, data: bytes) -> None:
         """Send the rest of a call."""
         await self._socket.sendall(data)
@@ -43,6 +49,14 @@
             self.answer = b""
         return self.answer
 
+    def receive_at_once(self) -> None:
+        """Keep what has come so far, without giving other tasks a turn."""
+        try:
+            with self._socket.blocking() as raw:
+                self.answer = raw.recv(4_096, socket.MSG_DONTWAIT)
+        except OSError:
+            self.answer = b""
+
     async def is_open(self) -> bool:
         """Tell whether the connection has not been ended by the server."""
         try:
@@ -70,6 +84,7 @@
     host, port = listener.getsockname()
     context.address = f"{host}:{port}"
     server = HttpServer(answer, HttpLimits(1_024, connections=places))
+    context.server = server
 
     async def begin() -> None:
         await curio.spawn(server.run, listener, daemon=True)
@@ -164,3 +179,68 @@
         context.kernel.run(caller.send_rest, CALL[20:])
         context.kernel.run(caller.receive)
     assert sum(caller.is_answered for caller in context.callers) == count
+
+
+@when("http server: {count:d} callers call while it does not look, and it is told to end")
+def step_unseen(context, count):
+    context.callers = [Caller() for _ in range(count)]
+    context.kernel.run(_call_unseen_and_end, context)
+
+
+async def _call_unseen_and_end(context) -> None:
+    """Call without a moment in which the server's tasks run."""
+    for caller in context.callers:
+        caller.send_at_once(context.address, CALL)
+    await _end(context)
+
+
+async def _end(context) -> None:
+    """Drain the server as a process does that ends behind it: what is not answered is cut."""
+    began_at = time.monotonic()
+    await context.server.drain()
+    context.ended_s = time.monotonic() - began_at
+    for caller in context.callers:
+        caller.receive_at_once()
+
+
+@when("http server: {count:d} callers connect, it is told to end, and they call {late:d} ms later")
+def step_late_call(context, count, late):
+    context.callers = [Caller() for _ in range(count)]
+    context.kernel.run(_connect_and_end, context, late / 1_000)
+
+
+async def _connect_and_end(context, late_s: float) -> None:
+    for caller in context.callers:
+        await caller.send(context.address, b"")
+    await curio.sleep(SETTLE_S)
+    ending = await curio.spawn(_end, context)
+    await curio.sleep(late_s)
+    for caller in context.callers:
+        await caller.send_rest(CALL)
+    await ending.join()
+
+
+@when("http server: it is told to end")
+def step_end(context):
+    context.callers = []
+    context.kernel.run(_end, context)
+
+
+@then("http server: the {count:d} are answered, and the server has ended within {limit:d} ms")
+def step_ended_answered(context, count, limit):
+    assert sum(caller.is_answered for caller in context.callers) == count
+    step_ended(context, limit)
+
+
+@then("http server: the server has ended within {limit:d} ms")
+def step_ended(context, limit):
+    assert context.ended_s < limit / 1_000, context.ended_s
+
+
+@then("http server: a further connection is refused")
+def step_refused(context):
+    try:
+        context.kernel.run(Caller().send, context.address)
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("the connection was taken")
--- a/limedyke/transport/http_server.py
+++ b/limedyke/transport/http_server.py
@@ -10,15 +10,21 @@
 import h11
 from curio import socket
 
-from limedyke.under_way import UnderWay
+from limedyke.event_log import EventLog
+from limedyke.transport.listener_close import close_listener
 
 RECEIVE_BYTES = 64 * 1024
 MAXIMUM_HEAD_BYTES = 16 * 1024
 SEND_TIMEOUT_S = 10.0
-CLOSE_TIMEOUT_S = 0.5
+ACCEPT_PAUSE_S = 0.5
+"""After a failure to accept: most are a lack of file descriptors, which come free meanwhile."""
+FIRST_CALL_S = 0.2
+"""A caller that has connected sends its call within this: two ways of 20 ms and five times that."""
+DRAIN_LOOK_S = 0.01
 STATUS_BAD_REQUEST = 400
 STATUS_TOO_LARGE = 413
 STATUS_INTERNAL_ERROR = 500
+EVENTS = EventLog("http-server")
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,12 +75,14 @@
     """One open connection.
 
     :ivar rests_since: since when nothing of a request has come; None while one comes or is answered
+    :ivar is_new: whether nothing has been asked yet
     """
 
     def __init__(self, sock: socket.socket) -> None:
         self.socket = sock
         self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=MAXIMUM_HEAD_BYTES)
         self.rests_since: float | None = time.monotonic()
+        self.is_new = True
         self.task: curio.Task | None = None
 
     async def next_event(self) -> h11.Event:
@@ -85,6 +93,7 @@
                 return event
             data = await self.socket.recv(RECEIVE_BYTES)
             self.rests_since = None
+            self.is_new = False
             self.protocol.receive_data(data)
 
     async def send(self, answer: HttpAnswer) -> None:
@@ -104,6 +113,13 @@
         async with curio.timeout_after(SEND_TIMEOUT_S):
             await self.socket.sendall(data)
 
+    @property
+    def is_due(self) -> bool:
+        """Whether a request is under way, or to be expected at once."""
+        if self.rests_since is None:
+            return True
+        return self.is_new and time.monotonic() < self.rests_since + FIRST_CALL_S
+
     @property
     def is_reusable(self) -> bool:
         """Whether the connection can take another request."""
@@ -120,17 +136,17 @@
         self._handler = handler
         self._limits = limits
         self._peers: set[_Peer] = set()
-        self._under_way = UnderWay()
+        self._listener: socket.socket | None = None
         self._accepting: curio.Task | None = None
         self._is_draining = False
 
     async def run(self, listener: socket.socket) -> None:
         """Accept connections until cancelled; none any more once it drains."""
+        self._listener = listener
         async with listener:
             self._accepting = await curio.spawn(self._accept, listener)
             try:
                 await self._accepting.wait()
-                await listener.close()
                 await curio.Event().wait()
             finally:
                 await self._accepting.cancel()
@@ -138,27 +154,34 @@
     async def drain(self) -> None:
         """Let no new connection in, and return once all requests under way are answered.
 
-        What comes meanwhile on open connections is answered too; a process that ends without this
-        cuts what it has taken.
+        What comes meanwhile on open connections is answered too. A process that ends without this
+        cuts what it has taken, and what callers have sent on connections not accepted yet.
         """
         self._is_draining = True
         if self._accepting is not None:
             await self._accepting.cancel()
-        await self._under_way.ended()
+            for sock in await close_listener(self._listener):
+                await self._admit(sock)
+        while any(peer.is_due for peer in self._peers):
+            await curio.sleep(DRAIN_LOOK_S)
 
     async def _accept(self, listener: socket.socket) -> None:
         while True:
             try:
-                client, _ = await listener.accept()
-            except OSError:
-                await curio.sleep(CLOSE_TIMEOUT_S)
-                continue
-            if len(self._peers) >= self._limits.connections and not await self._make_room():
-                await client.close()
+                sock, _ = await listener.accept()
+            except OSError as error:
+                EVENTS.warning("accept-failed", reason=error)
+                await curio.sleep(ACCEPT_PAUSE_S)
                 continue
-            peer = _Peer(client)
-            self._peers.add(peer)
-            peer.task = await curio.spawn(self._serve_peer, peer, daemon=True)
+            await self._admit(sock)
+
+    async def _admit(self, sock: socket.socket) -> None:
+        if len(self._peers) >= self._limits.connections and not await self._make_room():
+            await sock.close()
+            return
+        peer = _Peer(sock)
+        self._peers.add(peer)
+        peer.task = await curio.spawn(self._serve_peer, peer, daemon=True)
 
     async def _make_room(self) -> bool:
         """Close the connection that has rested longest; tell whether there was one.
@@ -205,11 +228,10 @@
 
     async def _answer(self, peer: _Peer, request: HttpRequest) -> None:
         """Answer a request; while it drains the client is told that the connection ends."""
-        with self._under_way:
-            answer = await self._handler(request)
-            if self._is_draining:
-                answer = replace(answer, headers=(*answer.headers, ("connection", "close")))
-            await peer.send(answer)
+        answer = await self._handler(request)
+        if self._is_draining:
+            answer = replace(answer, headers=(*answer.headers, ("connection", "close")))
+        await peer.send(answer)
 
     async def _receive(self, peer: _Peer) -> HttpRequest | None:
         head = await peer.next_event()
