Give the command line and the declaration a room each

Cause: the root of limedyke/ held 26 files flat; a newcomer who looks for where a declaration is checked, or where a command begins, had to read all names. Ruled out: moving messages/declaration.py too; it is part of the internal protocol. Nothing but names changed.

--- a/features/steps/control_declarations_steps.py
+++ b/features/steps/control_declarations_steps.py
@@ -9,7 +9,7 @@
 import yaml
 from behave import given, step, then, when
 
-from limedyke.declaration_file import load_declaration
+from limedyke.declaration.file import load_declaration
 from limedyke.messages.declaration import Priority, PromotionMode
 from limedyke.result_codes import ResultCode
 from limedyke.scram_verifier import make_verifier
--- a/features/steps/foundation_pages_steps.py
+++ b/features/steps/foundation_pages_steps.py
@@ -7,7 +7,7 @@
 
 from behave import then
 
-from limedyke.declaration_file import load_declaration
+from limedyke.declaration.file import load_declaration
 
 ROOT = Path(__file__).resolve().parents[2]
 LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
--- /dev/null
+++ b/limedyke/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs ``python -m limedyke.cli``."""
+
+from limedyke.cli.main import main
+
+main()
--- a/limedyke/cli_command.py
+++ b/limedyke/cli/command.py
@@ -16,9 +16,9 @@
 import curio
 from result import Err
 
-from limedyke.cli_text import text_of
+from limedyke.cli.operator_client import OperatorClient, failure_of, load_operator
+from limedyke.cli.text import text_of
 from limedyke.messages.operator import Refused
-from limedyke.operator_client import OperatorClient, failure_of, load_operator
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.settings.base import EXIT_SETTINGS_INVALID
 
--- a/limedyke/cli_operator.py
+++ b/limedyke/cli/declaration_commands.py
@@ -8,7 +8,7 @@
 
 from result import Err
 
-from limedyke.cli_command import (
+from limedyke.cli.command import (
     JSON,
     TEXT,
     CommandFailedError,
@@ -16,7 +16,8 @@
     ask,
     whole_number,
 )
-from limedyke.declaration_file import load_declaration
+from limedyke.cli.operator_client import new_request_id
+from limedyke.declaration.file import load_declaration
 from limedyke.messages.operator import (
     ConfirmRequest,
     DeclarationRequest,
@@ -25,7 +26,6 @@
     PlanRequest,
     StatusRequest,
 )
-from limedyke.operator_client import new_request_id
 from limedyke.result_codes import Failure, ResultCode
 from limedyke.scram_verifier import make_verifier
 from limedyke.settings.base import EXIT_SETTINGS_INVALID
--- a/limedyke/cli.py
+++ b/limedyke/cli/main.py
@@ -12,8 +12,8 @@
 from fire.parser import DefaultParseValue
 from result import Err
 
-from limedyke import cli_operations, cli_operator
-from limedyke.cli_command import run_command
+from limedyke.cli import declaration_commands, operation_commands
+from limedyke.cli.command import run_command
 from limedyke.curio_logging import quiet_late_timeouts
 from limedyke.event_log import start_logging
 from limedyke.log_explanation import as_text as as_explanation
@@ -97,14 +97,14 @@
 COMMANDS: dict[str, Callable[..., object]] = {
     "proxy": proxy,
     "controller": controller_process,
-    "plan": cli_operator.plan,
-    "confirm": cli_operator.confirm,
-    "status": cli_operator.status,
-    "history": cli_operator.history,
-    "declaration": cli_operator.declaration,
-    "drain": cli_operations.drain,
-    "switchover": cli_operations.switchover,
-    "verifier": cli_operator.verifier,
+    "plan": declaration_commands.plan,
+    "confirm": declaration_commands.confirm,
+    "status": declaration_commands.status,
+    "history": declaration_commands.history,
+    "declaration": declaration_commands.declaration,
+    "drain": operation_commands.drain,
+    "switchover": operation_commands.switchover,
+    "verifier": declaration_commands.verifier,
     "explain": explain,
 }
 PROCESSES = ("proxy", "controller")
@@ -152,7 +152,7 @@
         print(f"unknown command {arguments[0]}\n\n{_overview()}", file=sys.stderr)
         raise SystemExit(EXIT_SETTINGS_INVALID)
     elif arguments[0] == "controller" and arguments[1:2] and arguments[1] in CONTROLLER_ACTIONS:
-        actions = cli_operations.ControllerCommands()
+        actions = operation_commands.ControllerCommands()
         words = [arguments[1], *as_text(arguments[2:])]
         fire.Fire(actions, words, name="limedyke controller", serialize=run_command)
     elif arguments[0] in PROCESSES:
@@ -174,7 +174,3 @@
     actions = "|".join(CONTROLLER_ACTIONS)
     lines.append(f"  {'controller'} {actions}  Change the controllers themselves, one at a time.")
     return "\n".join(lines)
-
-
-if __name__ == "__main__":
-    main()
--- a/limedyke/cli_operations.py
+++ b/limedyke/cli/operation_commands.py
@@ -4,7 +4,8 @@
 
 import dataclasses
 
-from limedyke.cli_command import TEXT, CommandFailedError, OperatorCommand, ask
+from limedyke.cli.command import TEXT, CommandFailedError, OperatorCommand, ask
+from limedyke.cli.operator_client import new_request_id
 from limedyke.messages.declaration import Declaration, Group, ProxyIntent
 from limedyke.messages.operator import (
     ControllerChangeRequest,
@@ -15,7 +16,6 @@
     StatusRequest,
     SwitchoverRequest,
 )
-from limedyke.operator_client import new_request_id
 from limedyke.result_codes import Failure, ResultCode
 
 
--- a/limedyke/declaration_conversion.py
+++ b/limedyke/declaration/conversion.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from limedyke.declaration_models import AccessModel, GroupModel, TenantModel
-from limedyke.declaration_places import Located
+from limedyke.declaration.models import AccessModel, GroupModel, TenantModel
+from limedyke.declaration.places import Located
 from limedyke.messages.declaration import (
     Declaration,
     Group,
--- a/limedyke/messages/declaration.py
+++ b/limedyke/messages/declaration.py
@@ -1,7 +1,7 @@
 """Declared configuration as typed values: tenants, groups and timing.
 
 These are the forms kept in the controllers' log and sent to proxies.  The
-YAML that operators write is checked in ``limedyke.declaration_file`` and
+YAML that operators write is checked in ``limedyke.declaration.file`` and
 turned into these.  Kinds 1-9.
 """
 
--- a/limedyke_lab/experiments/config_storm.py
+++ b/limedyke_lab/experiments/config_storm.py
@@ -11,6 +11,7 @@
 from result import Result
 
 from limedyke.addresses import split_address
+from limedyke.cli.operator_client import OperatorClient, load_operator, new_request_id
 from limedyke.messages.declaration import Declaration
 from limedyke.messages.operator import (
     Confirmed,
@@ -20,7 +21,6 @@
     Plan,
     PlanRequest,
 )
-from limedyke.operator_client import OperatorClient, load_operator, new_request_id
 from limedyke.result_codes import Failure
 from limedyke_lab.experiments.result import ExperimentResult, Latencies, ResultWriter, Value
 from limedyke_lab.experiments.revision_watch import RiseWatch
