Give the care for primaries a room in the control state

Cause: limedyke/core/control/ held 26 files flat; who looks for what replaces a primary had to know which. Ruled out: a room for plans or leases (four and two files). Change: limedyke/core/control/primaries/ holds failover, authority_failover, group_care, group_watch, primary_table, promotion_places and primary_suspicion (was primary_doubt).

--- a/features/steps/control_failover_steps.py
+++ b/features/steps/control_failover_steps.py
@@ -23,8 +23,8 @@
     UpdateApplied,
     WritesPausedReported,
 )
-from limedyke.core.control.group_watch import GroupWatch
 from limedyke.core.control.leader import LeaderDecisions
+from limedyke.core.control.primaries.group_watch import GroupWatch
 from limedyke.core.control.timing import ControlTiming
 from limedyke.messages.control import (
     MemberHealth,
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -9,7 +9,6 @@
 from random import Random
 
 from limedyke.core.control.announcements import AnnouncementBook
-from limedyke.core.control.authority_failover import AuthorityFailover
 from limedyke.core.control.events import (
     AnswerHeartbeat,
     AuthorityAnswered,
@@ -31,9 +30,10 @@
     UpdateApplied,
     WritesPausedReported,
 )
-from limedyke.core.control.failover import FailoverCoordinator
 from limedyke.core.control.lease_table import LeaseTable
 from limedyke.core.control.membership import ProxyMembership, has_ended, may_connect
+from limedyke.core.control.primaries.authority_failover import AuthorityFailover
+from limedyke.core.control.primaries.failover import FailoverCoordinator
 from limedyke.core.control.state import ControlState
 from limedyke.core.control.timing import ControlTiming
 from limedyke.core.home import HomeDirectory, connection_limits
--- /dev/null
+++ b/limedyke/core/control/primaries/__init__.py
@@ -0,0 +1,1 @@
+"""The leader's care for the primaries of groups: suspicion, terms, promotion; sans-IO."""
--- a/limedyke/core/control/authority_failover.py
+++ b/limedyke/core/control/primaries/authority_failover.py
@@ -16,7 +16,7 @@
 from limedyke.core.control.events import AskAuthority, AuthorityOutcome, NoteDecision, Propose
 from limedyke.core.control.lease_table import reissue_after_s
 from limedyke.core.control.membership import ProxyMembership
-from limedyke.core.control.primary_doubt import vote_hold_s
+from limedyke.core.control.primaries.primary_suspicion import vote_hold_s
 from limedyke.core.control.proposal_batch import ProposalBatch
 from limedyke.core.control.timing import ControlTiming
 from limedyke.core.home import HomeDirectory
--- a/limedyke/core/control/failover.py
+++ b/limedyke/core/control/primaries/failover.py
@@ -17,11 +17,11 @@
 from random import Random
 
 from limedyke.core.control.events import Propose, SendToProxy
-from limedyke.core.control.group_care import NEVER, GroupCare, Step
-from limedyke.core.control.group_watch import ExposedPrimary, GroupWatch
 from limedyke.core.control.membership import ProxyMembership
-from limedyke.core.control.primary_doubt import PrimaryDoubt
-from limedyke.core.control.promotion_places import PromotionPlaces
+from limedyke.core.control.primaries.group_care import NEVER, GroupCare, Step
+from limedyke.core.control.primaries.group_watch import ExposedPrimary, GroupWatch
+from limedyke.core.control.primaries.primary_suspicion import PrimarySuspicion
+from limedyke.core.control.primaries.promotion_places import PromotionPlaces
 from limedyke.core.control.proposal_batch import ProposalBatch
 from limedyke.core.control.timing import ControlTiming
 from limedyke.messages.control import GroupPrimary, MemberReport, PromoteOrder
@@ -67,7 +67,7 @@
         self._deadlines: list[tuple[float, int, str]] = []
         self._deadline_numbers = itertools.count()
         self._waiting: deque[str] = deque()
-        self._doubt = PrimaryDoubt(membership, timing)
+        self._suspicion = PrimarySuspicion(membership, timing)
         self._places = PromotionPlaces(timing.promotions_at_once, timing.promotions_per_proxy)
         self._proposals = ProposalBatch()
         self._messages: list[SendToProxy] = []
@@ -216,7 +216,7 @@
             case Step.WATCHED | Step.DOUBTED:
                 self._evaluate_primary(group, care, recorded, now)
             case Step.PAUSING:
-                if care.paused.issuperset(self._doubt.live_homes(care.watch, now)):
+                if care.paused.issuperset(self._suspicion.live_homes(care.watch, now)):
                     self._want_promotion(group, care, now)
 
     def _follow_exposed(self, group: str, care: GroupCare, now: float) -> bool:
@@ -238,7 +238,7 @@
     ) -> None:
         if care.watch.group.promotion is not PromotionMode.CONTROLLERS:
             return
-        hold_s = self._doubt.hold_s(care.watch, recorded, now)
+        hold_s = self._suspicion.hold_s(care.watch, recorded, now)
         if hold_s is None:
             if care.step is Step.DOUBTED:
                 self._enter(group, care, Step.WATCHED, NEVER)
@@ -270,7 +270,7 @@
         care.deadline = NEVER
         match care.step:
             case Step.DOUBTED:
-                if self._doubt.hold_s(care.watch, self._recorded(group), now) is None:
+                if self._suspicion.hold_s(care.watch, self._recorded(group), now) is None:
                     self._enter(group, care, Step.WATCHED, NEVER)
                 else:
                     self._want_promotion(group, care, now)
@@ -299,7 +299,7 @@
         """Begin a promotion, or wait for a place; without a live home proxy try again later."""
         self._release(care)
         care.replaced = self._recorded(group).primary or care.replaced
-        live = self._doubt.live_homes(care.watch, now)
+        live = self._suspicion.live_homes(care.watch, now)
         if not live:
             self._fail(group, care, now)
         elif not self._take_place(care, live):
--- a/limedyke/core/control/group_care.py
+++ b/limedyke/core/control/primaries/group_care.py
@@ -5,7 +5,7 @@
 import enum
 from dataclasses import dataclass, field
 
-from limedyke.core.control.group_watch import GroupWatch
+from limedyke.core.control.primaries.group_watch import GroupWatch
 
 NEVER = float("inf")
 FAILOVERS_AT_FULL_SPEED = 2
--- a/limedyke/core/control/primary_doubt.py
+++ b/limedyke/core/control/primaries/primary_suspicion.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from limedyke.core.control.group_watch import GroupWatch
 from limedyke.core.control.membership import ProxyMembership
+from limedyke.core.control.primaries.group_watch import GroupWatch
 from limedyke.core.control.timing import ControlTiming
 from limedyke.messages.control import GroupPrimary
 
 
-class PrimaryDoubt:
+class PrimarySuspicion:
     """Judges the reports on one group at a time.
 
     :param membership: tells which proxies are heard
@@ -23,7 +23,7 @@
         return [proxy for proxy in watch.homes if self._membership.is_live(proxy, now)]
 
     def hold_s(self, watch: GroupWatch, recorded: GroupPrimary, now: float) -> float | None:
-        """Return how long the present doubt must last before the term rises; None without doubt.
+        """Return how long the present suspicion must last before the term rises; None without one.
 
         A majority that can't reach the primary needs a short hold; one that sees it work as a
         replica, or sees no primary at all, a longer one, as its reports may be of the past.
--- a/limedyke/core/control/promotion_places.py
+++ b/limedyke/core/control/primaries/promotion_places.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from limedyke.core.control.group_care import GroupCare
+from limedyke.core.control.primaries.group_care import GroupCare
 
 
 class PromotionPlaces:
