Give what a controller does only while it leads a room

Ruled out: moving call_desk.py too; it takes calls at any controller. Change: limedyke/controller/leading/ holds leader_calls, leader_meter, leader_service, news, operator_changes, operator_requests, proxy_sessions, refusal and voter_care.

--- a/limedyke/controller/call_desk.py
+++ b/limedyke/controller/call_desk.py
@@ -9,7 +9,7 @@
 import curio
 from result import Err
 
-from limedyke.controller.leader_calls import LeaderCalls, failed
+from limedyke.controller.leading.leader_calls import LeaderCalls, failed
 from limedyke.event_log import EventLog
 from limedyke.link_tasks import until_closed
 from limedyke.messages.calls import Call, CallAnswer, ForwardedAnswer, ForwardedCall
--- /dev/null
+++ b/limedyke/controller/leading/__init__.py
@@ -0,0 +1,1 @@
+"""What a controller does only while it leads."""
--- a/limedyke/controller/leader_calls.py
+++ b/limedyke/controller/leading/leader_calls.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from limedyke.controller.clock import boot_seconds
-from limedyke.controller.leader_service import LeaderService
+from limedyke.controller.leading.leader_service import LeaderService
 from limedyke.controller.replica import Replica
 from limedyke.event_log import EventLog
 from limedyke.messages.calls import (
--- a/limedyke/controller/leader_service.py
+++ b/limedyke/controller/leading/leader_service.py
@@ -8,13 +8,13 @@
 from prometheus_client import CollectorRegistry
 
 from limedyke.controller.clock import boot_seconds
-from limedyke.controller.leader_meter import LeaderMeter
+from limedyke.controller.leading.leader_meter import LeaderMeter
+from limedyke.controller.leading.news import NewsBoard
+from limedyke.controller.leading.proxy_sessions import ProxySessions
 from limedyke.controller.mailbox import Mailbox
 from limedyke.controller.metrics import ControllerMetrics
-from limedyke.controller.news import NewsBoard
 from limedyke.controller.platform_list import PlatformListReader
 from limedyke.controller.promotion_authority import PromotionAuthority
-from limedyke.controller.proxy_sessions import ProxySessions
 from limedyke.controller.replica import Replica
 from limedyke.core.control.events import (
     AnswerHeartbeat,
--- a/limedyke/controller/operator_changes.py
+++ b/limedyke/controller/leading/operator_changes.py
@@ -7,7 +7,7 @@
 
 from result import Err
 
-from limedyke.controller.refusal import refused
+from limedyke.controller.leading.refusal import refused
 from limedyke.controller.replica import Replica
 from limedyke.core.agreement.events import (
     AddLearner,
--- a/limedyke/controller/operator_requests.py
+++ b/limedyke/controller/leading/operator_requests.py
@@ -7,10 +7,10 @@
 
 from result import Err
 
-from limedyke.controller.leader_service import LeaderService
+from limedyke.controller.leading.leader_service import LeaderService
+from limedyke.controller.leading.operator_changes import ControllerChanges
+from limedyke.controller.leading.refusal import refused
 from limedyke.controller.metrics import ControllerMetrics
-from limedyke.controller.operator_changes import ControllerChanges
-from limedyke.controller.refusal import refused
 from limedyke.controller.replica import Replica
 from limedyke.controller.status_report import StatusReport
 from limedyke.core.control.declaration_change import plan_id_of
--- a/limedyke/controller/server.py
+++ b/limedyke/controller/server.py
@@ -15,18 +15,18 @@
 from limedyke.controller.clock import boot_seconds
 from limedyke.controller.founding_phase import FoundingPhase
 from limedyke.controller.keys import ControllerKeys
-from limedyke.controller.leader_calls import LeaderCalls
-from limedyke.controller.leader_service import LeaderService
+from limedyke.controller.leading.leader_calls import LeaderCalls
+from limedyke.controller.leading.leader_service import LeaderService
+from limedyke.controller.leading.operator_changes import ControllerChanges
+from limedyke.controller.leading.operator_requests import OperatorRequests
+from limedyke.controller.leading.voter_care import VoterCare
 from limedyke.controller.membership_search import MembershipSearch
-from limedyke.controller.operator_changes import ControllerChanges
-from limedyke.controller.operator_requests import OperatorRequests
 from limedyke.controller.peer_network import PeerMessage, PeerNetwork
 from limedyke.controller.promotion_authority import PromotionAuthority
 from limedyke.controller.replica import Replica
 from limedyke.controller.status_pages import StatusPages
 from limedyke.controller.status_report import StatusReport
 from limedyke.controller.timings import agreement_timing, control_timing
-from limedyke.controller.voter_care import VoterCare
 from limedyke.core.agreement.commands import Role
 from limedyke.core.agreement.voter_policy import VoterPolicy
 from limedyke.core.limits.leader_history import LeaderHistory
--- a/limedyke/controller/status_pages.py
+++ b/limedyke/controller/status_pages.py
@@ -8,7 +8,7 @@
 import curio
 
 from limedyke.controller.clock import boot_seconds
-from limedyke.controller.leader_service import LeaderService
+from limedyke.controller.leading.leader_service import LeaderService
 from limedyke.controller.metrics import ControllerMetrics
 from limedyke.controller.replica import Replica
 from limedyke.core.agreement.commands import Role
--- a/limedyke/controller/status_report.py
+++ b/limedyke/controller/status_report.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from limedyke.controller.clock import boot_seconds
-from limedyke.controller.leader_service import LeaderService
+from limedyke.controller.leading.leader_service import LeaderService
 from limedyke.controller.replica import Replica
 from limedyke.messages.agreement import ControllerIdentity
 from limedyke.messages.control import ProxyRecord
