Let the soak tell SIGHUP before a process's first line from SIGHUP that it should have handled

Ruled out: the handler that is set first of all when a program loads (platform/start_up.py); its line comes after that moment. Change: at the moment of the signal the soak asks the kernel whether the process catches or ignores SIGHUP; an end by SIGHUP is allowed only if it does neither. Conclusion: the check is narrowed for this case only; the program can do nothing there.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -21,6 +21,7 @@
       | a stopping proxy held a statement and did not answer | a statement that is taken is answered whole |
       | a proxy that was told to stop ended after 8 s | a process that is told to stop ends with 0 in its time |
       | a proxy that was told to stop ended with 1 | a process that is told to stop ends with 0 in its time |
+      | SIGHUP ended a proxy that could handle it | a process that is told to stop ends with 0 in its time |
 
   Scenario Outline: soak: what is owed to nobody: <what>
     Given soak: a sound history
@@ -31,6 +32,15 @@
       | what                                                  |
       | a killed proxy ran a statement and did not answer     |
       | a statement reached a proxy as its connection ended   |
+      | SIGHUP ended a proxy that could not yet handle it     |
+
+  Scenario Outline: soak: a process that <state> SIGHUP is known to handle it: <known>
+    Then soak: a process that <state> SIGHUP is known to handle it: <known>
+
+    Examples: seed 603 sent SIGHUP to a controller 40 ms after its start, before its first line
+      | state        | known |
+      | ignores      | yes   |
+      | leaves alone | no    |
 
   Scenario: soak: a sound history breaks no promise
     Given soak: a sound history
--- a/features/soak/checks.py
+++ b/features/soak/checks.py
@@ -66,6 +66,8 @@
     for life in lives.all:
         if life.status is None or life.was_struck(life.started_at, life.ended_at):
             continue
+        if life.hung_up_unready and life.status == -signal.SIGHUP:
+            continue
         took_s = life.ended_at - life.stopped_at
         age_s = life.stopped_at - life.started_at
         is_loading = age_s < LOADED_WITHIN_S and life.status == -signal.SIGTERM
--- a/features/soak/lives.py
+++ b/features/soak/lives.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import re
+import signal
 import time
 from dataclasses import dataclass, field
+from pathlib import Path
 
 GRACE_S = 6.0
 """What the platform gives a process between SIGTERM and SIGKILL."""
@@ -16,6 +19,8 @@
 
     :ivar struck_at: when it was killed, paused or let go on: it owes nothing then
     :ivar status: its exit status, None while it runs
+    :ivar hung_up_unready: whether SIGHUP met it before its first line of code, which is the first
+        that can handle a signal
     """
 
     ip: str
@@ -24,6 +29,7 @@
     ended_at: float = NEVER
     status: int | None = None
     struck_at: list[float] = field(default_factory=list)
+    hung_up_unready: bool = False
 
     def was_struck(self, since: float, until: float) -> bool:
         """Tell whether it was struck between two moments."""
@@ -51,6 +57,11 @@
         life = self._present[ip]
         life.stopped_at = min(life.stopped_at, time.monotonic())
 
+    def hung_up(self, ip: str, process_id: int) -> None:
+        """Note that its process is to be sent SIGHUP now."""
+        if not handles(process_id, signal.SIGHUP):
+            self._present[ip].hung_up_unready = True
+
     def ended(self, ip: str, status: int) -> None:
         """Note that its process has ended."""
         life = self._present[ip]
@@ -64,3 +75,10 @@
             if life.ip == ip and life.started_at <= moment:
                 return life
         return None
+
+
+def handles(process_id: int, number: signal.Signals) -> bool:
+    """Tell whether a process catches or ignores a signal, by what the kernel says of it."""
+    status = Path(f"/proc/{process_id}/status").read_text()
+    masks = re.findall(r"^Sig(?:Ign|Cgt):\s*([0-9a-f]+)$", status, re.MULTILINE)
+    return any(int(mask, 16) >> (number - 1) & 1 for mask in masks)
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -69,7 +69,9 @@
             return
         if number == signal.SIGTERM:
             self.lives.stopped(ip)
-        elif number != signal.SIGHUP:
+        elif number == signal.SIGHUP:
+            self.lives.hung_up(ip, process.pid)
+        else:
             self.lives.struck(ip)
         process.send_signal(number)
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import signal
+import subprocess
+import sys
+
 from behave import given, step, then, when
 
 from features.soak.checks import check, check_stops
-from features.soak.lives import Life, Lives
+from features.soak.lives import Life, Lives, handles
 from features.soak.load import TENANTS, UNANSWERED, Asked, ClientRecord, ReadTold, WriteTold
 from features.soak.plan import draw_plan
 from features.soak.run import SoakShape, report, run_soak
@@ -133,6 +137,26 @@
     _stopped_proxy(context, status=status)
 
 
+@when("soak: SIGHUP ended a proxy that {state} handle it")
+def step_hung_up(context, state):
+    life = Life(PROXY, 0.0, ended_at=0.05, status=-signal.SIGHUP)
+    life.hung_up_unready = state == "could not yet"
+    context.lives.all.append(life)
+
+
+@then("soak: a process that {state} SIGHUP is known to handle it: {known}")
+def step_handles(context, state, known):
+    code = {"ignores": "signal.signal(1, signal.SIG_IGN)", "leaves alone": "pass"}[state]
+    program = f"import signal, time; {code}; print('ready', flush=True); time.sleep(10)"
+    process = subprocess.Popen([sys.executable, "-c", program], stdout=subprocess.PIPE)
+    try:
+        assert process.stdout.readline() == b"ready\n"
+        assert handles(process.pid, signal.SIGHUP) == (known == "yes")
+    finally:
+        process.kill()
+        process.communicate()
+
+
 @when("soak: a killed proxy ran a statement and did not answer")
 def step_killed(context):
     _stopped_proxy(context, status=-9).struck_at.append(STOPPED_AT + 2.04)
