Give the stand-in database and the simulator rooms

Cause: limedyke_lab/database/ held 38 files flat and limedyke_lab/simulator/ 28. Ruled out: one room for all that speaks PostgreSQL; members of the simulator and the stand-in share no code. Change: database/ has sql, replication and postgres; simulator/ has members, clients and machine.

--- a/features/steps/lab_database_steps.py
+++ b/features/steps/lab_database_steps.py
@@ -13,7 +13,7 @@
     attempt,
     wait_until,
 )
-from limedyke_lab.database.log import LogRecord, RecordLog
+from limedyke_lab.database.replication.log import LogRecord, RecordLog
 
 SHARED = {}
 
--- a/features/steps/lab_database_terms_steps.py
+++ b/features/steps/lab_database_terms_steps.py
@@ -15,7 +15,7 @@
     attempt,
     wait_until,
 )
-from limedyke_lab.database.sql_text import POSITION_QUERY
+from limedyke_lab.database.sql.sql_text import POSITION_QUERY
 
 
 @when('lab database: {name} runs "{statement}"')
--- a/features/support/database_group.py
+++ b/features/support/database_group.py
@@ -16,7 +16,7 @@
 
 import psycopg
 
-from limedyke_lab.database.sql_text import POSITION_QUERY
+from limedyke_lab.database.sql.sql_text import POSITION_QUERY
 
 NAMES = ("a", "b", "c")
 DEADLINE_SECONDS = 15
--- a/features/support/simulator_histories.py
+++ b/features/support/simulator_histories.py
@@ -8,8 +8,8 @@
 from limedyke.result_codes import Outcome, ResultCode
 from limedyke_lab.simulator.checkers import RunRecord
 from limedyke_lab.simulator.history import History
-from limedyke_lab.simulator.kernel import Kernel
-from limedyke_lab.simulator.member_log import Record
+from limedyke_lab.simulator.machine.kernel import Kernel
+from limedyke_lab.simulator.members.member_log import Record
 from limedyke_lab.simulator.statements import Put
 
 GROUP = "group"
--- a/limedyke_lab/database/execution.py
+++ b/limedyke_lab/database/execution.py
@@ -4,13 +4,13 @@
 
 import sqlite3
 
-from limedyke_lab.database import wire
-from limedyke_lab.database.columns import column_name, declared_types, describe_columns
 from limedyke_lab.database.errors import SqlError, from_sqlite
+from limedyke_lab.database.postgres import wire
+from limedyke_lab.database.postgres.statement_result import Result, position_columns, write_tag
 from limedyke_lab.database.settings import apply_set, parse_name
-from limedyke_lab.database.special_functions import call_special
-from limedyke_lab.database.sql_text import Kind, Statement
-from limedyke_lab.database.statement_result import Result, position_columns, write_tag
+from limedyke_lab.database.sql.columns import column_name, declared_types, describe_columns
+from limedyke_lab.database.sql.special_functions import call_special
+from limedyke_lab.database.sql.sql_text import Kind, Statement
 
 _MILLISECONDS = 1000.0
 _EXECUTING = frozenset({Kind.READ, Kind.LOCKING_READ, Kind.WRITE})
--- a/limedyke_lab/database/member.py
+++ b/limedyke_lab/database/member.py
@@ -6,15 +6,15 @@
 from collections.abc import Callable
 
 from limedyke.event_log import EventLog
-from limedyke_lab.database.engine import Engine
 from limedyke_lab.database.errors import SqlError, outcome_unknown, read_only
-from limedyke_lab.database.functions import timestamp_now
 from limedyke_lab.database.history import History
-from limedyke_lab.database.log import LogRecord, RecordLog
 from limedyke_lab.database.member_session import MemberSession
 from limedyke_lab.database.options import DatabaseOptions
-from limedyke_lab.database.positions import format_position
-from limedyke_lab.database.promise import Promise, PromiseFile
+from limedyke_lab.database.replication.log import LogRecord, RecordLog
+from limedyke_lab.database.replication.positions import format_position
+from limedyke_lab.database.replication.promise import Promise, PromiseFile
+from limedyke_lab.database.sql.engine import Engine
+from limedyke_lab.database.sql.functions import timestamp_now
 from limedyke_lab.database.switches import Switches
 from limedyke_lab.database.waits import FairLock, Outcome, Slots, Waiter
 
--- a/limedyke_lab/database/answer_buffer.py
+++ b/limedyke_lab/database/postgres/answer_buffer.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from limedyke_lab.database import wire
+from limedyke_lab.database.postgres import wire
 from limedyke_lab.database.session import Session
 
 
--- a/limedyke_lab/database/answer_faults.py
+++ b/limedyke_lab/database/postgres/answer_faults.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from limedyke_lab.database.errors import ConnectionCutError
-from limedyke_lab.database.special_functions import sleep
+from limedyke_lab.database.sql.special_functions import sleep
 
 _MILLISECONDS = 1000.0
 
--- a/limedyke_lab/database/portals.py
+++ b/limedyke_lab/database/postgres/portals.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from limedyke_lab.database.sql_text import Statement
-from limedyke_lab.database.statement_result import Result
+from limedyke_lab.database.postgres.statement_result import Result
+from limedyke_lab.database.sql.sql_text import Statement
 
 
 @dataclass(slots=True)
--- a/limedyke_lab/database/protocol.py
+++ b/limedyke_lab/database/postgres/protocol.py
@@ -8,13 +8,13 @@
 from postgresql.protocol import element3
 from postgresql.protocol.buffer import pq_message_stream
 
-from limedyke_lab.database import wire
-from limedyke_lab.database.answer_buffer import AnswerBuffer
 from limedyke_lab.database.errors import SqlError, from_sqlite
-from limedyke_lab.database.portals import Portal, Prepared
+from limedyke_lab.database.postgres import wire
+from limedyke_lab.database.postgres.answer_buffer import AnswerBuffer
+from limedyke_lab.database.postgres.portals import Portal, Prepared
+from limedyke_lab.database.postgres.statement_result import Result
 from limedyke_lab.database.session import Session
-from limedyke_lab.database.sql_text import Kind, Statement, parse_statements
-from limedyke_lab.database.statement_result import Result
+from limedyke_lab.database.sql.sql_text import Kind, Statement, parse_statements
 
 _READ_BYTES = 65536
 _MAXIMUM_MESSAGE_BYTES = 64 * 1024 * 1024
--- a/limedyke_lab/database/statement_result.py
+++ b/limedyke_lab/database/postgres/statement_result.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass
 
-from limedyke_lab.database import wire
-from limedyke_lab.database.sql_text import Statement
+from limedyke_lab.database.postgres import wire
+from limedyke_lab.database.sql.sql_text import Statement
 
 _POSITION_COLUMNS = ("group_term", "pg_is_in_recovery", "pg_current_wal_lsn")
 _POSITION_TYPES = (wire.OID_INT8, wire.OID_BOOL, wire.OID_TEXT)
--- /dev/null
+++ b/limedyke_lab/database/replication/__init__.py
@@ -0,0 +1,1 @@
+"""The log of a stand-in member, and how members follow, promise and promote."""
--- a/limedyke_lab/database/follower.py
+++ b/limedyke_lab/database/replication/follower.py
@@ -11,12 +11,12 @@
 
 from limedyke.event_log import EventLog
 from limedyke_lab.database.errors import SqlError
-from limedyke_lab.database.log import split_records
 from limedyke_lab.database.member import Member, Role
 from limedyke_lab.database.member_session import MemberSession
-from limedyke_lab.database.positions import format_position
-from limedyke_lab.database.promise import Promise
-from limedyke_lab.database.replication_messages import Answer, Append, AppendReply
+from limedyke_lab.database.replication.log import split_records
+from limedyke_lab.database.replication.positions import format_position
+from limedyke_lab.database.replication.promise import Promise
+from limedyke_lab.database.replication.replication_messages import Answer, Append, AppendReply
 
 _APPLY_BATCH_RECORDS = 100
 _IDLE_SECONDS = 1.0
--- a/limedyke_lab/database/promotion.py
+++ b/limedyke_lab/database/replication/promotion.py
@@ -5,8 +5,8 @@
 from limedyke.event_log import EventLog
 from limedyke_lab.database.errors import SqlError
 from limedyke_lab.database.member import Member, Role
-from limedyke_lab.database.positions import format_position
-from limedyke_lab.database.promise import Promise
+from limedyke_lab.database.replication.positions import format_position
+from limedyke_lab.database.replication.promise import Promise
 
 INITIAL_TERM = 1
 
--- a/limedyke_lab/database/replication.py
+++ b/limedyke_lab/database/replication/replication.py
@@ -6,10 +6,10 @@
 
 import curio
 
-from limedyke_lab.database.follower import Follower
 from limedyke_lab.database.member import Member
 from limedyke_lab.database.options import Address
-from limedyke_lab.database.replication_messages import (
+from limedyke_lab.database.replication.follower import Follower
+from limedyke_lab.database.replication.replication_messages import (
     REPLICATION_CODE,
     STARTUP_PACKET,
     Answer,
--- a/limedyke_lab/database/server.py
+++ b/limedyke_lab/database/server.py
@@ -12,14 +12,14 @@
 from scramp import ScramException
 
 from limedyke.event_log import EventLog, start_logging
-from limedyke_lab.database import wire
-from limedyke_lab.database.authentication import ADMIN_USER, MECHANISM, Credentials
 from limedyke_lab.database.errors import ConnectionCutError, SqlError
 from limedyke_lab.database.member import Member
 from limedyke_lab.database.options import DatabaseOptions
-from limedyke_lab.database.promotion import start_initial_primary
-from limedyke_lab.database.protocol import ProtocolLoop
-from limedyke_lab.database.replication import REPLICATION_CODE, Replication
+from limedyke_lab.database.postgres import wire
+from limedyke_lab.database.postgres.authentication import ADMIN_USER, MECHANISM, Credentials
+from limedyke_lab.database.postgres.protocol import ProtocolLoop
+from limedyke_lab.database.replication.promotion import start_initial_primary
+from limedyke_lab.database.replication.replication import REPLICATION_CODE, Replication
 from limedyke_lab.database.session import Session
 from limedyke_lab.database.stop_signal import StopSignal
 
--- a/limedyke_lab/database/session.py
+++ b/limedyke_lab/database/session.py
@@ -5,13 +5,13 @@
 import socket
 import sqlite3
 
-from limedyke_lab.database.answer_faults import AnswerFaults
-from limedyke_lab.database.authentication import ADMIN_USER
 from limedyke_lab.database.errors import ConnectionCutError, SqlError
 from limedyke_lab.database.execution import Executor
-from limedyke_lab.database.functions import FunctionErrors, StatementContext, register_session
+from limedyke_lab.database.postgres.answer_faults import AnswerFaults
+from limedyke_lab.database.postgres.authentication import ADMIN_USER
 from limedyke_lab.database.settings import Settings
-from limedyke_lab.database.special_functions import sleep
+from limedyke_lab.database.sql.functions import FunctionErrors, StatementContext, register_session
+from limedyke_lab.database.sql.special_functions import sleep
 from limedyke_lab.database.transaction import Transaction, TransactionRunner
 from limedyke_lab.database.waits import Outcome, Waiter
 
--- a/limedyke_lab/database/settings.py
+++ b/limedyke_lab/database/settings.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from limedyke_lab.database.errors import SqlError
-from limedyke_lab.database.tokens import Token, literal_value
+from limedyke_lab.database.sql.tokens import Token, literal_value
 
 DEFAULTS = {
     "application_name": "",
--- a/limedyke_lab/database/columns.py
+++ b/limedyke_lab/database/sql/columns.py
@@ -5,9 +5,9 @@
 import re
 import sqlite3
 
-from limedyke_lab.database import wire
-from limedyke_lab.database.functions import BOOLEAN_FUNCTIONS
-from limedyke_lab.database.sql_text import Statement
+from limedyke_lab.database.postgres import wire
+from limedyke_lab.database.sql.functions import BOOLEAN_FUNCTIONS
+from limedyke_lab.database.sql.sql_text import Statement
 
 _IDENTIFIER = re.compile(r"^[A-Za-z_][\w ]*$")
 _CALL_COLUMN = re.compile(r"^\s*([A-Za-z_]\w*)\s*\(")
--- a/limedyke_lab/database/dialect.py
+++ b/limedyke_lab/database/sql/dialect.py
@@ -4,7 +4,7 @@
 
 import re
 
-from limedyke_lab.database.tokens import Token, literal_value
+from limedyke_lab.database.sql.tokens import Token, literal_value
 
 _CAST_TYPES = {
     "int": "INTEGER",
--- a/limedyke_lab/database/engine.py
+++ b/limedyke_lab/database/sql/engine.py
@@ -6,8 +6,8 @@
 from collections.abc import Iterable
 from pathlib import Path
 
-from limedyke_lab.database.functions import StatementContext, register_clock_and_random
-from limedyke_lab.database.log import LogRecord, PositionedRecord
+from limedyke_lab.database.replication.log import LogRecord, PositionedRecord
+from limedyke_lab.database.sql.functions import StatementContext, register_clock_and_random
 
 _FILE_NAME = "database.sqlite"
 _META_TABLE = "limedyke_lab_meta"
--- a/limedyke_lab/database/functions.py
+++ b/limedyke_lab/database/sql/functions.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from limedyke_lab.database.errors import SqlError
-from limedyke_lab.database.positions import parse_position
+from limedyke_lab.database.replication.positions import parse_position
 
 BOOLEAN_FUNCTIONS = frozenset(
     {
--- a/limedyke_lab/database/special_functions.py
+++ b/limedyke_lab/database/sql/special_functions.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from limedyke_lab.database import promotion, wire
-from limedyke_lab.database.authentication import ADMIN_USER, PROMOTER_USER
 from limedyke_lab.database.errors import SqlError
-from limedyke_lab.database.sql_text import FunctionCall, Parameter
+from limedyke_lab.database.postgres import wire
+from limedyke_lab.database.postgres.authentication import ADMIN_USER, PROMOTER_USER
+from limedyke_lab.database.replication import promotion
+from limedyke_lab.database.sql.sql_text import FunctionCall, Parameter
 from limedyke_lab.database.waits import FairLock, Outcome, Waiter
 
 _Value = tuple[object, int]
--- a/limedyke_lab/database/sql_text.py
+++ b/limedyke_lab/database/sql/sql_text.py
@@ -9,14 +9,14 @@
 from dataclasses import dataclass
 from itertools import takewhile
 
-from limedyke_lab.database.dialect import (
+from limedyke_lab.database.sql.dialect import (
     DEFINITION_WORDS,
     first_name,
     locking_clause,
     translate,
     write_target,
 )
-from limedyke_lab.database.tokens import Token, literal_value, split_statements
+from limedyke_lab.database.sql.tokens import Token, literal_value, split_statements
 
 _CACHE_ENTRIES = 4096
 _WRITE_WORDS = frozenset({"INSERT", "UPDATE", "DELETE", "REPLACE"})
--- a/limedyke_lab/database/transaction.py
+++ b/limedyke_lab/database/transaction.py
@@ -6,11 +6,11 @@
 import time
 from dataclasses import dataclass
 
-from limedyke_lab.database.engine import Engine
 from limedyke_lab.database.errors import SqlError, from_sqlite
-from limedyke_lab.database.functions import timestamp_now
-from limedyke_lab.database.log import LoggedStatement, LogRecord
-from limedyke_lab.database.positions import format_position
+from limedyke_lab.database.replication.log import LoggedStatement, LogRecord
+from limedyke_lab.database.replication.positions import format_position
+from limedyke_lab.database.sql.engine import Engine
+from limedyke_lab.database.sql.functions import timestamp_now
 
 _SEED_BITS = 31
 
--- a/limedyke_lab/simulator/checkers/record.py
+++ b/limedyke_lab/simulator/checkers/record.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 
 from limedyke_lab.simulator.history import History
-from limedyke_lab.simulator.member_log import Record
+from limedyke_lab.simulator.members.member_log import Record
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/limedyke_lab/simulator/clients/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated callers and operators."""
--- a/limedyke_lab/simulator/caller_requests.py
+++ b/limedyke_lab/simulator/clients/caller_requests.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, field
 
-from limedyke_lab.simulator.network import Address
-from limedyke_lab.simulator.postgres_client import QueryAnswer
+from limedyke_lab.simulator.clients.postgres_client import QueryAnswer
+from limedyke_lab.simulator.machine.network import Address
 
 
 @dataclass(frozen=True, slots=True)
--- a/limedyke_lab/simulator/callers.py
+++ b/limedyke_lab/simulator/clients/callers.py
@@ -7,21 +7,21 @@
 
 from limedyke.postgres.member_login import MemberCredentials
 from limedyke.result_codes import Outcome, ResultCode
-from limedyke_lab.simulator.caller_requests import (
+from limedyke_lab.simulator.clients.caller_requests import (
     CallerPlan,
     OpenTransaction,
     Request,
     read_results,
 )
-from limedyke_lab.simulator.history import History
-from limedyke_lab.simulator.kernel import Process, Timeout
-from limedyke_lab.simulator.network import Network, StreamClosed
-from limedyke_lab.simulator.postgres_client import (
+from limedyke_lab.simulator.clients.postgres_client import (
     LoginRefused,
     PostgresClient,
     QueryAnswer,
     SessionStartup,
 )
+from limedyke_lab.simulator.history import History
+from limedyke_lab.simulator.machine.kernel import Process, Timeout
+from limedyke_lab.simulator.machine.network import Network, StreamClosed
 from limedyke_lab.simulator.statement_sql import get_sql, put_sql
 from limedyke_lab.simulator.statements import Get, Put
 
--- a/limedyke_lab/simulator/postgres_client.py
+++ b/limedyke_lab/simulator/clients/postgres_client.py
@@ -14,8 +14,8 @@
 from limedyke.postgres.member_batch import DUPLICATE_SQLSTATE
 from limedyke.postgres.member_login import MemberCredentials, MemberLogin
 from limedyke.result_codes import CODE_BY_NUMBER, Outcome, ResultCode
-from limedyke_lab.simulator.kernel import Process, Timeout
-from limedyke_lab.simulator.network import Address, Endpoint, Network, StreamClosed
+from limedyke_lab.simulator.machine.kernel import Process, Timeout
+from limedyke_lab.simulator.machine.network import Address, Endpoint, Network, StreamClosed
 
 CONNECT_TIMEOUT_S = 3.0
 MAXIMUM_MESSAGE_BYTES = 1 << 20
--- a/limedyke_lab/simulator/controllers.py
+++ b/limedyke_lab/simulator/controllers.py
@@ -17,11 +17,11 @@
 from limedyke.storage.durable_log import DurableLog
 from limedyke.storage.open_log import open_durable_log
 from limedyke_lab.simulated_disk import SimulatedDisk, SimulatedPowerLoss
-from limedyke_lab.simulator.curio_process import CurioProcess
-from limedyke_lab.simulator.environment import Environment
 from limedyke_lab.simulator.history import History
-from limedyke_lab.simulator.kernel import Process
-from limedyke_lab.simulator.network import Network
+from limedyke_lab.simulator.machine.curio_process import CurioProcess
+from limedyke_lab.simulator.machine.environment import Environment
+from limedyke_lab.simulator.machine.kernel import Process
+from limedyke_lab.simulator.machine.network import Network
 
 POWER_LOSS_SHARE = 0.5
 """Share of the crashes that also lose what was not synced; the others end the process only."""
--- a/limedyke_lab/simulator/history.py
+++ b/limedyke_lab/simulator/history.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
-from limedyke_lab.simulator.kernel import Kernel
+from limedyke_lab.simulator.machine.kernel import Kernel
 
 
 @dataclass(frozen=True, slots=True)
--- a/limedyke_lab/simulator/instruments.py
+++ b/limedyke_lab/simulator/instruments.py
@@ -18,10 +18,10 @@
 from limedyke.proxy.forwarding.link import HomeLink
 from limedyke.proxy.members.held_leases import HeldLeases
 from limedyke.proxy.unit_context import UnitContext
-from limedyke_lab.simulator.curio_process import CurioProcess
-from limedyke_lab.simulator.environment import Environment
+from limedyke_lab.simulator.clients.operators import declaration_digest
 from limedyke_lab.simulator.history import History
-from limedyke_lab.simulator.operators import declaration_digest
+from limedyke_lab.simulator.machine.curio_process import CurioProcess
+from limedyke_lab.simulator.machine.environment import Environment
 
 Replacement = tuple[object, str, object]
 
--- /dev/null
+++ b/limedyke_lab/simulator/machine/__init__.py
@@ -0,0 +1,1 @@
+"""What simulated processes run on: virtual time, network, sockets, disk."""
--- a/limedyke_lab/simulator/curio_process.py
+++ b/limedyke_lab/simulator/machine/curio_process.py
@@ -13,10 +13,14 @@
 import curio
 from curio import meta
 
-from limedyke_lab.simulator.environment import Environment
-from limedyke_lab.simulator.kernel import Process
-from limedyke_lab.simulator.network import Network
-from limedyke_lab.simulator.virtual_socket import VirtualPoll, VirtualSelector, VirtualSocket
+from limedyke_lab.simulator.machine.environment import Environment
+from limedyke_lab.simulator.machine.kernel import Process
+from limedyke_lab.simulator.machine.network import Network
+from limedyke_lab.simulator.machine.virtual_socket import (
+    VirtualPoll,
+    VirtualSelector,
+    VirtualSocket,
+)
 
 MAXIMUM_CYCLES = 20_000
 """Cycles at one moment after which a process counts as spinning."""
--- a/limedyke_lab/simulator/environment.py
+++ b/limedyke_lab/simulator/machine/environment.py
@@ -29,7 +29,7 @@
 import curio.task
 
 from limedyke_lab.simulated_disk import SimulatedPowerLoss
-from limedyke_lab.simulator.ordered_set import OrderedSet
+from limedyke_lab.simulator.machine.ordered_set import OrderedSet
 
 UNIX_EPOCH_S = 1_700_000_000.0
 """Unix time of the beginning of a run."""
--- a/limedyke_lab/simulator/network.py
+++ b/limedyke_lab/simulator/machine/network.py
@@ -14,7 +14,7 @@
 from typing import Any, Protocol
 
 from limedyke_lab.geography import Geography
-from limedyke_lab.simulator.kernel import Future, Kernel, Process, Queue
+from limedyke_lab.simulator.machine.kernel import Future, Kernel, Process, Queue
 
 JITTER = 0.5
 """Largest share of the delay that is added to it at random."""
--- a/limedyke_lab/simulator/virtual_socket.py
+++ b/limedyke_lab/simulator/machine/virtual_socket.py
@@ -10,8 +10,8 @@
 from selectors import EVENT_READ, EVENT_WRITE, SelectorKey
 from typing import Any
 
-from limedyke_lab.simulator.kernel import Future, Process
-from limedyke_lab.simulator.network import Address, Endpoint, Network, StreamClosed
+from limedyke_lab.simulator.machine.kernel import Future, Process
+from limedyke_lab.simulator.machine.network import Address, Endpoint, Network, StreamClosed
 
 FIRST_DESCRIPTOR = 100_000
 EPHEMERAL_PORT = 40_000
--- /dev/null
+++ b/limedyke_lab/simulator/members/__init__.py
@@ -0,0 +1,1 @@
+"""Simulated members of a group."""
--- a/limedyke_lab/simulator/member.py
+++ b/limedyke_lab/simulator/members/member.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass, field
 
 from limedyke_lab.simulator.history import History
-from limedyke_lab.simulator.kernel import Future, Process
-from limedyke_lab.simulator.member_log import AppliedState, MemberLog, Record
-from limedyke_lab.simulator.network import Network
+from limedyke_lab.simulator.machine.kernel import Future, Process
+from limedyke_lab.simulator.machine.network import Network
+from limedyke_lab.simulator.members.member_log import AppliedState, MemberLog, Record
 
 SEND_INTERVAL_S = 0.1
 MAXIMUM_RECORDS = 64
--- a/limedyke_lab/simulator/member_server.py
+++ b/limedyke_lab/simulator/members/member_server.py
@@ -7,13 +7,13 @@
 from postgresql.protocol import element3
 
 from limedyke.postgres.client_framing import ClientFramer, ClientMessage, StartupFramer
-from limedyke_lab.database.authentication import PROMOTER_USER, Credentials
 from limedyke_lab.database.errors import SqlError
-from limedyke_lab.database.wire import AUTHENTICATION_OK, READY_IDLE, error_response
-from limedyke_lab.simulator.kernel import Future
-from limedyke_lab.simulator.member import Member
-from limedyke_lab.simulator.member_session import MemberSession
-from limedyke_lab.simulator.network import Address, Endpoint, StreamClosed
+from limedyke_lab.database.postgres.authentication import PROMOTER_USER, Credentials
+from limedyke_lab.database.postgres.wire import AUTHENTICATION_OK, READY_IDLE, error_response
+from limedyke_lab.simulator.machine.kernel import Future
+from limedyke_lab.simulator.machine.network import Address, Endpoint, StreamClosed
+from limedyke_lab.simulator.members.member import Member
+from limedyke_lab.simulator.members.member_session import MemberSession
 from limedyke_lab.simulator.statements import TOO_MANY_CONNECTIONS
 
 CONNECT_S = 0.010
--- a/limedyke_lab/simulator/member_session.py
+++ b/limedyke_lab/simulator/members/member_session.py
@@ -7,7 +7,7 @@
 
 from limedyke.postgres.member_frames import format_position
 from limedyke_lab.database.errors import SqlError
-from limedyke_lab.database.wire import (
+from limedyke_lab.database.postgres.wire import (
     OID_BOOL,
     OID_INT8,
     OID_TEXT,
@@ -19,7 +19,7 @@
     error_response,
     row_description,
 )
-from limedyke_lab.simulator.network import Endpoint
+from limedyke_lab.simulator.machine.network import Endpoint
 from limedyke_lab.simulator.statement_sql import parse_sql
 from limedyke_lab.simulator.statements import (
     IN_FAILED_TRANSACTION,
@@ -51,7 +51,7 @@
 )
 
 if TYPE_CHECKING:
-    from limedyke_lab.simulator.member_server import MemberServer
+    from limedyke_lab.simulator.members.member_server import MemberServer
 
 _READY = {"I": READY_IDLE, "T": READY_TRANSACTION, "E": READY_FAILED}
 
--- a/limedyke_lab/simulator/proxies.py
+++ b/limedyke_lab/simulator/proxies.py
@@ -8,11 +8,11 @@
 from limedyke.proxy.server import Proxy
 from limedyke.settings.proxy import ProxySettings
 from limedyke.settings.secrets import Secrets
-from limedyke_lab.simulator.curio_process import CurioProcess
-from limedyke_lab.simulator.environment import Environment
 from limedyke_lab.simulator.history import History
-from limedyke_lab.simulator.kernel import Process
-from limedyke_lab.simulator.network import Network
+from limedyke_lab.simulator.machine.curio_process import CurioProcess
+from limedyke_lab.simulator.machine.environment import Environment
+from limedyke_lab.simulator.machine.kernel import Process
+from limedyke_lab.simulator.machine.network import Network
 
 
 class SimulatedProxy:
--- a/limedyke_lab/simulator/strikes.py
+++ b/limedyke_lab/simulator/strikes.py
@@ -7,9 +7,9 @@
 
 import curio
 
+from limedyke_lab.simulator.clients.operators import Operator, set_client_limit, set_leaving
 from limedyke_lab.simulator.faults import Fault
 from limedyke_lab.simulator.layout import OPERATORS
-from limedyke_lab.simulator.operators import Operator, set_client_limit, set_leaving
 from limedyke_lab.simulator.world import World
 
 SLOW_EXECUTE_S = 0.12
--- a/limedyke_lab/simulator/world.py
+++ b/limedyke_lab/simulator/world.py
@@ -8,13 +8,11 @@
 
 import curio
 
-from limedyke_lab.simulator.caller_requests import CallerPlan
-from limedyke_lab.simulator.callers import Caller
+from limedyke_lab.simulator.clients.caller_requests import CallerPlan
+from limedyke_lab.simulator.clients.callers import Caller
+from limedyke_lab.simulator.clients.operators import Edit, Operator, set_whole
 from limedyke_lab.simulator.controllers import SimulatedController
-from limedyke_lab.simulator.curio_process import CurioProcess
-from limedyke_lab.simulator.environment import Environment
 from limedyke_lab.simulator.history import History
-from limedyke_lab.simulator.kernel import Kernel, Process
 from limedyke_lab.simulator.layout import (
     BACK_END_USER,
     CALLERS_PER_ACCESS,
@@ -35,10 +33,12 @@
     proxy_settings,
     tenant_name,
 )
-from limedyke_lab.simulator.member import Member
-from limedyke_lab.simulator.member_server import MemberServer
-from limedyke_lab.simulator.network import Network
-from limedyke_lab.simulator.operators import Edit, Operator, set_whole
+from limedyke_lab.simulator.machine.curio_process import CurioProcess
+from limedyke_lab.simulator.machine.environment import Environment
+from limedyke_lab.simulator.machine.kernel import Kernel, Process
+from limedyke_lab.simulator.machine.network import Network
+from limedyke_lab.simulator.members.member import Member
+from limedyke_lab.simulator.members.member_server import MemberServer
 from limedyke_lab.simulator.proxies import SimulatedProxy
 
 CLOCK_DRIFT = 0.008
