Ask the kernel whether a process of the soak can handle SIGTERM, rather than its age

The check allowed an end by SIGTERM for 2 s from the start, whatever the process did. Change: an end by SIGTERM is allowed exactly when the process neither caught nor ignored it at the moment of the signal, as for SIGHUP. An end by SIGTERM within 2 s of a process that could handle it was passed over before, and is a broken promise now.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -22,6 +22,7 @@
       | a proxy that was told to stop ended after 8 s | a process that is told to stop ends with 0 in its time |
       | a proxy that was told to stop ended with 1 | a process that is told to stop ends with 0 in its time |
       | SIGHUP ended a proxy that could handle it | a process that is told to stop ends with 0 in its time |
+      | SIGTERM ended a proxy that could handle it | a process that is told to stop ends with 0 in its time |
 
   Scenario Outline: soak: what is owed to nobody: <what>
     Given soak: a sound history
@@ -33,6 +34,7 @@
       | a killed proxy ran a statement and did not answer     |
       | a statement reached a proxy as its connection ended   |
       | SIGHUP ended a proxy that could not yet handle it     |
+      | SIGTERM ended a proxy that could not yet handle it    |
 
   Scenario Outline: soak: a process that <state> SIGHUP is known to handle it: <known>
     Then soak: a process that <state> SIGHUP is known to handle it: <known>
--- a/features/soak/checks.py
+++ b/features/soak/checks.py
@@ -14,8 +14,6 @@
 
 SHOWN = 5
 UNANSWERED_SLACK_S = 0.2
-LOADED_WITHIN_S = 2.0
-"""A process that is told to stop while it loads may end by the signal: it has taken nothing."""
 LIFE_LOOK_S = 0.5
 """The end of a process is noticed so much later at most."""
 WINDOW_S, OVERSHOOT, SLACK = 5.0, 0.1, 20
@@ -66,12 +64,10 @@
     for life in lives.all:
         if life.status is None or life.was_struck(life.started_at, life.ended_at):
             continue
-        if life.hung_up_unready and life.status == -signal.SIGHUP:
+        if -life.status in life.unready_for:
             continue
         took_s = life.ended_at - life.stopped_at
-        age_s = life.stopped_at - life.started_at
-        is_loading = age_s < LOADED_WITHIN_S and life.status == -signal.SIGTERM
-        if took_s > GRACE_S + LIFE_LOOK_S or not (life.status == 0 or is_loading):
+        if took_s > GRACE_S + LIFE_LOOK_S or life.status != 0:
             found.append(f"{life.ip} ended with {life.status}, {took_s:.2f} s after the stop")
     return [Violation("a process that is told to stop ends with 0 in its time", t) for t in found]
 
--- a/features/soak/lives.py
+++ b/features/soak/lives.py
@@ -19,8 +19,8 @@
 
     :ivar struck_at: when it was killed, paused or let go on: it owes nothing then
     :ivar status: its exit status, None while it runs
-    :ivar hung_up_unready: whether SIGHUP met it before its first line of code, which is the first
-        that can handle a signal
+    :ivar unready_for: signals that met it before it could handle them, while it was loading: it has
+        taken nothing by then
     """
 
     ip: str
@@ -29,7 +29,7 @@
     ended_at: float = NEVER
     status: int | None = None
     struck_at: list[float] = field(default_factory=list)
-    hung_up_unready: bool = False
+    unready_for: set[signal.Signals] = field(default_factory=set)
 
     def was_struck(self, since: float, until: float) -> bool:
         """Tell whether it was struck between two moments."""
@@ -57,10 +57,10 @@
         life = self._present[ip]
         life.stopped_at = min(life.stopped_at, time.monotonic())
 
-    def hung_up(self, ip: str, process_id: int) -> None:
-        """Note that its process is to be sent SIGHUP now."""
-        if not handles(process_id, signal.SIGHUP):
-            self._present[ip].hung_up_unready = True
+    def signalled(self, ip: str, process_id: int, number: signal.Signals) -> None:
+        """Note that its process is to be sent a signal now."""
+        if not handles(process_id, number):
+            self._present[ip].unready_for.add(number)
 
     def ended(self, ip: str, status: int) -> None:
         """Note that its process has ended."""
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -69,8 +69,8 @@
             return
         if number == signal.SIGTERM:
             self.lives.stopped(ip)
-        elif number == signal.SIGHUP:
-            self.lives.hung_up(ip, process.pid)
+        if number in (signal.SIGTERM, signal.SIGHUP):
+            self.lives.signalled(ip, process.pid, number)
         else:
             self.lives.struck(ip)
         process.send_signal(number)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -137,10 +137,12 @@
     _stopped_proxy(context, status=status)
 
 
-@when("soak: SIGHUP ended a proxy that {state} handle it")
-def step_hung_up(context, state):
-    life = Life(PROXY, 0.0, ended_at=0.05, status=-signal.SIGHUP)
-    life.hung_up_unready = state == "could not yet"
+@when("soak: {name:w} ended a proxy that {state} handle it")
+def step_signalled(context, name, state):
+    number = signal.Signals[name]
+    life = Life(PROXY, 0.0, ended_at=0.05, status=-number)
+    if state == "could not yet":
+        life.unready_for.add(number)
     context.lives.all.append(life)
 
 
