Let proxies and controllers accept connections through one part, which closes without losing any

Cause: three accept loops stood beside each other (calls at controllers, sessions of statements, PostgreSQL clients), and only the first took over what waits in the kernel's queue when it closes; at the two others such a connection was reset without a word. Change: transport/acceptor.py accepts, and closes behind a packet filter with the queue taken over; the HTTP server and both proxies use it. A PostgreSQL client that is turned away no longer holds up the next one.

--- a/features/planned_stop.feature
+++ b/features/planned_stop.feature
@@ -13,6 +13,7 @@
     And planned stop: <state>
     When planned stop: 12 clients <habit> without end, and <proxies> stop
     Then planned stop: every statement got a whole answer
+    And planned stop: every session that was asked for got an answer
     And planned stop: some were answered after the signal
     And planned stop: no client was told of a failure that it could not know of
     And planned stop: the proxies that stopped ended with 0 within 6 s
--- a/features/soak/checks.py
+++ b/features/soak/checks.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import bisect
-import signal
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -119,6 +119,17 @@
     assert not broken, (len(broken), broken[:5], lines[:8])
 
 
+@then("planned stop: every session that was asked for got an answer")
+def step_heard(context):
+    first_signal = min(context.signalled_at.values())
+    unheard = [
+        f"{asked_at - first_signal:.3f} s after the signal"
+        for client in context.clients
+        for asked_at in client.unheard
+    ]
+    assert not unheard, (len(unheard), unheard[:8])
+
+
 @then("planned stop: some were answered after the signal")
 def step_served(context):
     first_signal = min(context.signalled_at.values())
--- a/features/support/persistent_clients.py
+++ b/features/support/persistent_clients.py
@@ -59,6 +59,7 @@
 class PersistentClient:
     """One client at one proxy.
 
+    :ivar unheard: when it asked for sessions of which it was told nothing
     :param ip: of the proxy's machine
     :param habit: what it does
     :param heeds: it ends a session when it is told that the proxy leaves service; else it uses its
@@ -67,6 +68,7 @@
 
     def __init__(self, name: str, ip: str, habit: Habit, heeds: bool = True) -> None:
         self.told: list[Told] = []
+        self.unheard: list[float] = []
         self._name = name
         self._heeds = heeds
         self._ip = ip
@@ -93,10 +95,22 @@
             await self._socket.connect((self._ip, FRONT_PORT))
         self._sessions += 1
         self._client = LineClient(self._socket, f"{self._name}-{self._sessions}-")
-        await self._client.send(f"START {DATABASE} key\r\n")
-        if summary([await self._client.receive()]) != "I":
+        if summary([await self._ask_for_session()]) != "I":
             raise SessionOverError
 
+    async def _ask_for_session(self) -> str:
+        """Return the answer; keep note of a connection that stood and brought none."""
+        asked_at = time.monotonic()
+        try:
+            await self._client.send(f"START {DATABASE} key\r\n")
+            line = await self._client.receive()
+        except (OSError, curio.TaskTimeout):
+            line = ""
+        if not line:
+            self.unheard.append(asked_at)
+            raise SessionOverError
+        return line
+
     async def _close(self) -> None:
         sock, self._socket = self._socket, None
         if sock is not None:
--- a/limedyke/proxy/server.py
+++ b/limedyke/proxy/server.py
@@ -38,12 +38,13 @@
 from limedyke.settings.proxy import ProxySettings
 from limedyke.settings.secrets import Secrets
 from limedyke.stop_signal import StopSignal
+from limedyke.transport.acceptor import Acceptor
 from limedyke.transport.http_status import ReadyState, serve_status
 from limedyke.transport.link import LinkIdentity, listen, serve_links
 from limedyke.transport.traffic import Place
 
 EXIT_FAILED = 1
-ACCEPT_PAUSE_S = 0.1
+TURN_AWAY_S = 0.1
 LEASE_CHECK_S = 1.0
 GAUGES_INTERVAL_S = 1.0
 MOCK_SECRET_PURPOSE = b"limedyke mock verifier"
@@ -156,38 +157,29 @@
     async def _serve_until_drained(self, clients: socket.socket) -> int:
         await self._first_view.wait()
         LOG.info("serving", listen=self._settings.client_listen)
-        accepting = await curio.spawn(self._accept, clients)
+        acceptor = Acceptor(clients, self._admit, LOG)
+        await curio.spawn(acceptor.run, daemon=True)
         await self._drain_asked.wait()
         self._draining = True
         self._metrics.draining.set(1)
-        await accepting.cancel()
-        await clients.close()
+        await acceptor.close()
         deadline_s = self._settings.drain_deadline_ms / 1_000
         await drain_proxy(self._services, self._watch, self._control, self._back_ends, deadline_s)
         return 0
 
-    async def _accept(self, listener: socket.socket) -> None:
-        while True:
-            try:
-                sock, _ = await listener.accept()
-            except OSError as error:
-                LOG.warning("accept-failed", reason=error)
-                await curio.sleep(ACCEPT_PAUSE_S)
-                continue
-            self._metrics.clients_accepted.inc()
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            if not self._services.registry.has_room:
-                await self._turn_away(sock)
-                continue
-            await curio.spawn(ClientConnection(sock, self._services).run, daemon=True)
+    async def _admit(self, sock: socket.socket) -> None:
+        self._metrics.clients_accepted.inc()
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if not self._services.registry.has_room:
+            await curio.spawn(self._turn_away, sock, daemon=True)
+            return
+        await curio.spawn(ClientConnection(sock, self._services).run, daemon=True)
 
     async def _turn_away(self, sock: socket.socket) -> None:
         failure = Failure(ResultCode.TOO_MANY_CLIENTS, "The proxy is full.")
         self._metrics.count_refusal(ResultCode.TOO_MANY_CLIENTS)
         try:
-            await curio.ignore_after(
-                ACCEPT_PAUSE_S, sock.sendall, failure_response(failure, "FATAL")
-            )
+            await curio.ignore_after(TURN_AWAY_S, sock.sendall, failure_response(failure, "FATAL"))
             await sock.close()
         except OSError:
             return
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -36,13 +36,13 @@
 from limedyke.settings.secrets import Secrets
 from limedyke.settings_watch import SettingsWatch
 from limedyke.stop_signal import StopSignal
+from limedyke.transport.acceptor import Acceptor
 from limedyke.transport.http_server import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 from limedyke.transport.http_status import ReadyState, serve_status
 from limedyke.transport.link import Link, LinkIdentity, listen, serve_links
 from limedyke.transport.traffic import Place
 
 EXIT_FAILED = 1
-ACCEPT_PAUSE_S = 0.05
 READY_BODY_BYTES = 1_024
 STATUS_OK = 200
 STATUS_UNAVAILABLE = 503
@@ -155,21 +155,14 @@
     async def _take_view(self, view: ControlView) -> None:
         self._links.control_changed(view)
 
-    async def _accept(self, listener: socket.socket) -> None:
-        while True:
-            try:
-                sock, _ = await listener.accept()
-            except OSError as error:
-                EVENTS.warning("accept-failed", reason=error)
-                await curio.sleep(ACCEPT_PAUSE_S)
-                continue
-            if len(self._clients) >= self._settings.maximum_clients:
-                await sock.close()
-                continue
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = StatementClient(sock, self._make_client_codec(), self._services)
-            self._clients.add(client)
-            client.task = await curio.spawn(self._serve_client, client, daemon=True)
+    async def _admit(self, sock: socket.socket) -> None:
+        if len(self._clients) >= self._settings.maximum_clients:
+            await sock.close()
+            return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client = StatementClient(sock, self._make_client_codec(), self._services)
+        self._clients.add(client)
+        client.task = await curio.spawn(self._serve_client, client, daemon=True)
 
     async def _serve_client(self, client: StatementClient) -> None:
         try:
@@ -195,18 +188,14 @@
 
     async def _serve_until_asked(self, listener: socket.socket, stop: StopSignal) -> None:
         """Let clients in until the process is asked to stop; then leave service."""
-        accepting = await curio.spawn(self._accept, listener, daemon=True)
-
-        async def close_listener() -> None:
-            await accepting.cancel()
-            await listener.close()
-
+        acceptor = Acceptor(listener, self._admit, EVENTS)
+        await curio.spawn(acceptor.run, daemon=True)
         await stop.wait()
         whole_s = self._settings.drain_deadline_ms / 1_000
         planned = PlannedStop(
             self._stop, self._clients, self._home, self._home_server, self._control
         )
-        await planned.run(whole_s, close_listener)
+        await planned.run(whole_s, acceptor.close)
 
 
 def run_statement_proxy(
--- a/limedyke/transport/http_server.py
+++ b/limedyke/transport/http_server.py
@@ -11,13 +11,11 @@
 from curio import socket
 
 from limedyke.event_log import EventLog
-from limedyke.transport.listener_close import close_listener
+from limedyke.transport.acceptor import Acceptor
 
 RECEIVE_BYTES = 64 * 1024
 MAXIMUM_HEAD_BYTES = 16 * 1024
 SEND_TIMEOUT_S = 10.0
-ACCEPT_PAUSE_S = 0.5
-"""After a failure to accept: most are a lack of file descriptors, which come free meanwhile."""
 FIRST_CALL_S = 0.2
 """A caller that has connected sends its call within this: two ways of 20 ms and five times that."""
 DRAIN_LOOK_S = 0.01
@@ -136,20 +134,13 @@
         self._handler = handler
         self._limits = limits
         self._peers: set[_Peer] = set()
-        self._listener: socket.socket | None = None
-        self._accepting: curio.Task | None = None
+        self._acceptor: Acceptor | None = None
         self._is_draining = False
 
     async def run(self, listener: socket.socket) -> None:
         """Accept connections until cancelled; none any more once it drains."""
-        self._listener = listener
-        async with listener:
-            self._accepting = await curio.spawn(self._accept, listener)
-            try:
-                await self._accepting.wait()
-                await curio.Event().wait()
-            finally:
-                await self._accepting.cancel()
+        self._acceptor = Acceptor(listener, self._admit, EVENTS)
+        await self._acceptor.run()
 
     async def drain(self) -> None:
         """Let no new connection in, and return once all requests under way are answered.
@@ -158,23 +149,11 @@
         cuts what it has taken, and what callers have sent on connections not accepted yet.
         """
         self._is_draining = True
-        if self._accepting is not None:
-            await self._accepting.cancel()
-            for sock in await close_listener(self._listener):
-                await self._admit(sock)
+        if self._acceptor is not None:
+            await self._acceptor.close()
         while any(peer.is_due for peer in self._peers):
             await curio.sleep(DRAIN_LOOK_S)
 
-    async def _accept(self, listener: socket.socket) -> None:
-        while True:
-            try:
-                sock, _ = await listener.accept()
-            except OSError as error:
-                EVENTS.warning("accept-failed", reason=error)
-                await curio.sleep(ACCEPT_PAUSE_S)
-                continue
-            await self._admit(sock)
-
     async def _admit(self, sock: socket.socket) -> None:
         if len(self._peers) >= self._limits.connections and not await self._make_room():
             await sock.close()
