Split the steps on the path of a statement by what they are about

Cause: one file of 657 lines, the longest of the repository, held what clients ask, what members do, and leases, pools and watching.

--- /dev/null
+++ b/features/steps/statement_pool_steps.py
@@ -0,0 +1,189 @@
+"""Steps on the path of a statement: leases, connections, and how members are watched."""
+
+from __future__ import annotations
+
+import time
+
+import curio
+from behave import given, step, then, when
+
+from features.steps.statement_path_steps import run
+from features.support.statement_path import GROUP
+from limedyke.messages.control import ConnectionLease, MemberHealth
+
+
+@given("statement path: the lease is for 1 connection")
+def step_one_connection(context):
+    lease = ConnectionLease(GROUP, "shared", 1)
+    run(context, context.path.groups.leases_changed, (lease,), float("inf"))
+
+
+@given("statement path: the lease is for {count:d} connections")
+def step_few_connections(context, count):
+    lease = ConnectionLease(GROUP, "shared", count)
+    run(context, context.path.groups.leases_changed, (lease,), float("inf"))
+
+
+class _Healths:
+    """Keeps what is reported of the primary."""
+
+    def __init__(self) -> None:
+        self.seen: list[str] = []
+
+    async def report_member(self, report: object) -> None:
+        """Take a report."""
+        if report.member == "a":
+            self.seen.append(report.health.value)
+
+    async def return_leases(self, leases: tuple[ConnectionLease, ...]) -> None:
+        """Take leases back."""
+
+
+@then("statement path: a was reported {healths}")
+def step_reported(context, healths):
+    assert context.healths.seen == healths.split(", "), context.healths.seen
+
+
+@step("statement path: the members are watched from now on")
+def step_watched_on(context):
+    context.healths = context.path.groups.reporter = _Healths()
+    run(context, curio.spawn, _watch_members, context.path.groups)
+
+
+async def _watch_members(groups):
+    await groups.watch()
+
+
+@given("statement path: {name:w} takes {count:d} connection and {way}")
+def step_full(context, name, count, way):
+    member = context.path.group.members[name]
+    member.connection_limit = count
+    member.faults.resets_when_full = way == "resets any others"
+
+
+@then("statement path: {name:w} is thought unreachable")
+def step_unreachable(context, name):
+    belief = context.path.groups.groups[GROUP].pools[name].belief
+    assert belief.health is MemberHealth.UNREACHABLE, belief
+
+
+@then("statement path: {name:w} is thought reachable")
+def step_reachable(context, name):
+    belief = context.path.groups.groups[GROUP].pools[name].belief
+    assert belief.health is MemberHealth.REACHABLE, belief
+
+
+@when("statement path: {count:d} clients hold transactions open, each with a write")
+def step_hold(context, count):
+    async def hold():
+        for _ in range(count):
+            client, _ = await context.path.connect()
+            assert await client.ask("BEGIN") == "done T"
+            assert await client.ask("WRITE x 1") == "done T"
+            context.holders.append(client)
+
+    context.holders = []
+    run(context, hold)
+
+
+@step("statement path: those clients roll back")
+def step_holders_roll_back(context):
+    for client in context.holders:
+        assert run(context, client.ask, "ROLLBACK") == "done I"
+
+
+@when("statement path: {count:d} clients hold transactions that read open at {name:w}")
+def step_hold_reads(context, count, name):
+    async def hold():
+        for _ in range(count):
+            client, _ = await context.path.connect()
+            assert await client.ask("BEGIN READ") == "done T"
+            assert await client.ask("READ y") == "- done T"
+
+    run(context, hold)
+    runs = context.path.runs_of("READ y")
+    assert runs == [name] * count, runs
+
+
+@when("statement path: {count:d} other clients begin to read")
+def step_begin_to_read(context, count):
+    async def begin_all():
+        for _ in range(count):
+            client, _ = await context.path.connect()
+            await curio.spawn(client.ask, "READ x", daemon=True)
+
+    run(context, begin_all)
+
+
+@then("statement path: that took at least {limit:d} ms, and a has {count:d} connections")
+def step_took_at_least(context, limit, count):
+    assert context.took_ms >= limit, context.took_ms
+    step_connections(context, count)
+
+
+@step("statement path: a has {count:d} connections")
+def step_connections(context, count):
+    assert context.path.groups.groups[GROUP].pools["a"].opened == count
+
+
+@when("statement path: pools are looked after")
+def step_look_after(context):
+    for pool in context.path.groups.groups[GROUP].pools.values():
+        run(context, pool.close_idle, time.monotonic())
+
+
+@step("statement path: the lease has run out")
+def step_lease_over(context):
+    context.path.lease_ends_at = 0.0
+
+
+@step("statement path: the lease has run out, and b leads without the proxy knowing")
+def step_lease_over_and_replaced(context):
+    context.path.lease_ends_at = 0.0
+    context.path.group.promote("b")
+
+
+@step("statement path: the lease has run out, and nobody leads")
+def step_nobody_leads(context):
+    context.path.lease_ends_at = 0.0
+    context.path.group.members["a"].is_primary = False
+
+
+class Reporter:
+    """Keeps what a proxy gives back."""
+
+    def __init__(self) -> None:
+        self.returned: list[ConnectionLease] = []
+
+    async def report_member(self, report: object) -> None:
+        """Take a report."""
+
+    async def return_leases(self, leases: tuple[ConnectionLease, ...]) -> None:
+        """Take what is given back."""
+        self.returned.extend(leases)
+
+
+@when("statement path: all leases are taken back")
+def step_taken_back(context):
+    context.reporter = context.path.groups.reporter = Reporter()
+    run(context, context.path.groups.leases_changed, (), float("inf"))
+
+
+@then("statement path: nothing is given back yet")
+def step_nothing_back(context):
+    assert not context.reporter.returned, context.reporter.returned
+
+
+@when("statement path: the members are watched for {milliseconds:d} ms")
+def step_watched(context, milliseconds):
+    async def watch() -> None:
+        await curio.ignore_after(milliseconds / 1_000, context.path.groups.watch)
+
+    run(context, watch)
+
+
+@then("statement path: {count:d} connections of each are given back")
+def step_given_back(context, count):
+    assert context.reporter.returned == [ConnectionLease(GROUP, "shared", count)], (
+        context.reporter.returned
+    )
