--- a/features/mutants/stop_safeguards.py
+++ b/features/mutants/stop_safeguards.py
@@ -171,7 +171,7 @@
         ),
     ),
     Mutant(
-        "end a transaction that rests, and tell nothing",
+        "end a transaction that rests without telling",
         "limedyke.core.statements.session.StatementSession.lose_transaction",
         "a client is told of a transaction that was ended",
         lambda: _is_caught(
