Show by a mutant that the queue of a listener has to be taken over before it closes

Cause: the safeguard had a test and no mutant. Change: a fifth mutant of the area stop; the callers that send without giving the server a turn are shared by it and the steps of http_server (features/support/http_callers.py, moved as they were).

--- a/features/mutants/stop_safeguards.py
+++ b/features/mutants/stop_safeguards.py
@@ -9,6 +9,7 @@
 import curio
 
 from features.mutants.mutant import Mutant
+from features.support.http_callers import CALL, CallCaller
 from features.support.statement_path import LineClient
 from features.support.statement_stop import StoppingPath
 from limedyke.core.statements import stop_schedule
@@ -16,6 +17,9 @@
 from limedyke.messages.databases import Consistency
 from limedyke.proxy.statements.clients import client as client_module
 from limedyke.proxy.statements.clients.client import StatementClient
+from limedyke.transport.acceptor import Acceptor
+from limedyke.transport.http_server import HttpAnswer, HttpLimits, HttpServer
+from limedyke.transport.link import listen
 
 WHOLE_S = 1.5
 """What the proxy gets between the signal and its end."""
@@ -24,6 +28,7 @@
 STATEMENT_TIMEOUT_MS = 4_000
 ASKED_S = 0.05
 CLIENTS = 4
+CALL_BYTES = 1_024
 
 
 async def _make_path(answer_s: float) -> StoppingPath:
@@ -107,6 +112,27 @@
     return told.startswith("MALFORMED")
 
 
+async def _queued_call_is_cut() -> bool:
+    """Call while the server does not look, and tell whether its end leaves a call unanswered."""
+    listener = listen("127.0.0.1:0").unwrap()
+    host, port = listener.getsockname()
+    server = HttpServer(_answer_call, HttpLimits(CALL_BYTES))
+    serving = await curio.spawn(server.run, listener)
+    await curio.sleep(ASKED_S)
+    callers = [CallCaller() for _ in range(CLIENTS)]
+    for caller in callers:
+        caller.send_at_once(f"{host}:{port}", CALL)
+    await server.drain()
+    for caller in callers:
+        caller.receive_at_once()
+    await serving.cancel()
+    return not all(caller.is_answered for caller in callers)
+
+
+async def _answer_call(_: object) -> HttpAnswer:
+    return HttpAnswer(200)
+
+
 def _is_caught(patch: Callable[[], AbstractContextManager], violates: Callable[[], bool]) -> bool:
     if violates():
         raise AssertionError("the violation shows with the safeguard in place")
@@ -143,6 +169,15 @@
 
 
 MUTANTS = (
+    Mutant(
+        "close a listener with callers in its queue",
+        "limedyke.transport.acceptor.Acceptor.close",
+        "a call on a connection that is open for its caller is answered",
+        lambda: _is_caught(
+            lambda: mock.patch.object(Acceptor, "_accept_all", lambda *_: iter(())),
+            lambda: curio.run(_queued_call_is_cut),
+        ),
+    ),
     Mutant(
         "take statements for as long as the process lives",
         "limedyke.core.statements.stop_schedule.StopSchedule",
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -6,73 +6,14 @@
 
 import curio
 from behave import given, then, when
-from curio import socket
 
-from limedyke.addresses import split_address
+from features.support.http_callers import CALL, SETTLE_S, CallCaller
 from limedyke.transport.http_server import HttpAnswer, HttpLimits, HttpServer
 from limedyke.transport.link import listen
 
-CALL = b"GET /config HTTP/1.1\r\nhost: server\r\n\r\n"
-ANSWER_LIMIT_S = 2.0
-SETTLE_S = 0.05
 AT_ONCE_S = 0.2
 
 
-class Caller:
-    """One connection to the server."""
-
-    def __init__(self) -> None:
-        self.answer = b""
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-
-    async def send(self, address: str, data: bytes = CALL) -> None:
-        """Connect, and send a call or a part of it."""
-        await self._socket.connect(split_address(address))
-        await self._socket.sendall(data)
-
-    def send_at_once(self, address: str, data: bytes) -> None:
-        """Connect and send without giving other tasks a turn."""
-        with self._socket.blocking() as raw:
-            raw.connect(split_address(address))
-            raw.sendall(data)
-
-    async def send_rest(self, data: bytes) -> None:
-        """Send the rest of a call."""
-        await self._socket.sendall(data)
-
-    async def receive(self) -> bytes:
-        """Return the answer; empty when the connection ended without one."""
-        try:
-            async with curio.timeout_after(ANSWER_LIMIT_S):
-                self.answer = await self._socket.recv(4_096)
-        except OSError:
-            self.answer = b""
-        return self.answer
-
-    def receive_at_once(self) -> None:
-        """Keep what has come so far, without giving other tasks a turn."""
-        try:
-            with self._socket.blocking() as raw:
-                self.answer = raw.recv(4_096, socket.MSG_DONTWAIT)
-        except OSError:
-            self.answer = b""
-
-    async def is_open(self) -> bool:
-        """Tell whether the connection has not been ended by the server."""
-        try:
-            async with curio.timeout_after(SETTLE_S):
-                return bool(await self._socket.recv(1))
-        except curio.TaskTimeout:
-            return True
-        except OSError:
-            return False
-
-    @property
-    def is_answered(self) -> bool:
-        """Whether it got a whole answer."""
-        return self.answer.startswith(b"HTTP/1.1 200")
-
-
 def _start(context, places: int, takes_s: float = 0.0) -> None:
     async def answer(_request: object) -> HttpAnswer:
         await curio.sleep(takes_s)
@@ -103,14 +44,14 @@
     _start(context, places, takes / 1_000)
 
 
-async def _call(context, caller: Caller) -> None:
+async def _call(context, caller: CallCaller) -> None:
     await caller.send(context.address)
     await caller.receive()
 
 
 @when("http server: {count:d} callers call one after the other, and keep their connections")
 def step_call(context, count):
-    context.callers = [Caller() for _ in range(count)]
+    context.callers = [CallCaller() for _ in range(count)]
     for caller in context.callers:
         context.kernel.run(_call, context, caller)
         context.kernel.run(curio.sleep, SETTLE_S)
@@ -118,7 +59,7 @@
 
 @when("http server: one more calls")
 def step_one_more(context):
-    context.further = Caller()
+    context.further = CallCaller()
     context.kernel.run(_call, context, context.further)
 
 
@@ -142,7 +83,7 @@
 
 @when("http server: {count:d} callers call at once, and one more calls")
 def step_at_once(context, count):
-    context.callers = [Caller() for _ in range(count)]
+    context.callers = [CallCaller() for _ in range(count)]
     for caller in context.callers:
         context.kernel.run(caller.send, context.address)
     context.kernel.run(curio.sleep, SETTLE_S)
@@ -165,7 +106,7 @@
 
 @when("http server: {count:d} callers have sent half a call, and one more calls")
 def step_half(context, count):
-    context.callers = [Caller() for _ in range(count)]
+    context.callers = [CallCaller() for _ in range(count)]
     for caller in context.callers:
         context.kernel.run(caller.send, context.address, CALL[:20])
     context.kernel.run(curio.sleep, SETTLE_S)
@@ -183,7 +124,7 @@
 
 @when("http server: {count:d} callers call while it does not look, and it is told to end")
 def step_unseen(context, count):
-    context.callers = [Caller() for _ in range(count)]
+    context.callers = [CallCaller() for _ in range(count)]
     context.kernel.run(_call_unseen_and_end, context)
 
 
@@ -205,7 +146,7 @@
 
 @when("http server: {count:d} callers connect, it is told to end, and they call {late:d} ms later")
 def step_late_call(context, count, late):
-    context.callers = [Caller() for _ in range(count)]
+    context.callers = [CallCaller() for _ in range(count)]
     context.kernel.run(_connect_and_end, context, late / 1_000)
 
 
@@ -240,7 +181,7 @@
 @then("http server: a further connection is refused")
 def step_refused(context):
     try:
-        context.kernel.run(Caller().send, context.address)
+        context.kernel.run(CallCaller().send, context.address)
     except ConnectionRefusedError:
         return
     raise AssertionError("the connection was taken")
