Judge reads of a new session in the soak by the bound of staleness, not by its client's other sessions

Each read was the first of a new session, and missed one to three values that another session of the same client had been told of; replicas lagged by 0.6 s. The database of the soak lets a session miss commits of others that are no older than 2 s, and a session here is a connection. The soak compared with all that its client had written in any session. Change: a new session has to see what its client was told of longer than 2 s ago in other sessions; within a session all of its own, as before. A made-up history on either side of the bound.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -16,6 +16,7 @@
       | a refused write was committed         | what was refused is not kept       |
       | an acknowledged write is nowhere      | what was acknowledged was committed |
       | a session read an older value         | a session sees its own work        |
+      | a new session missed what another one of its client had written 3 s before | a session sees its own work |
       | a client was not served at the end    | service comes back                 |
       | a stopping proxy ran a statement and did not answer | a statement that is taken is answered whole |
       | a stopping proxy held a statement and did not answer | a statement that is taken is answered whole |
@@ -34,6 +35,7 @@
       | a killed proxy ran a statement and did not answer     |
       | a statement reached a proxy as its connection ended   |
       | SIGHUP ended a proxy that could not yet handle it     |
+      | a new session missed what another one of its client had written 1 s before |
       | SIGTERM ended a proxy that could not yet handle it    |
 
   Scenario Outline: soak: a process that <state> SIGHUP is known to handle it: <known>
--- a/features/soak/load.py
+++ b/features/soak/load.py
@@ -9,7 +9,7 @@
 import curio
 from curio import socket
 
-from features.support.line_platform.deployment import FRONT_PORT
+from features.support.line_platform.deployment import FRONT_PORT, MAX_STALENESS_MS
 from features.support.statement_path import LineClient, summary
 
 DATABASE = "db1"
@@ -42,6 +42,7 @@
 """So many clients end a session when they are told that its proxy leaves; the others use their
 connections until these end."""
 CONNECT_LIMIT_S = 2.0
+STALENESS_S = MAX_STALENESS_MS / 1_000
 UNANSWERED = "closed"
 LEAVES_SERVICE = "LD3006"
 
@@ -101,11 +102,19 @@
     reads: list[ReadTold] = field(default_factory=list)
     served: list[float] = field(default_factory=list)
 
-    def allowed_values(self) -> frozenset[str]:
-        """Return what a read may give now: the last acknowledged value, or one of unknown fate."""
+    def allowed_values(self, session: str, now: float) -> frozenset[str]:
+        """Return what a read that is sent now may give.
+
+        The last value that the session was told of as written, or that another session of the
+        client was told of longer ago than the bound of staleness; or one that is newer than that,
+        or of unknown fate.
+
+        :param session: what the ids of the session's requests begin with
+        """
         allowed = {"-"}
         for write in self.writes:
-            if write.word == "done":
+            is_seen = write.request_id.startswith(session) or now - write.at > STALENESS_S
+            if write.word == "done" and is_seen:
                 allowed = {write.value}
             elif write.word not in NOTHING_KEPT:
                 allowed.add(write.value)
@@ -212,7 +221,7 @@
 
     async def _read(self) -> None:
         client = self._client
-        allowed = self.record.allowed_values()
+        allowed = self.record.allowed_values(client.session, time.monotonic())
         words = await self._ask(f"READ {self._thing}")
         if "done" in words:
             told = ReadTold(client.request_id, words[0], allowed, time.monotonic())
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -40,7 +40,7 @@
         WriteTold("w2", "v2", "closed", 2.0),
         WriteTold("w3", "v3", "BUSY", 3.0),
     ]
-    record.reads = [ReadTold("r1", "v2", record.allowed_values(), 4.0)]
+    record.reads = [ReadTold("r1", "v2", record.allowed_values("w", 3.5), 4.0)]
     record.served = [LAST_SERVED_AT]
     context.lives = Lives()
 
@@ -81,8 +81,22 @@
 
 @when("soak: a session read an older value")
 def step_older(context):
-    allowed = context.record.allowed_values()
-    context.record.reads.append(ReadTold("r2", "v0", allowed, 5.0))
+    _read(context, "v0", "w", 4.5)
+
+
+def _read(context, value: str, session: str, sent_at: float) -> None:
+    allowed = context.record.allowed_values(session, sent_at)
+    context.record.asked.add("r2")
+    context.record.reads.append(ReadTold("r2", value, allowed, sent_at + 0.5))
+
+
+@when("soak: a new session missed what another one of its client had written {age:d} s before")
+def step_new_session(context, age):
+    context.record.writes.append(WriteTold("w4", "v4", "done", 4.0))
+    for member in context.group.members.values():
+        member.log.commits.append(_commit(4, "w4"))
+    context.record.asked.add("w4")
+    _read(context, "v2", "x", 4.0 + age)
 
 
 @when("soak: a client was not served at the end")
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -21,6 +21,7 @@
 CONTROLLERS = ("127.31.1.1", "127.31.2.1", "127.31.3.1")
 PROXIES = ("127.31.1.2", "127.31.2.2")
 ZONES = {"127.31.1": "z1", "127.31.2": "z2", "127.31.3": "z3"}
+MAX_STALENESS_MS = 2_000
 CONTROL_PORT, FRONT_PORT, READY_PORT, CLOUD_PORT = 28_782, 28_784, 28_785, 28_783
 FIRST_INTERNAL_PORT = 28_440
 CLOUD_ADDRESS = f"127.31.9.1:{CLOUD_PORT}"
@@ -166,7 +167,7 @@
                 "priority": 1,
                 "service": GROUP,
                 "maxAttempts": 2,
-                "maxStalenessMs": 2_000,
+                "maxStalenessMs": MAX_STALENESS_MS,
             }
             for name in databases
         ]
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -50,6 +50,7 @@
     """A client of the line protocol, on one end of a connection.
 
     :param prefix: begins the ids of its requests
+    :ivar session: the same
     :ivar request_id: of the last request
     :ivar last_answer: its lines
     """
@@ -57,7 +58,7 @@
     def __init__(self, sock: socket.socket, prefix: str = "q") -> None:
         self._socket = sock
         self._stream = sock.as_stream()
-        self._prefix = prefix
+        self.session = prefix
         self._next = 0
         self.request_id = ""
         self.last_answer: list[str] = []
@@ -84,7 +85,7 @@
     async def ask(self, text: str) -> str:
         """Ask a statement; return rows and outcome in few words."""
         self._next += 1
-        self.request_id = f"{self._prefix}{self._next}"
+        self.request_id = f"{self.session}{self._next}"
         await self.send(f"QUERY {self.request_id} {text}\r\n")
         self.last_answer = await self.answer()
         return summary(self.last_answer)
