--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -25,3 +25,25 @@
     When platform: the second proxy is killed and started again
     Then platform: a client connects to the second proxy before it is loaded
     And platform: that client's session at "db1" opens within 8 s
+
+  Scenario Outline: platform: a process that starts while its settings are <state> waits for the rest: <program>
+  A controller ended at once, as its settings file was empty at that moment: "Invalid JSON: EOF while parsing a value
+  at line 1 column 0", "event=failed", status 1. Settings that change are empty or half written for a moment.
+    Given platform: all processes started empty
+    Then platform: a configuration with the database "db1" is acknowledged within 8 s
+    When platform: the <program> is killed, and started while its settings are <state>
+    And platform: the settings are whole 1500 ms later
+    Then platform: the <program> has not ended
+    And platform: a configuration with the database "db2" is acknowledged within 8 s
+    And platform: every proxy is ready within 8 s
+
+    Examples:
+      | program          | state        |
+      | first controller | empty        |
+      | first controller | half written |
+      | second proxy     | half written |
+
+  Scenario: platform: a process whose settings are no settings ends, and says why
+    Given platform: all processes started empty
+    When platform: the second proxy is killed, and started while its settings are half written
+    Then platform: the second proxy ends with 1 within 6 s, and tells "validation error for NodeFile"
--- a/features/steps/platform_processes_steps.py
+++ b/features/steps/platform_processes_steps.py
@@ -18,6 +18,7 @@
 
 RETRY_S = 0.1
 CONNECT_RETRY_S = 0.005
+SETTLE_S = 0.5
 LOADED = "event=loaded"
 
 
@@ -190,3 +191,45 @@
         return summary([line.decode().rstrip()])
 
     assert run(context, open_early) == "I"
+
+
+MACHINES = {"first controller": CONTROLLERS[0], "second proxy": PROXIES[1]}
+SHARE_WRITTEN = {"empty": 0.0, "half written": 0.5}
+
+
+@when("platform: the {machine} is killed, and started while its settings are {state}")
+def step_start_unwritten(context, machine, state):
+    deployment = context.deployment
+    ip = MACHINES[machine]
+    program = "run_controller.py" if ip in CONTROLLERS else "run_proxy.py"
+    deployment.kill(ip)
+    context.settings = deployment.write_node_file(ip)
+    context.written = context.settings.read_text()
+    part = context.written[: int(SHARE_WRITTEN[state] * len(context.written))]
+    deployment.start_process(ip, program, written=part)
+
+
+@when("platform: the settings are whole {milliseconds:d} ms later")
+def step_written(context, milliseconds):
+    run(context, curio.sleep, milliseconds / 1_000)
+    context.settings.write_text(context.written)
+
+
+@then("platform: the {machine} has not ended")
+def step_not_ended(context, machine):
+    run(context, curio.sleep, SETTLE_S)
+    status = context.deployment.process(MACHINES[machine]).poll()
+    assert status is None, (status, context.deployment.log(MACHINES[machine])[-600:])
+
+
+@then('platform: the {machine} ends with {status:d} within {limit:d} s, and tells "{told}"')
+def step_ends(context, machine, status, limit, told):
+    deployment = context.deployment
+    ip = MACHINES[machine]
+
+    async def has_ended() -> bool:
+        return deployment.process(ip).poll() is not None
+
+    run(context, deployment.wait_until, has_ended, limit, "an end")
+    assert deployment.process(ip).poll() == status
+    assert told in deployment.log(ip), deployment.log(ip)[-600:]
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -69,9 +69,16 @@
         self._further.add(ip)
         self.start_process(ip, "run_controller.py", bootstrap=True)
 
-    def start_process(self, ip: str, program: str, bootstrap: bool = False) -> None:
-        """Start one process with a node file of its own."""
+    def start_process(
+        self, ip: str, program: str, bootstrap: bool = False, written: str | None = None
+    ) -> None:
+        """Start one process with a node file of its own.
+
+        :param written: what is written of the file by then; None for all of it
+        """
         path = self.write_node_file(ip, bootstrap)
+        if written is not None:
+            path.write_text(written)
         environment = {**os.environ, "LIMEDYKE_NODE_FILE": str(path)}
         with open(self._folder / f"{ip}.log", "ab") as log:
             self._processes[ip] = subprocess.Popen(
