Show calls that a controller loses as its listener closes, and callers that stand still before they call

Two scenarios of http_server.feature that fail on the code as it is (9 passed, 2 failed): - a handshake under way as the listener closes. In a run of its own, 12 callers without a pause against 3,000 closings at load 17 on 8 cores: of 405,000 calls on connections that stood, 31 ended with a reset. - a caller that stands still for 0.7 s between connecting and calling, as a look for garbage in Python makes it (0.25 to 0.68 s measured at load 20). The server ended 0.2 s after it had let the caller in. Ruled out: a call that is read and not answered (two looks before the end, a test of its own).

--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -31,6 +31,25 @@
     When http server: 5 callers call while it does not look, and it is told to end
     Then http server: the 5 are answered, and the server has ended within 1000 ms
 
+  Scenario: http server: a connection that is open for its caller, and not yet for the server, is let in
+  A caller's connection is open for it once the kernel has answered its request; for the server it is open when the
+  caller's confirmation has come. A listener that closed in between cut it, and the call that was sent on it. Beside
+  12 callers that called without a pause, 31 of 405,000 calls ended so in 3,000 closings ("lost
+  ConnectionResetError"): the packet filter behind which the listener closed dropped the confirmation too, where it
+  was meant to drop requests for connections only.
+    Given http server: one with places for 8 connections, and a queue of 1
+    When http server: 3 callers connect while it does not look, the last one's confirmation is lost
+    And http server: it is told to end, and they call, the last one once the first is answered
+    Then http server: the 3 are answered, and the server has ended within 1000 ms
+
+  Scenario: http server: a caller that stands still between connecting and calling is waited for
+  Callers stand still too: a look for garbage stopped a process of Python for 0.25 to 0.68 s on a machine with 20
+  runnable processes on 8 cores. A caller that stood still for longer than 0.2 s after it had connected found the
+  connection closed, and its call unanswered.
+    Given http server: one with places for 8 connections
+    When http server: 3 callers connect, it is told to end, and they call 700 ms later
+    Then http server: the 3 are answered, and the server has ended within 1500 ms
+
   Scenario: http server: a caller that has connected and not called yet is waited for
     Given http server: one with places for 8 connections
     When http server: 3 callers connect, it is told to end, and they call 100 ms later
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -14,7 +14,7 @@
 AT_ONCE_S = 0.2
 
 
-def _start(context, places: int, takes_s: float = 0.0) -> None:
+def _start(context, places: int, takes_s: float = 0.0, backlog: int | None = None) -> None:
     async def answer(_request: object) -> HttpAnswer:
         await curio.sleep(takes_s)
         return HttpAnswer(200)
@@ -22,6 +22,8 @@
     context.kernel = curio.Kernel()
     context.add_cleanup(context.kernel.run, shutdown=True)
     listener = listen("127.0.0.1:0").unwrap()
+    if backlog is not None:
+        listener.listen(backlog)
     host, port = listener.getsockname()
     context.address = f"{host}:{port}"
     server = HttpServer(answer, HttpLimits(1_024, connections=places))
@@ -31,7 +33,15 @@
         await curio.spawn(server.run, listener, daemon=True)
         await curio.sleep(SETTLE_S)
 
-    context.kernel.run(begin)
+    if backlog is None:
+        context.kernel.run(begin)
+    else:
+        context.begin_to_accept = lambda: curio.spawn(server.run, listener, daemon=True)
+
+
+@given("http server: one with places for {places:d} connections, and a queue of {backlog:d}")
+def step_short_queue(context, places, backlog):
+    _start(context, places, backlog=backlog)
 
 
 @given("http server: one with places for {places:d} connections")
@@ -137,11 +147,15 @@
 
 async def _end(context) -> None:
     """Drain the server as a process does that ends behind it: what is not answered is cut."""
+    await _drain(context)
+    for caller in context.callers:
+        caller.receive_at_once()
+
+
+async def _drain(context) -> None:
     began_at = time.monotonic()
     await context.server.drain()
     context.ended_s = time.monotonic() - began_at
-    for caller in context.callers:
-        caller.receive_at_once()
 
 
 @when("http server: {count:d} callers connect, it is told to end, and they call {late:d} ms later")
@@ -182,6 +196,42 @@
     await ending.join()
 
 
+@when(
+    "http server: {count:d} callers connect while it does not look, "
+    "the last one's confirmation is lost"
+)
+def step_unconfirmed(context, count):
+    """The queue is full when the confirmation comes, so that the kernel drops it."""
+    context.callers = [CallCaller() for _ in range(count)]
+    *queued, last = context.callers
+    last.begin_to_connect(context.address)
+    for caller in queued:
+        caller.send_at_once(context.address, b"")
+    context.kernel.run(last.hear_again)
+
+
+@when("http server: it is told to end, and they call, the last one once the first is answered")
+def step_end_and_call(context):
+    context.kernel.run(_end_and_call, context)
+
+
+async def _end_and_call(context) -> None:
+    """The kernel has thrown the confirmation away; the first bytes of the call bring it again.
+
+    They find room in the queue once the server has begun to take it over.
+    """
+    *queued, last = context.callers
+    await context.begin_to_accept()
+    ending = await curio.spawn(_drain, context)
+    for caller in queued:
+        caller.send_rest_at_once(CALL)
+    await queued[0].receive()
+    last.send_rest_at_once(CALL)
+    await ending.join()
+    for caller in context.callers[1:]:
+        caller.receive_at_once()
+
+
 @when("http server: it is told to end")
 def step_end(context):
     context.callers = []
--- a/features/support/http_callers.py
+++ b/features/support/http_callers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import ctypes
+import struct
+
 import curio
 from curio import socket
 
@@ -10,6 +13,15 @@
 CALL = b"GET /config HTTP/1.1\r\nhost: server\r\n\r\n"
 ANSWER_LIMIT_S = 2.0
 SETTLE_S = 0.05
+LOOK_S = 0.01
+HANDSHAKE_LIMIT_S = 5.0
+"""The kernel sends what it got no answer to again after 1 s, and after 2 s more."""
+SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27
+"""Options of Linux that Python's ``socket`` does not name, from asm-generic/socket.h."""
+DROP_ALL = struct.pack("HBBI", 0x06, 0, 0, 0)
+"""A packet filter of one instruction, "return 0": keep no byte of any packet."""
+ESTABLISHED = 1
+"""State of a connection in ``TCP_INFO``."""
 
 
 class CallCaller:
@@ -35,6 +47,25 @@
         with self._socket.blocking() as raw:
             raw.sendall(data)
 
+    def begin_to_connect(self, address: str) -> None:
+        """Ask for a connection, and lose the kernel's answers until ``hear_again``."""
+        program = ctypes.create_string_buffer(DROP_ALL, len(DROP_ALL))
+        filters = struct.pack("HP", 1, ctypes.addressof(program))
+        self._socket.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, filters)
+        with self._socket.blocking() as raw:
+            raw.setblocking(False)
+            raw.connect_ex(split_address(address))
+
+    async def hear_again(self) -> None:
+        """Lose nothing any more, and return once the connection is open for this caller."""
+        self._socket.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+        async with curio.timeout_after(HANDSHAKE_LIMIT_S):
+            while not self._is_established():
+                await curio.sleep(LOOK_S)
+
+    def _is_established(self) -> bool:
+        return self._socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0] == ESTABLISHED
+
     async def send_rest(self, data: bytes) -> None:
         """Send the rest of a call."""
         await self._socket.sendall(data)
