Show that a process that stood still blames its members

Symptom: after a pause of 0.5 s of the proxy itself a healthy primary was reported unreachable, and a first read was refused 0.4 s before its end.

--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -223,6 +223,26 @@
     Then statement path: that took less than 350 ms
     And statement path: "WRITE x 3" ran nowhere
 
+  Scenario Outline: statement path: a process that stood still for <still> ms, <after> ms after "<asked>", blames nobody
+  A process that stands still finds its time limits passed when it goes on, and took members for silent that had no
+  chance to answer. With 0.5 s of it at any moment between 20 and 180 ms after the first read, the read was refused
+  0.4 s before its end: "BUSY LD3003 not-connected at a (try again in 1151 ms)".
+    Given statement path: a primary database on primary a and replicas b c, the proxy beside b
+    And statement path: a is 45 ms away, one way
+    And statement path: statements may take 1500 ms, aim at 400 ms and may be tried 2 times
+    And statement path: the members are watched from now on
+    When statement path: the process will stand still for <still> ms, in <after> ms
+    And statement path: the client asks "<asked>" and is told "<told>"
+    Then statement path: "<asked>" ran 1 times
+    And statement path: a was never reported unreachable
+
+    Examples:
+      | still | after | asked     | told     |
+      | 500   | 60    | READ x    | - done I |
+      | 500   | 120   | READ x    | - done I |
+      | 500   | 120   | WRITE x 1 | done I   |
+      | 600   | 20    | READ x    | - done I |
+
   Scenario Outline: statement path: connections to a that went silent say nothing of its health, safeguard <safeguard>
     Given statement path: a session database on primary a and replicas b c, the proxy beside b
     And statement path: the safeguard "examined on a new connection" is <safeguard>
--- a/features/steps/statement_path_steps.py
+++ b/features/steps/statement_path_steps.py
@@ -97,6 +97,19 @@
     run(context, curio.sleep, milliseconds / 1_000)
 
 
+@when("statement path: the process will stand still for {still:d} ms, in {after:d} ms")
+def step_stand_still(context, still, after):
+    async def stand_still():
+        await curio.sleep(after / 1_000)
+        time.sleep(still / 1_000)
+
+    run(context, _spawn, stand_still)
+
+
+async def _spawn(function):
+    await curio.spawn(function, daemon=True)
+
+
 @step("statement path: nothing happens")
 def step_nothing(context):
     pass
--- a/features/steps/statement_pool_steps.py
+++ b/features/steps/statement_pool_steps.py
@@ -44,6 +44,11 @@
     assert context.healths.seen == healths.split(", "), context.healths.seen
 
 
+@then("statement path: a was never reported unreachable")
+def step_never_unreachable(context):
+    assert MemberHealth.UNREACHABLE.value not in context.healths.seen, context.healths.seen
+
+
 @step("statement path: the members are watched from now on")
 def step_watched_on(context):
     context.healths = context.path.groups.reporter = _Healths()
