Let handshakes under way in as a listener closes, and wait 1 s for a caller's first call

Causes: the closing listener's packet filter dropped the confirmations of handshakes too; and a caller that stood still for longer than 0.2 s between connecting and calling found its connection closed. Which of the two it was in the one failure that was seen can't be told from what it left. FIRST_CALL_S 0.2 to 1.0.

--- a/limedyke/transport/http_server.py
+++ b/limedyke/transport/http_server.py
@@ -16,8 +16,9 @@
 RECEIVE_BYTES = 64 * 1024
 MAXIMUM_HEAD_BYTES = 16 * 1024
 SEND_TIMEOUT_S = 10.0
-FIRST_CALL_S = 0.2
-"""A caller that has connected sends its call within this: two ways of 20 ms and five times that."""
+FIRST_CALL_S = 1.0
+"""A caller that has connected sends its call within this. One that looks for garbage stands still
+for up to 0.7 s on a machine with 20 runnable processes on 8 cores; callers give up after 1 s."""
 DRAIN_LOOK_S = 0.01
 QUIET_LOOKS = 2
 """A process that stood still for longer than ``FIRST_CALL_S`` reads what came meanwhile between two
@@ -152,13 +153,17 @@
         cuts what it has taken, and what callers have sent on connections not accepted yet.
         """
         self._is_draining = True
-        if self._acceptor is not None:
-            await self._acceptor.close()
+        closing = await curio.spawn(self._close_listener)
         quiet_looks = 0
-        while quiet_looks < QUIET_LOOKS:
+        while quiet_looks < QUIET_LOOKS or not closing.terminated:
+            await curio.sleep(DRAIN_LOOK_S)
             is_due = any(peer.is_due for peer in self._peers)
             quiet_looks = 0 if is_due else quiet_looks + 1
-            await curio.sleep(DRAIN_LOOK_S)
+        await closing.join()
+
+    async def _close_listener(self) -> None:
+        if self._acceptor is not None:
+            await self._acceptor.close()
 
     async def _admit(self, sock: socket.socket) -> None:
         if len(self._peers) >= self._limits.connections and not await self._make_room():
