Count no time in which a proxy stood still as its members' silence

Symptom: after a pause of 0.5 s of the proxy itself a healthy primary was reported unreachable, and a first read that had 0.4 s left was refused: 'LD3003 not-connected at a (try again in 1151 ms)'. Cause: time limits ran on while the process stood still; what had not come by then was taken for silence, and what it took was learned as the member's time. Ruled out: an answer that is there when the process goes on is taken (curio gives it before the limit); an opening of two steps is not. Change: the task that looks at the members each 0.1 s notes by how much it woke up late (ProcessPauses); silence, examinations and learned times leave that out, and an opening whose time passed so is begun anew. Links to home proxies have the like already; PostgreSQL's probes take late answers.

--- a/limedyke/core/statements/member_belief.py
+++ b/limedyke/core/statements/member_belief.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from limedyke.core.statements.process_pauses import ProcessPauses
 from limedyke.core.statements.time_estimate import TimeEstimate
 from limedyke.messages.control import MemberHealth
 from limedyke.messages.databases import AnnouncedMember, MemberState
@@ -48,9 +49,11 @@
     :ivar position: the last one it told
     :ivar contact_at: when it last answered anything
     :ivar probed_at: when it was last asked whether it answers
+    :param pauses: of this process: nothing that falls in there is silence of the member
     """
 
     record: AnnouncedMember
+    pauses: ProcessPauses = field(default_factory=ProcessPauses)
     outstanding: int = 0
     waiting: int = 0
     answer: TimeEstimate = field(default_factory=_first_answer)
@@ -95,12 +98,18 @@
         self._awaited -= 1
         self._owes_answer = self._owes_answer or not is_answered
 
+    def awaited_s(self, since: float, now: float) -> float:
+        """Return for how long this process has been there to take an answer."""
+        return now - since - self.pauses.total_s(since, now)
+
     def silent_s(self, now: float) -> float:
         """Return for how long answers were awaited without a single one coming.
 
         A member that let the time of a statement pass is silent until it answers something.
         """
-        return now - self._awaited_since if self._awaited or self._owes_answer else 0.0
+        if not self._awaited and not self._owes_answer:
+            return 0.0
+        return self.awaited_s(self._awaited_since, now)
 
     def seems_silent(self, now: float) -> bool:
         """Whether the member seems to hang: nothing of what is awaited there comes."""
@@ -169,6 +178,18 @@
         self._owes_answer = True
         self._trouble(now, TROUBLES_FOR_UNREACHABLE)
 
+    def let_pass(self, asked_at: float, limit_s: float, now: float) -> bool:
+        """Take that nothing came in the time for an answer; tell whether that says anything.
+
+        It does not when this process stood still: it may not even have asked. A proxy that stood
+        still for 0.5 s while it opened its first connection took the member for unreachable, and
+        refused a read that had 0.4 s left.
+        """
+        if self.awaited_s(asked_at, now) < limit_s:
+            return False
+        self.was_silent(now)
+        return True
+
     def broke(self, now: float) -> None:
         """Note that a connection was refused, reset or closed."""
         self._trouble(now, 1)
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -13,6 +13,7 @@
 from limedyke.core.access_keys import AccessKeys
 from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.core.statements.primary_outage import OutageTimes
+from limedyke.core.statements.process_pauses import ProcessPauses
 from limedyke.event_log import EventLog
 from limedyke.messages.control import (
     ConnectionLease,
@@ -90,6 +91,7 @@
         self._make_codec = make_codec
         self._primary_lease_ends_at = primary_lease_ends_at
         self._outage_times = OutageTimes()
+        self._pauses = ProcessPauses()
         self._leases: dict[tuple[str, str], int] = {}
         self._owed: set[tuple[str, str]] = set()
         self._reported: dict[tuple[str, str], _Seen] = {}
@@ -141,8 +143,10 @@
         """Watch the members until cancelled: probe silent primaries, report changes."""
         next_housekeeping = time.monotonic() + HOUSEKEEPING_S
         while True:
+            self._pauses.sleeps_until(time.monotonic() + WATCH_INTERVAL_S)
             await curio.sleep(WATCH_INTERVAL_S)
             now = time.monotonic()
+            self._pauses.woke(now)
             for group in [group for group in self.groups.values() if group.limit > 0]:
                 await self._watch_group(group, now)
             await self._return_leases()
@@ -233,6 +237,7 @@
     def _new_group(self, name: str) -> StatementGroup:
         def make_pool(belief: MemberBelief) -> MemberPool:
             settings = self._settings
+            belief.pauses = self._pauses
             timeout_s = settings.connect_timeout_ms / 1_000
             neighbour = self._known_in(belief.record.zone)
             if neighbour is not None:
--- a/limedyke/proxy/statements/members/member_connection.py
+++ b/limedyke/proxy/statements/members/member_connection.py
@@ -48,6 +48,7 @@
     :ivar status: of the connection's transaction
     :ivar lent_at: when it was last lent to a request
     :ivar heard_at: when something last came on it
+    :ivar opened_in_s: how long its opening took, pauses of this process left out
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         self.idle_since = time.monotonic()
         self.lent_at = self.idle_since
         self.heard_at = self.idle_since
+        self.opened_in_s = 0.0
 
     @classmethod
     async def open(
--- a/limedyke/proxy/statements/members/member_exchange.py
+++ b/limedyke/proxy/statements/members/member_exchange.py
@@ -132,7 +132,7 @@
             return
         belief.answered(now, answer.position)
         if answer.kind is AnswerKind.DONE:
-            belief.served(now - started_at)
+            belief.served(belief.awaited_s(started_at, now))
             if not is_replica:
                 attempt.group.outage.ended()
             is_commit = attempt.run.writes and answer.status is TransactionStatus.IDLE
@@ -150,6 +150,6 @@
     is_answered = belief.contact_at >= started_at
     if is_answered:
         belief.took_at_least(waited_s)
-    elif waited_s >= max(SILENCE_S, belief.longest_sign_s):
-        belief.was_silent(now)
+    else:
+        belief.let_pass(started_at, max(SILENCE_S, belief.longest_sign_s), now)
     return is_answered
--- a/limedyke/proxy/statements/members/member_pool.py
+++ b/limedyke/proxy/statements/members/member_pool.py
@@ -196,13 +196,14 @@
     async def check_address(self, timeout_s: float) -> None:
         """See whether anything answers at the member's address, when no connection is free."""
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        asked_at = time.monotonic()
         try:
             async with sock, curio.timeout_after(timeout_s):
                 if self._source_ip:
                     sock.bind((self._source_ip, 0))
                 await sock.connect(split_address(self.belief.record.address))
         except curio.TaskTimeout:
-            self.belief.was_silent(time.monotonic())
+            self.belief.let_pass(asked_at, timeout_s, time.monotonic())
         except OSError:
             self.belief.broke(time.monotonic())
 
@@ -317,53 +318,60 @@
         await curio.spawn(self._open, opener, daemon=True)
 
     async def _open(self, tenant: str) -> None:
-        began_at = time.monotonic()
-        self.belief.sent(began_at)
+        self.belief.sent(time.monotonic())
         try:
             opened = await self._try_to_open(tenant)
         finally:
             self.belief.ended()
             self._opening[tenant] -= 1
         if isinstance(opened, Ok):
-            now = time.monotonic()
-            self.belief.connected(now, now - began_at)
+            connection = opened.ok_value
+            self.belief.connected(time.monotonic(), connection.opened_in_s)
             if self.is_closed or self.opened > self.limit:
-                await self._give_up(opened.ok_value)
+                await self._give_up(connection)
             else:
-                await self._give_to_own_tenant(opened.ok_value)
+                await self._give_to_own_tenant(connection)
             return
         self.opened -= 1
         await self._not_opened(opened.err_value, tenant)
 
     async def _try_to_open(self, tenant: str) -> Result[MemberConnection, Exception]:
-        """Open a connection for a tenant; the member is believed what this shows of it."""
+        """Open a connection for a tenant; the member is believed what this shows of it.
+
+        It is tried again when this process stood still meanwhile.
+        """
         belief = self.belief
-        record = belief.record
-        codec = self._make_codec()
-        try:
-            limit_s = max(self._connect_timeout_s, belief.opening.longest_s)
-            async with curio.timeout_after(limit_s):
-                connection = await MemberConnection.open(
-                    record.address,
-                    record.group,
-                    record.identity,
-                    codec,
-                    self._source_ip,
-                    self._traffic,
-                    tenant,
-                )
-        except curio.TaskTimeout:
-            belief.was_silent(time.monotonic())
-            return Err(ConnectionLostError("no answer to a connection attempt"))
-        except ConnectionRefusedByMemberError as error:
-            if error.answer.kind is not AnswerKind.WRONG_MEMBER:
-                belief.answered(time.monotonic(), None)
-            return Err(error)
-        except ConnectionLostError as error:
-            if not belief.answered_lately(time.monotonic()):
-                belief.broke(time.monotonic())
-            return Err(error)
-        return Ok(connection)
+        limit_s = max(self._connect_timeout_s, belief.opening.longest_s)
+        while True:
+            asked_at = time.monotonic()
+            try:
+                async with curio.timeout_after(limit_s):
+                    connection = await self._connect(tenant)
+                connection.opened_in_s = belief.awaited_s(asked_at, time.monotonic())
+                return Ok(connection)
+            except curio.TaskTimeout:
+                if belief.let_pass(asked_at, limit_s, time.monotonic()):
+                    return Err(ConnectionLostError("no answer to a connection attempt"))
+            except ConnectionRefusedByMemberError as error:
+                if error.answer.kind is not AnswerKind.WRONG_MEMBER:
+                    belief.answered(time.monotonic(), None)
+                return Err(error)
+            except ConnectionLostError as error:
+                if not belief.answered_lately(time.monotonic()):
+                    belief.broke(time.monotonic())
+                return Err(error)
+
+    async def _connect(self, tenant: str) -> MemberConnection:
+        record = self.belief.record
+        return await MemberConnection.open(
+            record.address,
+            record.group,
+            record.identity,
+            self._make_codec(),
+            self._source_ip,
+            self._traffic,
+            tenant,
+        )
 
     async def _not_opened(self, error: Exception, tenant: str) -> None:
         """Tell requests that a connection was not opened; who may get another one waits on."""
--- a/limedyke/proxy/statements/members/member_questions.py
+++ b/limedyke/proxy/statements/members/member_questions.py
@@ -116,9 +116,10 @@
         if connection is None:
             await pool.check_address(limit_s)
             return
+        asked_at = time.monotonic()
         await self._ask_on(pool, connection, limit_s)
         if connection.is_closed:
-            pool.belief.was_silent(time.monotonic())
+            pool.belief.let_pass(asked_at, limit_s, time.monotonic())
             return
         await self._check_unheard(pool, pool.take_unheard(silent_since), limit_s)
 
