Show that a primary that starts again empty is read, and that records of another writer are taken

Three scenarios on real processes that fail on the code as it is: - a primary that starts again under its identity and at its address, empty, whether it says that it leads or that it follows: a client that had been told of its write of 1 is told '- done I' for as long as one looks (4 s). - records of another writer at each controller: statuses {400, 200} where all should be refused.

--- a/features/platform_processes.feature
+++ b/features/platform_processes.feature
@@ -47,3 +47,29 @@
     Given platform: all processes started empty
     When platform: the second proxy is killed, and started while its settings are half written
     Then platform: the second proxy ends with 1 within 6 s, and tells "validation error for NodeFile"
+
+  Scenario Outline: platform: the primary starts again empty, under its identity and at its address, and <says>
+    Given platform: all processes started empty
+    Then platform: a configuration with the database "db1" is acknowledged within 8 s
+    And platform: every proxy is ready within 5 s
+    When platform: a client at the first proxy opens "db1"
+    Then platform: it asks "WRITE x 1" and is told "done I" within 5 s
+    When platform: the primary starts again empty, and <says>
+    Then platform: a client that reads x for 4 s is told "1 done I" or refused, and "1 done I" at the end
+    And platform: one member was promoted
+    And platform: it asks "WRITE x 2" and is told "done I" within 2 s
+
+    Examples:
+      | says                 |
+      | says that it leads   |
+      | says that it follows |
+
+  Scenario: platform: records of another writer name no member, and the others serve on
+    Given platform: all processes started empty
+    Then platform: a configuration with the database "db1" is acknowledged within 8 s
+    And platform: every proxy is ready within 5 s
+    When platform: each controller gets 20 records of another writer of each kind
+    Then platform: all of them were refused with 400
+    And platform: no process has ended
+    When platform: a client at the first proxy opens "db1"
+    Then platform: it asks "WRITE x 1" and is told "done I" within 2 s
--- a/features/soak.feature
+++ b/features/soak.feature
@@ -62,6 +62,10 @@
     When soak: the stops of seed 2 are played for 10 s with 16 clients
     Then soak: it broke no promise, and served 500 statements
 
+  Scenario: soak: real processes whose members start again empty under their identities, by a fixed seed
+    When soak: seed 3, whose members come back empty, is played for 10 s
+    Then soak: it broke no promise, and served 300 statements
+
   Scenario: soak: real processes under the faults and stops of a fixed seed at once
     When soak: the faults and stops of seed 4 are played for 10 s with 8 clients
     Then soak: it broke no promise, and served 100 statements
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -1,8 +1,9 @@
 """Runs the soak: ``python -m features.soak.run SEEDS [SECONDS]``; ``--help`` lists the options.
 
 Seeds are such as ``1-5``; the shape is ``faults``, ``stops`` for planned work in series that
-overlap, or ``both``.  Each seed prints one line; one that breaks a promise prints what was done,
-what is broken and the folder of its logs, and the exit status is 1.
+overlap, or ``both``; with ``--empties`` most members that crash start again empty.  Each seed
+prints one line; one that breaks a promise prints what was done, what is broken and the folder of
+its logs, and the exit status is 1.
 """
 
 from __future__ import annotations
@@ -43,12 +44,14 @@
 
     :param has_faults: faults strike
     :param has_stops: processes are stopped, and told of changed settings, in series that overlap
+    :param has_empties: most members that crash start again without their logs
     """
 
     has_faults: bool = True
     has_stops: bool = False
     proxies: int = len(PROXIES)
     clients: int = CLIENTS
+    has_empties: bool = False
 
     def machines(self) -> tuple[str, ...]:
         """Return the addresses of the proxies' machines, spread over the zones."""
@@ -127,7 +130,8 @@
         tasks = [await curio.spawn(client.run) for client in clients]
         tasks.append(await curio.spawn(operator.run))
         async with curio.TaskGroup() as work:
-            await work.spawn(Striker(deployment, seed).run, faults)
+            striker = Striker(deployment, seed, shape.has_empties)
+            await work.spawn(striker.run, faults)
             await work.spawn(Worker(deployment).run, series)
         await curio.sleep(RECOVERY_S)
         healed_at = time.monotonic()
@@ -187,10 +191,11 @@
     shape: str = "faults",
     proxies: int = len(PROXIES),
     clients: int = CLIENTS,
+    empties: bool = False,
 ) -> None:
     """Play seeds; exit with 1 when a promise was broken."""
     first, _, last = str(seeds).partition("-")
-    played = SoakShape(shape != "stops", shape != "faults", proxies, clients)
+    played = SoakShape(shape != "stops", shape != "faults", proxies, clients, empties)
     is_broken = False
     for seed in range(int(first), int(last or first) + 1):
         result = run_soak(seed, seconds, played)
--- a/features/soak/world.py
+++ b/features/soak/world.py
@@ -23,6 +23,10 @@
 LOOK_S = 0.05
 BUSY_ANSWERS, LOST_ANSWERS = 40, 3
 LAG_S, DELAY_S = 0.6, 0.15
+EMPTY_SHARE, LEADING_SHARE = 0.7, 0.5
+"""So many of the members that crash come back empty, and so many of the primaries among them say
+that they lead."""
+CATCH_UP_S, CATCH_UP_LOOK_S = 1.0, 0.2
 CONTROLLER_PROGRAM, PROXY_PROGRAM = "run_controller.py", "run_proxy.py"
 
 
@@ -141,10 +145,13 @@
     """Brings faults about, and ends them.
 
     :param seed: draws what a plan leaves open
+    :param empties: members that crash come back under their identities without their logs, most of
+        them, while another member holds all
     """
 
-    def __init__(self, deployment: SoakDeployment, seed: int) -> None:
+    def __init__(self, deployment: SoakDeployment, seed: int, empties: bool = False) -> None:
         self._deployment = deployment
+        self._empties = empties
         self._generator = random.Random(seed)
 
     async def run(self, plan: tuple[Fault, ...]) -> None:
@@ -240,11 +247,29 @@
     async def _crash(self, member: StandInMember | None, seconds: float) -> None:
         if member is None or member.task.terminated:
             return
+        led = member.is_primary
         await self._deployment.group.crash(member.identity)
         await curio.sleep(seconds)
-        if member.task.terminated:
+        if not member.task.terminated:
+            return
+        if self._empties and self._generator.random() < EMPTY_SHARE and self._has_others(member):
+            await self._start_empty(member, led and self._generator.random() < LEADING_SHARE)
+        else:
             await self._deployment.group.restart(member.identity)
 
+    def _has_others(self, member: StandInMember) -> bool:
+        """Tell whether all other members run and hold what was committed."""
+        others = [m for m in self._deployment.group.members.values() if m is not member]
+        return all(not m.task.terminated and not m.faults.deaf for m in others)
+
+    async def _start_empty(self, member: StandInMember, leads: bool) -> None:
+        """Start a member without its log; it catches up once another one leads."""
+        group = self._deployment.group
+        await group.start_again(member.identity, leads and group.primary is None)
+        await curio.sleep(CATCH_UP_S)
+        while not member.task.terminated and not group.catch_up(member.identity):
+            await curio.sleep(CATCH_UP_LOOK_S)
+
     async def _strike_link(self, fault: Fault, relay: MemberRelay) -> None:
         trouble = relay.trouble
         match fault.kind:
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -219,6 +219,11 @@
     context.result = run_soak(seed, seconds, shape)
 
 
+@when("soak: seed {seed:d}, whose members come back empty, is played for {seconds:d} s")
+def step_empties_played(context, seed, seconds):
+    context.result = run_soak(seed, seconds, SoakShape(has_empties=True))
+
+
 @when("soak: seed {seed:d} is played for {seconds:d} s")
 def step_played(context, seed, seconds):
     context.result = run_soak(seed, seconds)
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -51,6 +51,7 @@
         self.version = 0
         self.statement_timeout_ms = 1_000
         self.authority_is_down = False
+        self._born_ms = int(time.time() * 1_000)
 
     async def start(self) -> None:
         """Start the stand-ins and all processes."""
@@ -230,6 +231,7 @@
             "warmupLeftMs": 0,
             "dbRole": "primary" if member.is_primary else "replica",
             "callSeq": int(time.monotonic() * 1_000),
+            "born": self._born_ms + member.incarnation,
         }
         call = HttpCall("PUT", f"/instances/{member.identity}", json.dumps(body).encode())
         for ip in CONTROLLERS:
--- a/features/support/line_platform/group.py
+++ b/features/support/line_platform/group.py
@@ -42,6 +42,7 @@
     connections: int = 0
     opened: int = 0
     status_questions: int = 0
+    incarnation: int = 1
     listener: socket.socket | None = None
     sessions: set[MemberSession] = field(default_factory=set)
     task: curio.Task | None = None
@@ -87,6 +88,33 @@
         member.listener = listener
         member.task = await curio.spawn(self._accept, member, listener, daemon=True)
 
+    async def start_again(self, identity: str, leads: bool) -> None:
+        """Have a member crash and start again under its identity and at its address, empty.
+
+        It receives nothing until it catches up.
+
+        :param leads: it says that it is the primary
+        """
+        member = self.members[identity]
+        if not member.task.terminated:
+            await self.crash(identity)
+        member.log = MemberLog()
+        member.incarnation += 1
+        member.faults.deaf = not leads
+        await self.start_member(member)
+        member.is_primary = leads
+
+    def catch_up(self, identity: str) -> bool:
+        """Have a member copy the primary's log; False when no other member leads."""
+        member = self.members[identity]
+        lead = self.primary
+        if lead is None or lead is member:
+            return False
+        member.log.commits = list(lead.log.commits)
+        member.log.applied = len(member.log.commits)
+        member.faults.deaf = False
+        return True
+
     async def crash(self, identity: str) -> None:
         """End a member: its connections are reset, its port refuses."""
         member = self.members[identity]
