Tell a member's incarnations apart by its start, and take no record of another writer

Cause: what is known of a process (number, drain, positions, place as primary) was kept under an identity that outlives the process. Ruled out: stale reads at an emptied replica: each names the position that the log must hold, and was refused before. Change: the start is part of a member's record, of reports on it and of the recorded primary. Announcements are ordered by it; incarnations that said that they end are kept in the log. The leader replaces a primary that has started again, forgets what was seen of a former incarnation, and promotes an emptied member last. A proxy takes another pool and belief for it, and does not use a primary whose new connection begins behind a position that it had told (reported as unreachable), which covers cuts from the controllers.

--- a/features/support/announced_world.py
+++ b/features/support/announced_world.py
@@ -45,15 +45,21 @@
 
 
 class AnnouncedWorld:
-    """Proposals are applied at once; proxies confirm what is applied, unless told not to."""
+    """Proposals are applied at once; proxies confirm what is applied, unless told not to.
 
-    def __init__(self, members: dict[str, str]) -> None:
+    :param started_at_ms: when all members started; 0 when they do not tell
+    """
+
+    def __init__(self, members: dict[str, str], started_at_ms: int = 0) -> None:
         self.now = 100.0
         self.test = StateUnderTest()
         access = TenantAccess("shared", GROUP, "", "", 30)
         group = Group(GROUP, (), 30, 1, (access,), "", PromotionMode.AUTHORITY, announced=True)
         self.test.apply(DeclareVersion(1, b"{}", Declaration(groups=(group,))))
-        self.members = {name: a_member(name, role) for name, role in members.items()}
+        self.members = {
+            name: replace(a_member(name, role), started_at_ms=started_at_ms)
+            for name, role in members.items()
+        }
         self.test.apply(RecordMembers(tuple(self.members.values())))
         self.silent: set[str] = set()
         self.unconfirming: set[str] = set()
@@ -118,7 +124,8 @@
     def announce(self, name: str, role: str | None = None) -> None:
         """Let a member announce itself, its role changed or not."""
         if role is not None:
-            self.members[name] = a_member(name, role)
+            started = self.members[name].started_at_ms if name in self.members else 0
+            self.members[name] = replace(a_member(name, role), started_at_ms=started)
         self.sequences[name] = self.sequences.get(name, 0) + 1
         book = self.leader.announcements
         entry = book.announced(self.members[name], self.sequences[name], self.now)
@@ -126,6 +133,13 @@
             self.apply(entry)
         self.post()
 
+    def start_again(self, name: str, role: str, later_ms: int = 1_000) -> None:
+        """Let a member start anew under its identity, and announce itself."""
+        started = self.members[name].started_at_ms + later_ms
+        self.members[name] = replace(a_member(name, role), started_at_ms=started)
+        self.sequences[name] = 0
+        self.announce(name)
+
     def withdraw(self, name: str) -> None:
         """Let a member end."""
         entry = self.leader.announcements.withdrawn(name, self.now)
@@ -141,11 +155,26 @@
         health: MemberHealth,
         position: int = 0,
         term: int = 3,
+        leads: bool | None = None,
+        started_at_ms: int | None = None,
     ) -> None:
-        """Let proxies report on members, whose logs they have seen up to a position in a term."""
+        """Let proxies report on members, whose logs they have seen up to a position in a term.
+
+        :param leads: whether they think that it leads; None for what is recorded
+        :param started_at_ms: of the incarnation that they have seen; None for the present one
+        """
         for proxy in proxies.split():
             for member in members.split():
-                report = MemberReport(GROUP, member, health, term, position, False)
+                known_start = self.members[member].started_at_ms if member in self.members else 0
+                report = MemberReport(
+                    GROUP,
+                    member,
+                    health,
+                    term,
+                    position,
+                    member == self.primary if leads is None else leads,
+                    known_start if started_at_ms is None else started_at_ms,
+                )
                 self.post(MemberReported(proxy, report))
 
     def answer(self, outcome: AuthorityOutcome) -> None:
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -138,10 +138,12 @@
         self.far: dict[str, FarAddress] = {}
         self.group = StandInGroup(GROUP, ("a", "b", "c"))
         self.primary = "a"
+        self.primary_started_at_ms = 0
         self.term = 1
         self.lease_ends_at = NEVER
         self.idle_in_transaction_ms = 0
         self.draining: set[str] = set()
+        self.starts: dict[str, int] = {}
         self.with_database = True
         self.clients: list[LineClient] = []
         self.index = 0
@@ -250,7 +252,7 @@
             revision=1,
             tenants=dict(self.tenants),
             groups={GROUP: group},
-            primaries={GROUP: GroupPrimary(GROUP, self.term, self.primary)},
+            primaries={GROUP: self._recorded_primary()},
             databases=databases if self.with_database else {},
             session_limits=SessionLimits(self.idle_in_transaction_ms),
             announced={name: self._record(name) for name in self.group.members},
@@ -258,6 +260,10 @@
             homes={GROUP: tuple(self.proxies)},
         )
 
+    def _recorded_primary(self) -> GroupPrimary:
+        started_at_ms = self.primary_started_at_ms or self.starts.get(self.primary, 0)
+        return GroupPrimary(GROUP, self.term, self.primary, started_at_ms=started_at_ms)
+
     def hold_key(self, tenant: str, *keys: str) -> None:
         """Have a tenant hold these keys and no others, from the next view on."""
         digests = tuple(access_key_digest(key) for key in keys)
@@ -272,7 +278,17 @@
         member = self.group.members[name]
         state = MemberState.DRAINING if name in self.draining else MemberState.READY
         address = self.far[name].address if name in self.far else member.address
-        return AnnouncedMember(name, GROUP, address, ZONES[name], "v1", 3, state, member.is_primary)
+        return AnnouncedMember(
+            name,
+            GROUP,
+            address,
+            ZONES[name],
+            "v1",
+            3,
+            state,
+            member.is_primary,
+            self.starts.get(name, 0),
+        )
 
     async def move_away(self, name: str, one_way_s: float) -> None:
         """Put a member so far off, and have the proxy know its address there."""
--- a/limedyke/controller/leading/leader_calls.py
+++ b/limedyke/controller/leading/leader_calls.py
@@ -109,7 +109,8 @@
         return await self._record(entry)
 
     async def _withdraw(self, call: WithdrawCall, service: LeaderService) -> CallAnswer:
-        entry = service.decisions.announcements.withdrawn(call.identity, boot_seconds())
+        book = service.decisions.announcements
+        entry = book.withdrawn(call.identity, boot_seconds(), call.started_at_ms)
         return await self._record(entry)
 
     async def _record(self, entry: ControlEntry | None) -> CallAnswer:
--- a/limedyke/core/control/displaced_members.py
+++ b/limedyke/core/control/displaced_members.py
@@ -16,18 +16,22 @@
 
     An announcement may be held up by a cut until after its sender crashed and another member
     registered at its address. Its number says nothing: it counts from the sender's own start.
+    A later incarnation may have the address again.
     """
 
     def __init__(self, displaced: Iterable[DisplacedMember] = ()) -> None:
-        self._addresses = {member.identity: member.address for member in displaced}
+        self._displaced = {member.identity: member for member in displaced}
 
     def recorded(self) -> tuple[DisplacedMember, ...]:
         """Return them as they stand in a snapshot, the oldest first."""
-        return tuple(DisplacedMember(*item) for item in self._addresses.items())
+        return tuple(self._displaced.values())
 
     def is_displaced(self, member: AnnouncedMember) -> bool:
         """Tell whether a member announces itself at an address that it has lost."""
-        return self._addresses.get(member.identity) == member.address
+        lost = self._displaced.get(member.identity)
+        if lost is None or lost.address != member.address:
+            return False
+        return member.started_at_ms <= lost.started_at_ms
 
     def apply(self, entry: RecordMembers, known: Mapping[str, AnnouncedMember]) -> None:
         """Follow an entry of the log.
@@ -36,10 +40,11 @@
         """
         taken = {member.address for member in entry.members}
         for member in entry.members:
-            self._addresses.pop(member.identity, None)
+            self._displaced.pop(member.identity, None)
         for identity in entry.removed:
             member = known.get(identity)
             if member is not None and member.address in taken:
-                self._addresses[identity] = member.address
-        while len(self._addresses) > MAXIMUM_KEPT:
-            del self._addresses[next(iter(self._addresses))]
+                lost = DisplacedMember(identity, member.address, member.started_at_ms)
+                self._displaced[identity] = lost
+        while len(self._displaced) > MAXIMUM_KEPT:
+            del self._displaced[next(iter(self._displaced))]
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -94,7 +94,7 @@
             state.primaries, state.switchover_targets, self.membership, timing, generator
         )
         self.limits = OperationLimits(state.declared.tenants, timing.lease_s, now, other_began_at)
-        self.announcements = AnnouncementBook(state.announced, state.displaced, now)
+        self.announcements = AnnouncementBook(state.announced, state.displaced, now, state.ended)
         self.authority = AuthorityFailover(
             state.primaries,
             state.announced,
--- a/limedyke/core/control/primaries/authority_failover.py
+++ b/limedyke/core/control/primaries/authority_failover.py
@@ -20,6 +20,7 @@
 from limedyke.core.control.proposal_batch import ProposalBatch
 from limedyke.core.control.timing import ControlTiming
 from limedyke.core.home import HomeDirectory
+from limedyke.core.member_record import fault_of
 from limedyke.messages.control import (
     GroupPrimary,
     MemberHealth,
@@ -61,7 +62,11 @@
     :param reports: what proxies last reported, by proxy and member
     :param excluded: members not to be promoted, until when
     :param replaced: the primary before the grant
+    :param target: the member that is to follow
+    :param target_started_at_ms: of its incarnation when the authority was called
+    :param promoted_at: when the authority said that it has promoted the target
     :param recorded_at: when the present primary came out of the log
+    :param emptied: members that have started again since they were seen, and hold nothing of that
     """
 
     step: Step = Step.WATCHED
@@ -70,9 +75,12 @@
     excluded: dict[str, float] = field(default_factory=dict)
     replaced: str = ""
     target: str = ""
+    target_started_at_ms: int = 0
+    promoted_at: float = NEVER
     failures: int = 0
     seen_at: float = 0.0
     recorded_at: float = float("-inf")
+    emptied: set[str] = field(default_factory=set)
 
 
 class AuthorityFailover:
@@ -132,9 +140,10 @@
     def report(self, proxy: str, report: MemberReport, now: float) -> None:
         """Take what a proxy sees of a member."""
         care = self._cares.get(report.group)
-        if care is not None:
-            care.reports[(proxy, report.member)] = report
-            self._look_at(report.group, care, now)
+        if care is None or self._is_of_former(report):
+            return
+        care.reports[(proxy, report.member)] = report
+        self._look_at(report.group, care, now)
 
     def proxy_disconnected(self, proxy: str) -> None:
         """Forget what a proxy reported."""
@@ -158,6 +167,7 @@
     def members_applied(self, now: float) -> None:
         """Look at all groups after members changed."""
         for group, care in self._cares.items():
+            self._forget_former(care)
             self._look_at(group, care, now)
 
     def authority_answered(
@@ -172,6 +182,7 @@
         if outcome is AuthorityOutcome.PROMOTED:
             # The member leads some time later, and tells it then; until that moment a read there
             # could miss what the replaced primary acknowledged.
+            care.promoted_at = now
             self._enter(care, Step.PROMOTING, now + self._timing.promotion_wait_s)
             self._look_at(group, care, now)
             return
@@ -197,7 +208,26 @@
         return self._primaries.get(group, GroupPrimary(group, 0, ""))
 
     def _members_of(self, group: str) -> list[AnnouncedMember]:
-        return [member for member in self._members.values() if member.group == group]
+        return [
+            member
+            for member in self._members.values()
+            if member.group == group and not fault_of(member)
+        ]
+
+    def _is_of_former(self, report: MemberReport) -> bool:
+        """Tell whether a report is of an incarnation before the recorded one."""
+        member = self._members.get(report.member)
+        return member is not None and report.started_at_ms < member.started_at_ms
+
+    def _forget_former(self, care: _Care) -> None:
+        """Forget what was seen of members that have started again: they hold nothing of it.
+
+        Else a replica that came back empty would be promoted for the log that it had.
+        """
+        former = [key for key, report in care.reports.items() if self._is_of_former(report)]
+        for key in former:
+            care.emptied.add(key[1])
+            del care.reports[key]
 
     def _enter(self, care: _Care, step: Step, deadline: float) -> None:
         care.step = step
@@ -220,6 +250,8 @@
             return
         if self._follow_other(group, care, recorded, now):
             return
+        if self._follow_restart(group, care, recorded, now):
+            return
         reason, hold_s = self._doubt(group, care, recorded.primary, now)
         if not reason:
             if care.step is Step.DOUBTED:
@@ -252,6 +284,23 @@
         self._grant(group, care, now)
         return True
 
+    def _follow_restart(self, group: str, care: _Care, recorded: GroupPrimary, now: float) -> bool:
+        """Replace a primary that has started again, and holds nothing of its log any more.
+
+        Where no other member could lead it goes on, or is promoted once more if it does not lead.
+        """
+        member = self._members.get(recorded.primary)
+        if member is None or member.started_at_ms <= recorded.started_at_ms:
+            return False
+        if recorded.started_at_ms == 0:
+            return False
+        self._note(group, f"primary {recorded.primary} has started again")
+        if member.is_primary and not self._candidates(group, care, recorded.primary, now):
+            self._record(group, care, recorded.term + 1, recorded.primary, now)
+        else:
+            self._grant(group, care, now)
+        return True
+
     def _doubt(self, group: str, care: _Care, primary: str, now: float) -> tuple[str, float]:
         """Return why a primary should be replaced, and how long the doubt has to last first.
 
@@ -276,6 +325,10 @@
         if hold_s is not None:
             counted = f"{len(votes)} of {len(homes)} home proxies, {len(live)} of them heard"
             return f"{counted}, can't reach it", hold_s
+        denials = {name for name in live if self._sees_no_leader(care, name, primary)}
+        if len(denials) >= majority:
+            counted = f"{len(denials)} of {len(homes)} home proxies"
+            return f"{counted} were told that it does not lead", self._timing.demoted_hold_s
         silent_s = now - self._book.heard_at(primary)
         if silent_s <= self._timing.member_silence_s:
             return "", 0.0
@@ -299,6 +352,13 @@
         report = care.reports.get((proxy, member))
         return report is not None and report.health is MemberHealth.UNREACHABLE
 
+    def _sees_no_leader(self, care: _Care, proxy: str, member: str) -> bool:
+        """Tell whether a proxy reaches a recorded primary that has said that it does not lead."""
+        report = care.reports.get((proxy, member))
+        if report is None or report.health is MemberHealth.UNREACHABLE:
+            return False
+        return not report.is_primary
+
     def _candidates(
         self, group: str, care: _Care, leaving: str, now: float
     ) -> list[AnnouncedMember]:
@@ -314,21 +374,32 @@
 
     def _rank(
         self, care: _Care, member: AnnouncedMember, now: float
-    ) -> tuple[bool, bool, int, bool, int, str]:
-        """Order members: heard lately, following, reached, leading already, far in the log.
+    ) -> tuple[bool, bool, bool, int, bool, int, str]:
+        """Order members: not emptied, heard, following, reached, leading already, far in the log.
 
-        A member whose log is of an older term has not followed the last change of primary: to
-        promote it would bring commits back that are lost, and lose all that came since.
+        One that has started again is empty until a proxy has seen a log there: to promote it would
+        lose all that the group holds, so any other member goes before.  A member whose log is of
+        an older term has not followed the last change of primary: to promote it would bring
+        commits back that are lost, and lose all that came since.
         """
         reports = [r for (_, name), r in care.reports.items() if name == member.identity]
         unreachable = sum(report.health is MemberHealth.UNREACHABLE for report in reports)
         log = max((LogPosition(r.term, r.position) for r in reports), default=LogPosition())
         newest_term = max((report.term for report in care.reports.values()), default=0)
         is_outdated = bool(reports) and log.term < newest_term
+        is_empty = member.identity in care.emptied and log.position == 0
         heard_at = self._book.heard_at(member.identity)
         is_silent = now - heard_at > self._timing.member_silence_s
         leads = member.is_primary and heard_at > care.recorded_at
-        return is_silent, is_outdated, unreachable, not leads, -log.position, member.identity
+        return (
+            is_empty,
+            is_silent,
+            is_outdated,
+            unreachable,
+            not leads,
+            -log.position,
+            member.identity,
+        )
 
     def _grant(self, group: str, care: _Care, now: float) -> None:
         """Propose the next term; the group has no primary from then on."""
@@ -357,6 +428,8 @@
             self._back_off(care, now)
             return
         care.target = able[0].identity
+        care.target_started_at_ms = able[0].started_at_ms
+        care.promoted_at = NEVER
         fence = self._recorded(group).fence
         self._commands.append(AskAuthority(group, care.target, fence))
         self._enter(care, Step.CALLING, now + self._timing.authority_timeout_s)
@@ -364,12 +437,21 @@
     def _follow_promoted(self, group: str, care: _Care, now: float) -> None:
         """Record the target of an unanswered call when it says that it leads."""
         target = self._members.get(care.target)
-        if target is not None and target.is_primary and care.target != care.replaced:
+        if target is None or not target.is_primary:
+            return
+        if target.started_at_ms != care.target_started_at_ms:
+            return
+        # The replaced primary may not know yet that it is none: it counts only when it was itself
+        # promoted again, as the only member left, and has said since that it leads.
+        is_replaced = care.target == care.replaced
+        if not is_replaced or self._book.heard_at(care.target) >= care.promoted_at:
             self._record(group, care, self._recorded(group).term, care.target, now)
 
     def _record(self, group: str, care: _Care, term: int, primary: str, now: float) -> None:
         expected = self._recorded(group).term
-        self._proposals.record(PrimaryChange(group, expected, term, primary))
+        member = self._members.get(primary)
+        started_at_ms = member.started_at_ms if member is not None else 0
+        self._proposals.record(PrimaryChange(group, expected, term, primary, started_at_ms))
         self._enter(care, Step.RECORDING, now + PROPOSAL_RETRY_S)
 
     def _back_off(self, care: _Care, now: float) -> None:
--- a/limedyke/core/control/primaries/primary_table.py
+++ b/limedyke/core/control/primaries/primary_table.py
@@ -88,6 +88,12 @@
             if change.term == known.term and known.primary:
                 continue
             self.switchover_targets.pop(change.group, None)
-            recorded = GroupPrimary(change.group, change.term, change.primary, fence=known.fence)
+            recorded = GroupPrimary(
+                change.group,
+                change.term,
+                change.primary,
+                fence=known.fence,
+                started_at_ms=change.started_at_ms,
+            )
             changed.append(self.keep(recorded))
         return tuple(changed)
--- a/limedyke/core/control/state.py
+++ b/limedyke/core/control/state.py
@@ -6,6 +6,7 @@
 from limedyke.core.control.applied import Applied
 from limedyke.core.control.declaration_change import DeclaredState, is_empty
 from limedyke.core.control.displaced_members import DisplacedMembers
+from limedyke.core.control.ended_incarnations import EndedIncarnations
 from limedyke.core.control.plan_book import PlanBook, outcome_answer, refusal, summary_of
 from limedyke.core.control.plan_rules import refusal_of_change
 from limedyke.core.control.primaries.primary_table import PrimaryTable
@@ -58,6 +59,7 @@
     :ivar document: that declaration as the operator sent it
     :ivar announced: members that announced themselves, by identity
     :ivar displaced: those of earlier times whose address has passed to another one
+    :ivar ended: their incarnations that said that they end
     """
 
     def __init__(self) -> None:
@@ -73,6 +75,7 @@
         self.document = b""
         self.announced: dict[str, AnnouncedMember] = {}
         self.displaced = DisplacedMembers()
+        self.ended = EndedIncarnations()
         self.plans = PlanBook()
         self._primary_table = PrimaryTable()
         self._answers = AnswerBook()
@@ -166,6 +169,7 @@
                 document=self.document,
                 announced=tuple(self.announced.values()),
                 displaced=self.displaced.recorded(),
+                ended=self.ended.recorded(),
             )
         )
 
@@ -197,6 +201,7 @@
         self.document = snapshot.document
         self.announced = {member.identity: member for member in snapshot.announced}
         self.displaced = DisplacedMembers(snapshot.displaced)
+        self.ended = EndedIncarnations(snapshot.ended)
 
     def _learn_controllers(self, controllers: tuple[ControllerAddress, ...]) -> None:
         self.controllers.update((found.name, found.address) for found in controllers)
@@ -226,6 +231,7 @@
 
     def _record_members(self, index: int, entry: RecordMembers) -> Applied:
         self.displaced.apply(entry, self.announced)
+        self.ended.apply(entry)
         removed = tuple(name for name in entry.removed if self.announced.pop(name, None))
         changed = tuple(
             member for member in entry.members if self.announced.get(member.identity) != member
--- a/limedyke/core/statements/member_belief.py
+++ b/limedyke/core/statements/member_belief.py
@@ -49,6 +49,9 @@
     :ivar position: the last one it told
     :ivar contact_at: when it last answered anything
     :ivar probed_at: when it was last asked whether it answers
+    :ivar leads: it is the recorded primary
+    :ivar told: the highest position that it told while it led
+    :ivar has_lost_log: it has started again without what it had told of
     :param pauses: of this process: nothing that falls in there is silence of the member
     """
 
@@ -64,6 +67,9 @@
     contact_at: float = float("-inf")
     probed_at: float = float("-inf")
     health: MemberHealth = MemberHealth.REACHABLE
+    leads: bool = False
+    told: LogPosition = field(default_factory=LogPosition)
+    has_lost_log: bool = False
     _awaited: int = 0
     _awaited_since: float = 0.0
     _owes_answer: bool = False
@@ -134,6 +140,28 @@
         self.health = MemberHealth.REACHABLE
         if position is not None:
             self.position = position
+            if self.leads:
+                self.told = max(self.told, position)
+
+    def take_office(self, leads: bool) -> None:
+        """Take that the primary has changed: what this member told counts from here on."""
+        self.leads = leads
+        self.told = LogPosition()
+        self.has_lost_log = False
+
+    def opened_at(self, position: LogPosition | None, told: LogPosition) -> None:
+        """Take the position that a new connection began with.
+
+        A primary's log never goes back while its process runs. One that has started again under
+        its identity is empty, takes connections meant for that identity, and may say that it
+        leads; where it is cut off from the controllers nobody else would know for seconds. Members
+        that do not tell when they started get a new identity instead.
+
+        :param told: what it had told of when the connection was asked for
+        """
+        if not self.leads or position is None or self.record.started_at_ms == 0:
+            return
+        self.has_lost_log = self.has_lost_log or position < told
 
     def connected(self, now: float, seconds: float) -> None:
         """Take that a connection was opened: a member that hangs may still take them.
--- a/limedyke/messages/calls.py
+++ b/limedyke/messages/calls.py
@@ -34,7 +34,7 @@
 class AnnounceCall:
     """A member tells what it is.
 
-    :param sequence: rises with each announcement of the member
+    :param sequence: rises with each announcement of one incarnation of the member
     """
 
     member: AnnouncedMember
@@ -44,9 +44,13 @@
 @message(223)
 @dataclass(frozen=True, slots=True)
 class WithdrawCall:
-    """A member tells that it ends."""
+    """A member tells that it ends.
+
+    :param started_at_ms: of the incarnation that ends; 0 when it does not tell
+    """
 
     identity: str
+    started_at_ms: int = 0
 
 
 @message(227)
--- a/limedyke/messages/control.py
+++ b/limedyke/messages/control.py
@@ -45,6 +45,8 @@
         then send ``WritesPaused``
     :param fence: index of the log entry that granted the term; 0 when no promotion was begun.
         It rises over all terms, groups and leaders
+    :param started_at_ms: of the incarnation that leads, where members tell it: a later one holds
+        nothing of its log
     """
 
     group: str
@@ -52,6 +54,7 @@
     primary: str
     switching_over: bool = False
     fence: int = 0
+    started_at_ms: int = 0
 
 
 @message(21)
@@ -225,6 +228,8 @@
 
     :param term: term the member exposed last; 0 unknown
     :param position: log position in bytes; 0 unknown
+    :param is_primary: it leads, as far as the observer knows
+    :param started_at_ms: of the incarnation that was seen; 0 where members do not tell it
     """
 
     group: str
@@ -233,6 +238,7 @@
     term: int
     position: int
     is_primary: bool
+    started_at_ms: int = 0
 
 
 @message(32)
--- a/limedyke/messages/control_entries.py
+++ b/limedyke/messages/control_entries.py
@@ -92,12 +92,16 @@
 @message(155)
 @dataclass(frozen=True, slots=True)
 class PrimaryChange:
-    """A new primary for one group, valid only while ``expected_term`` is the recorded one."""
+    """A new primary for one group, valid only while ``expected_term`` is the recorded one.
+
+    :param started_at_ms: see ``GroupPrimary``
+    """
 
     group: str
     expected_term: int
     term: int
     primary: str
+    started_at_ms: int = 0
 
 
 @message(156)
@@ -205,13 +209,26 @@
     declaration: Declaration
 
 
+@message(169)
+@dataclass(frozen=True, slots=True)
+class EndedIncarnation:
+    """An incarnation of a member that has said that it ends; it and earlier ones are over."""
+
+    identity: str
+    started_at_ms: int
+
+
 @message(166)
 @dataclass(frozen=True, slots=True)
 class RecordMembers:
-    """Record what members announced, and forget members that are gone."""
+    """Record what members announced, and forget members that are gone.
+
+    :param ended: incarnations of which nothing is to be believed any more
+    """
 
     members: tuple[AnnouncedMember, ...]
     removed: tuple[str, ...] = ()
+    ended: tuple[EndedIncarnation, ...] = ()
 
 
 ControlEntry = (
@@ -292,10 +309,14 @@
 @message(175)
 @dataclass(frozen=True, slots=True)
 class DisplacedMember:
-    """A member whose address has passed to another one."""
+    """A member whose address has passed to another one.
+
+    :param started_at_ms: of the incarnation that had it; 0 when it was not told
+    """
 
     identity: str
     address: str
+    started_at_ms: int = 0
 
 
 @message(174)
@@ -321,6 +342,7 @@
     document: bytes = b""
     announced: tuple[AnnouncedMember, ...] = ()
     displaced: tuple[DisplacedMember, ...] = ()
+    ended: tuple[EndedIncarnation, ...] = ()
 
 
 def pack_entry(entry: object) -> bytes:
--- a/limedyke/messages/databases.py
+++ b/limedyke/messages/databases.py
@@ -21,10 +21,19 @@
 
 
 class MemberState(enum.StrEnum):
-    """Whether an announced member takes new work."""
+    """Whether an announced member takes new work.
+
+    ``UNKNOWN``: a later version's state, read from its records; the member is not used.
+    """
 
     READY = "ready"
     DRAINING = "draining"
+    UNKNOWN = "unknown"
+
+    @classmethod
+    def _missing_(cls, value: object) -> MemberState | None:
+        """Read a name that this version lacks as ``UNKNOWN``; what is no name stays an error."""
+        return cls.UNKNOWN if isinstance(value, str) else None
 
 
 @message(200)
@@ -71,6 +80,9 @@
     :param address: ``ip:port``
     :param capacity: statements it executes at once
     :param is_primary: how it sees itself
+    :param started_at_ms: when it started, Unix milliseconds by its own clock: a member that starts
+        again under its identity is another incarnation, which holds nothing of the one before; 0
+        where members do not tell it
     """
 
     identity: str
@@ -81,3 +93,4 @@
     capacity: int
     state: MemberState
     is_primary: bool
+    started_at_ms: int = 0
--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -51,6 +51,7 @@
         self.exposed = ""
         self.replaced = ""
         self.denied: set[str] = set()
+        self._primary_started_at_ms = 0
         self.next_search_at = 0.0
         self.position_is_asked = False
         self.primary_changed = curio.Event()
@@ -72,6 +73,8 @@
         acknowledges now may be lost.
         """
         recorded = self.pools.get(self.primary)
+        if self._has_started_again():
+            recorded = None
         if recorded is not None and self.primary not in self.denied:
             return recorded
         if self.exposed == self.replaced:
@@ -90,6 +93,11 @@
             self.exposed = identity
             await self._wake_waiting()
 
+    def leads(self, identity: str) -> bool:
+        """Tell whether a member is the recorded primary, and has said nothing to the contrary."""
+        is_recorded = identity == self.primary and identity not in self.denied
+        return is_recorded and not self._has_started_again()
+
     def has_unreachable_primary(self) -> bool:
         """Tell whether this proxy can't reach the member that should lead, though one is known."""
         pool = self.primary_pool()
@@ -117,7 +125,17 @@
 
         A statement that is sent now runs a little later: the lease must hold until then.
         """
-        return identity == self.primary and self.primary_lease_left_s() > 0.0
+        is_recorded = identity == self.primary and not self._has_started_again()
+        return is_recorded and self.primary_lease_left_s() > 0.0
+
+    def _has_started_again(self) -> bool:
+        """Tell whether the recorded primary has started again, and holds nothing of its log."""
+        pool = self.pools.get(self.primary)
+        if pool is None:
+            return False
+        started_at_ms = pool.belief.record.started_at_ms
+        is_later = 0 < self._primary_started_at_ms < started_at_ms
+        return is_later or pool.belief.has_lost_log
 
     async def take_members(self, members: Mapping[str, AnnouncedMember]) -> None:
         """Take the recorded members of this group, by identity."""
@@ -125,18 +143,21 @@
             await self.pools.pop(identity).drain()
         for identity, record in members.items():
             pool = self.pools.get(identity)
-            if pool is not None and pool.belief.record.address == record.address:
+            if pool is not None and _is_same_process(pool.belief.record, record):
                 pool.belief.record = record
                 continue
             if pool is not None:
                 await pool.drain()
+            self.denied.discard(identity)
             self.pools[identity] = self._make_pool(MemberBelief(record))
+            self.pools[identity].belief.leads = identity == self.primary
             await self.pools[identity].set_limit(self.limit)
 
     async def take_primary(self, primary: GroupPrimary | None) -> None:
         """Take the recorded primary."""
         identity = primary.primary if primary is not None else ""
         term = primary.term if primary is not None else 0
+        self._primary_started_at_ms = primary.started_at_ms if primary is not None else 0
         if (identity, term) == (self.primary, self.term):
             return
         self.replaced = "" if identity else self.primary
@@ -144,6 +165,8 @@
             self.outage.replaced(time.monotonic())
         self.primary = identity
         self.term = term
+        for name, pool in self.pools.items():
+            pool.belief.take_office(name == identity)
         self.positions.clear()
         self.exposed = ""
         self.denied.clear()
@@ -192,3 +215,12 @@
         """Close all pools: the group is declared no longer."""
         for pool in self.pools.values():
             await pool.drain()
+
+
+def _is_same_process(known: AnnouncedMember, record: AnnouncedMember) -> bool:
+    """Tell whether a record is of the process that is known: another one holds nothing of before.
+
+    What is believed of it, and its connections, are of no use then.
+    """
+    is_same_place = known.address == record.address
+    return is_same_place and known.started_at_ms == record.started_at_ms
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -11,6 +11,7 @@
 import curio
 
 from limedyke.core.access_keys import AccessKeys
+from limedyke.core.member_record import fault_of
 from limedyke.core.statements.member_belief import MemberBelief
 from limedyke.core.statements.primary_outage import OutageTimes
 from limedyke.core.statements.process_pauses import ProcessPauses
@@ -44,13 +45,16 @@
 class _Seen:
     """What was last reported of a member.
 
+    :param is_primary: it is the recorded primary, and has said nothing to the contrary
     :param log_term: of the newest commit in its log: it shows whether the member has followed the
         last change of primary
+    :param started_at_ms: of its incarnation
     """
 
     health: MemberHealth
     is_primary: bool
     log_term: int
+    started_at_ms: int
 
 
 class Reporter(Protocol):
@@ -95,6 +99,7 @@
         self._leases: dict[tuple[str, str], int] = {}
         self._owed: set[tuple[str, str]] = set()
         self._reported: dict[tuple[str, str], _Seen] = {}
+        self._unusable: set[str] = set()
 
     async def control_changed(self, view: ControlView) -> None:
         """Take a newer view into force."""
@@ -102,7 +107,7 @@
         self.access_keys.take(view.tenants)
         members: dict[str, dict[str, AnnouncedMember]] = {name: {} for name in view.groups}
         for member in view.announced.values():
-            if member.group in members:
+            if member.group in members and self._is_usable(member):
                 members[member.group][member.identity] = member
         for name in [name for name in self.groups if name not in view.groups]:
             await self.groups.pop(name).drain()
@@ -118,6 +123,17 @@
         if self.on_view is not None:
             await self.on_view(view)
 
+    def _is_usable(self, member: AnnouncedMember) -> bool:
+        """Tell whether a record names a member to use; log once why one does not."""
+        fault = fault_of(member)
+        if not fault:
+            self._unusable.discard(member.identity)
+            return True
+        if member.identity not in self._unusable:
+            self._unusable.add(member.identity)
+            EVENTS.warning("member-unusable", group=member.group, member=member.identity, why=fault)
+        return False
+
     async def leases_changed(self, leases: tuple[ConnectionLease, ...], expires_at: float) -> None:
         """Take the leases of connections; what is above them is closed and given back."""
         self._owed |= self._leases.keys()
@@ -161,7 +177,7 @@
             if self._wants_probe(belief, is_primary, now):
                 belief.probed_at = now
                 await curio.spawn(self._probe, pool, daemon=True)
-            await self._report(group.name, belief, is_primary)
+            await self._report(group, belief)
 
     def _wants_probe(self, belief: MemberBelief, is_primary: bool, now: float) -> bool:
         """Tell whether a member should be asked whether it answers.
@@ -189,22 +205,39 @@
         else:
             await pool.check_address(limit_s)
 
-    async def _report(self, group: str, belief: MemberBelief, is_primary: bool) -> None:
-        """Report a member when its health or the term of its log has changed."""
-        key = (group, belief.record.identity)
-        seen = _Seen(belief.health, is_primary, belief.position.term)
+    async def _report(self, group: StatementGroup, belief: MemberBelief) -> None:
+        """Report a member when its health, its role or the term of its log has changed.
+
+        A primary that has lost its log is reported as one that can't be reached: it has to be
+        replaced as soon.
+        """
+        identity = belief.record.identity
+        key = (group.name, identity)
+        is_primary = group.leads(identity)
+        health = MemberHealth.UNREACHABLE if belief.has_lost_log else belief.health
+        started_at_ms = belief.record.started_at_ms
+        seen = _Seen(health, is_primary, belief.position.term, started_at_ms)
         known = self._reported.get(key)
         is_news = known != seen and (known is not None or belief.contact_at > 0.0 or is_primary)
         if not is_news or self.reporter is None:
             return
         self._reported[key] = seen
-        EVENTS.info("member-judged", group=group, member=key[1], health=belief.health)
+        EVENTS.info("member-judged", group=group.name, member=identity, health=health)
         position = belief.position
         await self.reporter.report_member(
-            MemberReport(group, key[1], belief.health, position.term, position.position, is_primary)
+            MemberReport(
+                group.name,
+                identity,
+                health,
+                position.term,
+                position.position,
+                is_primary,
+                started_at_ms,
+            )
         )
 
     def _forget_reports(self, view: ControlView) -> None:
+        self._unusable &= view.announced.keys()
         gone = [key for key in self._reported if key[1] not in view.announced]
         for key in gone:
             del self._reported[key]
--- a/limedyke/proxy/statements/members/member_connection.py
+++ b/limedyke/proxy/statements/members/member_connection.py
@@ -49,6 +49,7 @@
     :ivar lent_at: when it was last lent to a request
     :ivar heard_at: when something last came on it
     :ivar opened_in_s: how long its opening took, pauses of this process left out
+    :ivar opened_at: the member's position when it took the connection; None when it told none
     """
 
     def __init__(
@@ -72,6 +73,7 @@
         self.lent_at = self.idle_since
         self.heard_at = self.idle_since
         self.opened_in_s = 0.0
+        self.opened_at: LogPosition | None = None
 
     @classmethod
     async def open(
@@ -109,6 +111,7 @@
         if answer.kind is not AnswerKind.DONE:
             await connection.close()
             raise ConnectionRefusedByMemberError(answer)
+        connection.opened_at = answer.position
         return connection
 
     def is_alive(self) -> bool:
--- a/limedyke/proxy/statements/members/member_pool.py
+++ b/limedyke/proxy/statements/members/member_pool.py
@@ -14,8 +14,9 @@
 from limedyke.addresses import split_address
 from limedyke.core.statements.member_belief import FIRST_ANSWER_S, MemberBelief
 from limedyke.core.statements.time_estimate import TimeEstimate
+from limedyke.event_log import EventLog
 from limedyke.messages.statements import AnswerKind
-from limedyke.messages.work import TransactionStatus
+from limedyke.messages.work import LogPosition, TransactionStatus
 from limedyke.proxy.statements.members.connection_queue import (
     ANY_TENANT,
     ConnectionQueue,
@@ -44,6 +45,7 @@
 """Whose connections the proxy's own questions open, and public databases use."""
 FULL_PAUSE_S = 0.2
 """A member that took no further connection is not asked for one for so long."""
+EVENTS = EventLog("pools")
 
 
 class PoolTimeoutError(Exception):
@@ -344,11 +346,12 @@
         limit_s = max(self._connect_timeout_s, belief.opening.longest_s)
         while True:
             asked_at = time.monotonic()
+            told = belief.told
             try:
                 async with curio.timeout_after(limit_s):
                     connection = await self._connect(tenant)
                 connection.opened_in_s = belief.awaited_s(asked_at, time.monotonic())
-                return Ok(connection)
+                return await self._check_log(connection, told)
             except curio.TaskTimeout:
                 if belief.let_pass(asked_at, limit_s, time.monotonic()):
                     return Err(ConnectionLostError("no answer to a connection attempt"))
@@ -361,6 +364,21 @@
                     belief.broke(time.monotonic())
                 return Err(error)
 
+    async def _check_log(
+        self, connection: MemberConnection, told: LogPosition
+    ) -> Result[MemberConnection, Exception]:
+        """Give up a new connection to a primary that has lost the log that it had told of."""
+        belief = self.belief
+        had_lost_log = belief.has_lost_log
+        belief.opened_at(connection.opened_at, told)
+        if not belief.has_lost_log:
+            return Ok(connection)
+        if not had_lost_log:
+            identity = belief.record.identity
+            EVENTS.warning("primary-lost-log", member=identity, at=connection.opened_at, told=told)
+        await connection.close()
+        return Err(ConnectionLostError("the member has lost its log"))
+
     async def _connect(self, tenant: str) -> MemberConnection:
         record = self.belief.record
         return await MemberConnection.open(
