--- a/features/mutants/stop_safeguards.py
+++ b/features/mutants/stop_safeguards.py
@@ -9,7 +9,7 @@
 import curio
 
 from features.mutants.mutant import Mutant
-from features.support.http_callers import CALL, CallCaller
+from features.support.http_callers import CALL, DROP_ALL, CallCaller
 from features.support.statement_path import LineClient
 from features.support.statement_stop import StoppingPath
 from limedyke.core.statements import stop_schedule
@@ -17,6 +17,7 @@
 from limedyke.messages.databases import Consistency
 from limedyke.proxy.statements.clients import client as client_module
 from limedyke.proxy.statements.clients.client import StatementClient
+from limedyke.transport import listener_filter
 from limedyke.transport.acceptor import Acceptor
 from limedyke.transport.http_server import HttpAnswer, HttpLimits, HttpServer
 from limedyke.transport.link import listen
@@ -28,6 +29,8 @@
 STATEMENT_TIMEOUT_MS = 4_000
 ASKED_S = 0.05
 CLIENTS = 4
+SHORT_QUEUE = 1
+"""The kernel queues one connection more than that."""
 CALL_BYTES = 1_024
 
 
@@ -119,6 +122,7 @@
     server = HttpServer(_answer_call, HttpLimits(CALL_BYTES))
     serving = await curio.spawn(server.run, listener)
     await curio.sleep(ASKED_S)
+    await server._acceptor._accepting.cancel()
     callers = [CallCaller() for _ in range(CLIENTS)]
     for caller in callers:
         caller.send_at_once(f"{host}:{port}", CALL)
@@ -129,6 +133,28 @@
     return not all(caller.is_answered for caller in callers)
 
 
+async def _unconfirmed_call_is_cut() -> bool:
+    """Call on a connection whose confirmation the kernel has dropped, as the queue was full."""
+    listener = listen("127.0.0.1:0").unwrap()
+    listener.listen(SHORT_QUEUE)
+    host, port = listener.getsockname()
+    server = HttpServer(_answer_call, HttpLimits(CALL_BYTES))
+    last = CallCaller()
+    last.begin_to_connect(f"{host}:{port}")
+    queued = [CallCaller() for _ in range(SHORT_QUEUE + 1)]
+    for caller in queued:
+        caller.send_at_once(f"{host}:{port}", CALL)
+    await last.hear_again()
+    serving = await curio.spawn(server.run, listener)
+    draining = await curio.spawn(server.drain)
+    await queued[0].receive()
+    last.send_rest_at_once(CALL)
+    await draining.join()
+    last.receive_at_once()
+    await serving.cancel()
+    return not last.is_answered
+
+
 async def _answer_call(_: object) -> HttpAnswer:
     return HttpAnswer(200)
 
@@ -169,6 +195,15 @@
 
 
 MUTANTS = (
+    Mutant(
+        "drop the confirmations of handshakes with the requests for connections",
+        "limedyke.transport.listener_filter.PROGRAM",
+        "a call on a connection that is open for its caller is answered",
+        lambda: _is_caught(
+            lambda: mock.patch.object(listener_filter, "PROGRAM", DROP_ALL),
+            lambda: curio.run(_unconfirmed_call_is_cut),
+        ),
+    ),
     Mutant(
         "close a listener with callers in its queue",
         "limedyke.transport.acceptor.Acceptor.close",
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -160,9 +160,13 @@
     context.lives.all.append(life)
 
 
+LEAVES_ALONE = "signal.signal(1, signal.SIG_DFL)"
+"""Said, as a process inherits what its parent ignores: SIGHUP, where the tests run under nohup."""
+
+
 @then("soak: a process that {state} SIGHUP is known to handle it: {known}")
 def step_handles(context, state, known):
-    code = {"ignores": "signal.signal(1, signal.SIG_IGN)", "leaves alone": "pass"}[state]
+    code = {"ignores": "signal.signal(1, signal.SIG_IGN)", "leaves alone": LEAVES_ALONE}[state]
     program = f"import signal, time; {code}; print('ready', flush=True); time.sleep(10)"
     process = subprocess.Popen([sys.executable, "-c", program], stdout=subprocess.PIPE)
     try:
--- a/features/steps/waiting_controllers_steps.py
+++ b/features/steps/waiting_controllers_steps.py
@@ -51,7 +51,18 @@
 @then("waiting controllers: each takes a member's announcement")
 def step_announce(context):
     member = next(iter(context.deployment.group.members.values()))
-    body = {"service": GROUP, "address": member.address, "zone": "z1", "state": "ready"}
+    body = {
+        "service": GROUP,
+        "address": member.address,
+        "zone": "z1",
+        "version": "v1",
+        "capacity": 3,
+        "state": "ready",
+        "warmupLeftMs": 0,
+        "dbRole": "primary",
+        "callSeq": 1,
+        "born": 1_790_000_000_000,
+    }
     call = HttpCall("PUT", f"/instances/{member.identity}", json.dumps(body).encode())
 
     async def is_taken(ip):
--- a/limedyke/transport/acceptor.py
+++ b/limedyke/transport/acceptor.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-import time
+import math
 from collections.abc import Awaitable, Callable, Iterator
 
 import curio
@@ -69,8 +69,8 @@
         with self._listener.blocking() as raw:
             raw.setblocking(False)
             if self._drops_requests(raw):
-                await self._accept_until(raw, time.monotonic() + self._handshake_s())
-            waiting = [Socket(connection) for connection in self._accept_queued(raw)]
+                await self._accept_handshakes(raw)
+            waiting = [Socket(connection) for connection in self._accept_all(raw)]
         await self._listener.close()
         for connection in waiting:
             await self._admit(connection)
@@ -87,14 +87,14 @@
             self._longest_round_trip_s = max(self._longest_round_trip_s, round_trip)
             await self._admit(connection)
 
-    async def _accept_until(self, raw: socket.socket, end: float) -> None:
-        """Let in whose handshakes end before a moment of the monotonic clock."""
-        while time.monotonic() < end:
-            for connection in self._accept_queued(raw):
+    async def _accept_handshakes(self, raw: socket.socket) -> None:
+        """Let in whose handshakes are under way; looks are counted, in case the process pauses."""
+        for _ in range(math.ceil(self._handshake_s() / LOOK_S)):
+            for connection in self._accept_all(raw):
                 await self._admit(Socket(connection))
             await curio.sleep(LOOK_S)
 
-    def _accept_queued(self, raw: socket.socket) -> Iterator[socket.socket]:
+    def _accept_all(self, raw: socket.socket) -> Iterator[socket.socket]:
         """Accept what is queued."""
         while True:
             try:
--- a/limedyke_lab/simulator/machine/virtual_socket.py
+++ b/limedyke_lab/simulator/machine/virtual_socket.py
@@ -195,8 +195,10 @@
     def setsockopt(self, *arguments: Any) -> None:
         """Options have no effect."""
 
-    def getsockopt(self, level: int, option: int) -> int:
-        """Return the pending error."""
+    def getsockopt(self, level: int, option: int, size: int = 0) -> int | bytes:
+        """Return the pending error; nothing is known of what is asked for as bytes."""
+        if size:
+            return b""
         error, self._error = self._error, 0
         return error if option == socket.SO_ERROR else 0
 
