--- a/features/steps/member_incarnations_steps.py
+++ b/features/steps/member_incarnations_steps.py
@@ -105,6 +105,7 @@
     again = re.fullmatch(r"(\w) starts again as (\w+)", event)
     seen = re.fullmatch(r"([\w ]+?) sees? (\w)( of before)? at (\d+)", event)
     leads = re.fullmatch(r"([\w ]+?) sees? that (\w) (leads|does not lead)", event)
+    lost = re.fullmatch(r"([\w ]+?) can't reach (\w)", event)
     passes = re.fullmatch(r"(\d+) ms pass", event)
     if again is not None:
         world.start_again(again[1], again[2])
@@ -113,6 +114,8 @@
         world.report(seen[1], seen[2], REACHABLE, int(seen[4]), started_at_ms=started)
     elif leads is not None:
         world.report(leads[1], leads[2], REACHABLE, 800, leads=leads[3] == "leads")
+    elif lost is not None:
+        world.report(lost[1], lost[2], MemberHealth.UNREACHABLE)
     elif passes is not None:
         world.run(int(passes[1]) / 1_000)
     elif event == "the authority answers":
