--- a/features/member_incarnations.feature
+++ b/features/member_incarnations.feature
@@ -69,7 +69,7 @@
       | what was seen of that replica comes late  | b starts again as replica; p q r see b of before at 900; a starts again as primary | 300 | asked of c |
       | the replica that was ahead holds all again | b starts again as replica; p q r see b at 900; a starts again as primary | 300 | asked of b |
       | cut off from the leader, it tells proxies that it does not lead | p q see that a does not lead            | 2000 | asked of b |
-      | then it can't be reached any more         | p q see that a does not lead; 300 ms pass; p q can't reach a  | 300  | asked of b |
+      | then it can't be reached any more         | p q r see that a does not lead; 300 ms pass; p q can't reach a | 300 | asked of b |
       | it was unreachable for a moment before that | p q can't reach a; p q see that a does not lead             | 1000 | not asked  |
       | a single proxy saw that                   | p sees that a does not lead                                   | 3000 | not asked  |
       | for a moment only                         | p q see that a does not lead; 500 ms pass; p q see that a leads | 3000 | not asked |
