--- a/features/steps/statement_member_steps.py
+++ b/features/steps/statement_member_steps.py
@@ -77,7 +77,7 @@
 def step_connecting_may_take(context, name, milliseconds, limit_ms):
     _delay_connecting(context, name, milliseconds / 1_000)
     pool = context.path.groups.groups[GROUP].pools[name]
-    pool._connect_timeout_s = limit_ms / 1_000
+    pool.connector.connect_timeout_s = limit_ms / 1_000
 
 
 @then("statement path: at least {count:d} of them were served by replicas")
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -203,7 +203,7 @@
         elif pool.has_room:
             await self._runner.questions.ask_status(pool, limit_s)
         else:
-            await pool.check_address(limit_s)
+            await pool.connector.check_address(limit_s)
 
     async def _report(self, group: StatementGroup, belief: MemberBelief) -> None:
         """Report a member when its health, its role or the term of its log has changed.
--- a/limedyke/proxy/statements/members/member_pool.py
+++ b/limedyke/proxy/statements/members/member_pool.py
@@ -8,15 +8,12 @@
 from collections.abc import Callable
 
 import curio
-from curio import socket
-from result import Err, Ok, Result
+from result import Err, Ok
 
-from limedyke.addresses import split_address
 from limedyke.core.statements.member_belief import FIRST_ANSWER_S, MemberBelief
 from limedyke.core.statements.time_estimate import TimeEstimate
-from limedyke.event_log import EventLog
 from limedyke.messages.statements import AnswerKind
-from limedyke.messages.work import LogPosition, TransactionStatus
+from limedyke.messages.work import TransactionStatus
 from limedyke.proxy.statements.members.connection_queue import (
     ANY_TENANT,
     ConnectionQueue,
@@ -26,10 +23,10 @@
 from limedyke.proxy.statements.members.idle_connections import IdleConnections
 from limedyke.proxy.statements.members.member_codec import MemberCodec
 from limedyke.proxy.statements.members.member_connection import (
-    ConnectionLostError,
     ConnectionRefusedByMemberError,
     MemberConnection,
 )
+from limedyke.proxy.statements.members.member_connector import MemberConnector
 from limedyke.proxy.statements.members.member_traffic import UNCOUNTED, MemberTraffic
 
 IDLE_CLOSE_S = 6.0
@@ -45,7 +42,6 @@
 """Whose connections the proxy's own questions open, and public databases use."""
 FULL_PAUSE_S = 0.2
 """A member that took no further connection is not asked for one for so long."""
-EVENTS = EventLog("pools")
 
 
 class PoolTimeoutError(Exception):
@@ -65,7 +61,7 @@
     :param belief: what is known of the member; its load is kept here
     :param make_codec: makes the codec of a connection
     :param traffic: counts the bytes of all its connections
-
+    :ivar connector: opens connections
     :ivar opened: connections open or being opened
     """
 
@@ -77,15 +73,12 @@
         connect_timeout_s: float,
         traffic: MemberTraffic = UNCOUNTED,
     ) -> None:
-        self._traffic = traffic
         self.belief = belief
+        self.connector = MemberConnector(belief, make_codec, source_ip, connect_timeout_s, traffic)
         self.limit = 0
         self.opened = 0
         self.is_closed = False
         self._full_until = 0.0
-        self._make_codec = make_codec
-        self._source_ip = source_ip
-        self._connect_timeout_s = connect_timeout_s
         self._opening: Counter[str] = Counter()
         self._idle = IdleConnections()
         self._queue = ConnectionQueue()
@@ -140,7 +133,7 @@
             return None
         self.opened += 1
         try:
-            opened = await self._try_to_open(NO_TENANT)
+            opened = await self.connector.open(NO_TENANT)
         except curio.CancelledError:
             self.opened -= 1
             raise
@@ -195,20 +188,6 @@
         limit = self.limit if waited_s >= GROWTH_WAIT_S else self.usual_limit
         return self.opened < limit and not is_full
 
-    async def check_address(self, timeout_s: float) -> None:
-        """See whether anything answers at the member's address, when no connection is free."""
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        asked_at = time.monotonic()
-        try:
-            async with sock, curio.timeout_after(timeout_s):
-                if self._source_ip:
-                    sock.bind((self._source_ip, 0))
-                await sock.connect(split_address(self.belief.record.address))
-        except curio.TaskTimeout:
-            self.belief.let_pass(asked_at, timeout_s, time.monotonic())
-        except OSError:
-            self.belief.broke(time.monotonic())
-
     async def putconn(self, connection: MemberConnection) -> None:
         """Take a connection back; one that is closed or in a transaction is given up."""
         self.belief.outstanding -= 1
@@ -322,7 +301,7 @@
     async def _open(self, tenant: str) -> None:
         self.belief.sent(time.monotonic())
         try:
-            opened = await self._try_to_open(tenant)
+            opened = await self.connector.open(tenant)
         finally:
             self.belief.ended()
             self._opening[tenant] -= 1
@@ -337,60 +316,6 @@
         self.opened -= 1
         await self._not_opened(opened.err_value, tenant)
 
-    async def _try_to_open(self, tenant: str) -> Result[MemberConnection, Exception]:
-        """Open a connection for a tenant; the member is believed what this shows of it.
-
-        It is tried again when this process stood still meanwhile.
-        """
-        belief = self.belief
-        limit_s = max(self._connect_timeout_s, belief.opening.longest_s)
-        while True:
-            asked_at = time.monotonic()
-            told = belief.told
-            try:
-                async with curio.timeout_after(limit_s):
-                    connection = await self._connect(tenant)
-                connection.opened_in_s = belief.awaited_s(asked_at, time.monotonic())
-                return await self._check_log(connection, told)
-            except curio.TaskTimeout:
-                if belief.let_pass(asked_at, limit_s, time.monotonic()):
-                    return Err(ConnectionLostError("no answer to a connection attempt"))
-            except ConnectionRefusedByMemberError as error:
-                if error.answer.kind is not AnswerKind.WRONG_MEMBER:
-                    belief.answered(time.monotonic(), None)
-                return Err(error)
-            except ConnectionLostError as error:
-                if not belief.answered_lately(time.monotonic()):
-                    belief.broke(time.monotonic())
-                return Err(error)
-
-    async def _check_log(
-        self, connection: MemberConnection, told: LogPosition
-    ) -> Result[MemberConnection, Exception]:
-        """Give up a new connection to a primary that has lost the log that it had told of."""
-        belief = self.belief
-        had_lost_log = belief.has_lost_log
-        belief.opened_at(connection.opened_at, told)
-        if not belief.has_lost_log:
-            return Ok(connection)
-        if not had_lost_log:
-            identity = belief.record.identity
-            EVENTS.warning("primary-lost-log", member=identity, at=connection.opened_at, told=told)
-        await connection.close()
-        return Err(ConnectionLostError("the member has lost its log"))
-
-    async def _connect(self, tenant: str) -> MemberConnection:
-        record = self.belief.record
-        return await MemberConnection.open(
-            record.address,
-            record.group,
-            record.identity,
-            self._make_codec(),
-            self._source_ip,
-            self._traffic,
-            tenant,
-        )
-
     async def _not_opened(self, error: Exception, tenant: str) -> None:
         """Tell requests that a connection was not opened; who may get another one waits on."""
         has_others = self.opened > self._opening.total()
--- a/limedyke/proxy/statements/members/member_questions.py
+++ b/limedyke/proxy/statements/members/member_questions.py
@@ -114,7 +114,7 @@
         except (ConnectionLostError, ConnectionRefusedByMemberError, PoolClosedError):
             return
         if connection is None:
-            await pool.check_address(limit_s)
+            await pool.connector.check_address(limit_s)
             return
         asked_at = time.monotonic()
         await self._ask_on(pool, connection, limit_s)
