Give controllers that wait to be added a class of their own

WaitingControllers keeps them, forgets those that are heard no more, and says how long each should wait; it reads as the sentence that the constant's comment says.

--- a/limedyke/controller/leading/voter_care.py
+++ b/limedyke/controller/leading/voter_care.py
@@ -47,13 +47,13 @@
             agreement.configuration,
             [learner for learner, lag in agreement.learner_lag().items() if lag == 0],
             {member: found.heard_at for member, found in progress.items()},
-            self._replica.waiting.values(),
+            self._replica.waiting.all(),
             boot_seconds(),
         )
 
     async def _carry_out(self, change: MembershipChange) -> None:
         if isinstance(change, AddLearner):
-            waiting = self._replica.waiting[change.identity.name]
+            waiting = self._replica.waiting.find(change.identity.name)
             self._replica.learn_address(waiting.identity.name, waiting.address)
         result = await self._replica.change_members(change)
         outcome = "refused" if isinstance(result, Err) else "done"
--- a/limedyke/controller/replica.py
+++ b/limedyke/controller/replica.py
@@ -15,6 +15,7 @@
 from limedyke.controller.peer_network import PeerMessage, PeerNetwork
 from limedyke.controller.pending_requests import PendingRequests
 from limedyke.controller.snapshot_schedule import SnapshotSchedule
+from limedyke.controller.waiting_controllers import ANNOUNCEMENT_INTERVAL_S, WaitingControllers
 from limedyke.core.agreement import Agreement, AgreementTiming
 from limedyke.core.agreement.commands import (
     ApplyEntries,
@@ -46,7 +47,6 @@
 )
 from limedyke.core.agreement.founding import ANY_INCARNATION, answer_founding_query
 from limedyke.core.agreement.records import Snapshot, StoredState
-from limedyke.core.agreement.voter_policy import WaitingController
 from limedyke.core.control.state import ControlState
 from limedyke.core.control.update_ring import UpdateRing
 from limedyke.core.home import HomeDirectory, connection_limits
@@ -66,11 +66,7 @@
 from limedyke.storage.agreement_storage import AgreementStorage
 
 DISK_PROBE_INTERVAL_S = 0.25
-ANNOUNCEMENT_INTERVAL_S = 0.3
-ANNOUNCEMENT_COST_S = 0.02
-"""Time for which the leader asks each waiting controller to leave it to the others."""
-ANNOUNCEMENT_AGE_S = 3.0
-"""A controller that announced itself so lately counts as waiting, whatever its interval."""
+MS_PER_S = 1_000
 EVENTS = EventLog("controller")
 
 
@@ -114,7 +110,7 @@
         self.storage_failure = ""
         self._storage_failed = curio.Event()
         self.strangers: dict[str, ControllerIdentity] = {}
-        self.waiting: dict[str, WaitingController] = {}
+        self.waiting = WaitingControllers()
         self._leader_hint = ""
         self._advertise = advertise
         self._snapshot = stored.snapshot
@@ -171,33 +167,13 @@
             self._network.set_address(member.name, member.address)
 
     def welcome(self, call: AwaitMembershipCall) -> CallAnswer:
-        """Answer a controller that waits to be added; the leader notes it, and says when to call.
-
-        That is the later the more there are: the leader hears at most fifty of them a second.
-        """
+        """Answer a controller that waits to be added; the leader notes it."""
         leader = self.leader_address(self._advertise)
         if self.leads:
-            self._note_waiting(call)
-        present = len(self.waiting)
-        interval_s = max(ANNOUNCEMENT_INTERVAL_S, present * ANNOUNCEMENT_COST_S)
-        return CallAnswer(
-            leader=leader, members=self._members(), retry_after_ms=int(interval_s * 1_000)
-        )
-
-    def _note_waiting(self, call: AwaitMembershipCall) -> None:
-        now = boot_seconds()
-        interval_s = max(ANNOUNCEMENT_INTERVAL_S, (len(self.waiting) + 1) * ANNOUNCEMENT_COST_S)
-        self.strangers[call.identity.name] = call.identity
-        self.waiting[call.identity.name] = WaitingController(
-            call.identity, call.address, now, interval_s
-        )
-        gone = [
-            name
-            for name, controller in self.waiting.items()
-            if not controller.is_present(now, ANNOUNCEMENT_AGE_S)
-        ]
-        for name in gone:
-            del self.waiting[name]
+            self.strangers[call.identity.name] = call.identity
+            self.waiting.note(call.identity, call.address, boot_seconds())
+        retry_after_ms = int(self.waiting.interval_s * MS_PER_S)
+        return CallAnswer(leader=leader, members=self._members(), retry_after_ms=retry_after_ms)
 
     def _members(self) -> tuple[PeerAddress, ...]:
         """Return where the members are reached that this controller knows."""
