End resting transactions for requests that wait for their connections

What callers saw: long after a wave of load of one tenant at the least urgent database, writes and reads of other tenants were refused after a second ("no connection came free", "no turn in time") at proxies and members without a fault.

Cause: a transaction keeps its connection for as long as its client likes, and nothing bounded how many connections of a member the transactions of one tenant, or the least urgent ones, hold while others wait. Clients that vanish inside a transaction look the same as clients that rest.

Change: a request that has waited for 0.1 s while nothing is idle or may be opened gets the connection of the longest resting transaction that it precedes (core/statements/resting_transactions.py). The transaction is rolled back; its client is told LD2005, did not run.

--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -246,7 +246,10 @@
             is_public=not self.tenants,
         )
         public = dataclasses.replace(database, name="open", is_public=True)
-        databases = {"db": database, "open": public} if self.tenants else {"db": database}
+        batch = dataclasses.replace(database, name="batch", priority=database.priority + 1)
+        databases = {"db": database}
+        if self.tenants:
+            databases |= {"open": public, "batch": batch}
         return ControlView(
             control_index=self.index,
             revision=1,
--- a/limedyke/proxy/statements/members/checked_out_connections.py
+++ b/limedyke/proxy/statements/members/checked_out_connections.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from limedyke.core.queueing.queued_request import QueuedRequest
 from limedyke.proxy.statements.members.member_connection import MemberConnection
 
@@ -32,6 +34,10 @@
         """Record a return; return the request that had the connection, None for a status query."""
         return self._requests.pop(connection, None)
 
+    def connections(self) -> Iterable[MemberConnection]:
+        """Return the connections that requests have checked out."""
+        return self._requests.keys()
+
     def count_long_held(self, usual_s: float, now: float) -> int:
         """Return how many are checked out for so long that their return can't be predicted."""
         limit_s = max(LONG_HELD_S, LONG_HELD_FACTOR * usual_s)
--- a/limedyke/proxy/statements/members/member_gauges.py
+++ b/limedyke/proxy/statements/members/member_gauges.py
@@ -37,13 +37,19 @@
         turned_away = CounterMetricFamily(
             f"{PREFIX}turned_away", "Answers that it has no room.", labels=MEMBER_LABELS
         )
+        ended_resting = CounterMetricFamily(
+            f"{PREFIX}resting_transactions_ended",
+            "Resting transactions that gave way to waiting requests.",
+            labels=MEMBER_LABELS,
+        )
         tries = CounterMetricFamily(
             f"{PREFIX}further_tries", "Tries beyond the first, by outcome.", labels=GROUP_LABELS
         )
         for group in self._groups():
             tries.add_metric((group.name, MADE), group.retries.made)
             tries.add_metric((group.name, DENIED), group.retries.denied)
-            for observed in group.observed_members if group.limit > 0 else ():
+            for pool in group.pools.values() if group.limit > 0 else ():
+                observed = pool.observed
                 labels = (group.name, observed.record.identity)
                 limit.add_metric(labels, observed.concurrency.limit)
                 under_way.add_metric(labels, observed.under_way(now))
@@ -52,7 +58,9 @@
                 failing.add_metric(labels, observed.quality.failing_share(now))
                 lag.add_metric(labels, observed.lag.lag_s)
                 turned_away.add_metric(labels, observed.concurrency.turned_away_count)
-        yield from (limit, under_way, waiting, slowness, failing, lag, turned_away, tries)
+                ended_resting.add_metric(labels, pool.ended_for_waiting)
+        yield from (limit, under_way, waiting, slowness, failing, lag)
+        yield from (turned_away, ended_resting, tries)
 
 
 def _gauge(name: str, text: str) -> GaugeMetricFamily:
--- a/limedyke/proxy/statements/members/member_pool.py
+++ b/limedyke/proxy/statements/members/member_pool.py
@@ -17,6 +17,12 @@
 from limedyke.core.queueing.retry_schedule import RetrySchedule
 from limedyke.core.statements.connection_demand import ConnectionUse
 from limedyke.core.statements.observed_member import FIRST_ANSWER_S, OPENING, ObservedMember
+from limedyke.core.statements.resting_transactions import (
+    ConnectionClaim,
+    RestingTransaction,
+    RestingTransactions,
+)
+from limedyke.event_log import EventLog
 from limedyke.messages.statements import AnswerKind
 from limedyke.messages.work import TransactionStatus
 from limedyke.proxy.statements.members.checked_out_connections import CheckedOutConnections
@@ -64,6 +70,13 @@
 """A priority behind all others, so that every waiting request goes first."""
 FULL_RETRY_DELAY_S = 0.2
 """Seconds without further opening attempts after a member refused a connection for lack of room."""
+ROLL_BACK_TIMEOUT_S = 1.0
+RESTING_WAIT_S = 0.1
+"""Seconds a request waits before a resting transaction is ended for it; shorter waits are usual
+while all connections are busy."""
+RESTING_WAIT_SHARE = 0.25
+"""Share of its time that a request with little time waits instead of ``RESTING_WAIT_S``."""
+EVENTS = EventLog("pools")
 
 
 class PoolClosedError(Exception):
@@ -83,6 +96,7 @@
     :ivar judgement: the status of the member that was last logged
     :ivar opened: number of connections open or being opened
     :ivar use: measures the demand for connections
+    :ivar ended_for_waiting: number of resting transactions that were ended for waiting requests
     """
 
     def __init__(
@@ -102,6 +116,9 @@
         self.opened = 0
         self.is_closed = False
         self.use = ConnectionUse()
+        self.ended_for_waiting = 0
+        self._resting = RestingTransactions()
+        self._ending_count = 0
         self._full_until = 0.0
         self._opening: Counter[str] = Counter()
         self._idle = IdleConnections()
@@ -316,6 +333,60 @@
             await self.serve_waiting()
         await self.check_queue(time.monotonic())
 
+    async def roll_back(self, connection: MemberConnection) -> None:
+        """Roll back the transaction on a checked-out connection; close it if that takes long."""
+        try:
+            async with curio.timeout_after(ROLL_BACK_TIMEOUT_S):
+                await connection.roll_back()
+        except curio.TaskTimeout:
+            await connection.close()
+
+    def begin_rest(self, connection: MemberConnection, priority: int) -> RestingTransaction:
+        """Record that the transaction on a connection rests until its client's next statement."""
+        claim = ConnectionClaim(connection.tenant, priority)
+        return self._resting.begin_rest(connection, claim, time.monotonic())
+
+    def end_rest(self, resting: RestingTransaction) -> bool:
+        """Record that a client goes on; return False if its transaction gave way to a request."""
+        return self._resting.end_rest(resting)
+
+    async def _end_resting_for_waiting(self, now: float) -> None:
+        """End resting transactions for requests that wait because of them."""
+        if not self._resting or self._idle or self._may_open() or not self._member_has_room():
+            return
+        coming = self._ending_count + self._opening.total()
+        held = Counter(connection.tenant for connection in self._checked_out.connections())
+        for waiter in list(self._queue.in_order(now))[coming:]:
+            if not _waits_long(waiter, now):
+                continue
+            claim = ConnectionClaim(waiter.tenant, waiter.priority)
+            resting = self._resting.end_one_for(claim, held, now)
+            if resting is not None:
+                held[resting.claim.tenant] -= 1
+                held[claim.tenant] += 1
+                self._ending_count += 1
+                await curio.spawn(self._end_resting, resting, claim, now, daemon=True)
+
+    async def _end_resting(
+        self, resting: RestingTransaction, waiting: ConnectionClaim, now: float
+    ) -> None:
+        """Roll back a transaction that gives way, and return its connection."""
+        self.ended_for_waiting += 1
+        EVENTS.info(
+            "resting-transaction-ended",
+            member=self.observed.record.identity,
+            tenant=resting.claim.tenant or "none",
+            priority=resting.claim.priority,
+            rested_ms=int((now - resting.since) * MS_PER_S),
+            waiting_tenant=waiting.tenant or "none",
+            waiting_priority=waiting.priority,
+        )
+        try:
+            await self.roll_back(resting.connection)
+        finally:
+            self._ending_count -= 1
+            await self.putconn(resting.connection)
+
     def _reserve(self, connection: MemberConnection) -> None:
         """Count a checked-out connection as load of the member until something is sent on it."""
         connection.is_reserved = True
@@ -632,6 +703,7 @@
             await self._fail_unaware_of_silence(now)
         elif self._queue:
             await self._open_for_waiting()
+            await self._end_resting_for_waiting(now)
 
     async def _fail_unaware_of_silence(self, now: float) -> None:
         """Fail requests that began to wait while the member answered, so that they go elsewhere."""
@@ -695,3 +767,9 @@
             await self.putconn(waiter.connection)
         elif was_given and waiter.error is None:
             await self._wake_one()
+
+
+def _waits_long(waiter: ConnectionWaiter, now: float) -> bool:
+    """Tell whether a request has waited for so long that a resting transaction is ended for it."""
+    longest_s = RESTING_WAIT_SHARE * (waiter.deadline_at - waiter.arrived_at)
+    return now - waiter.arrived_at >= min(RESTING_WAIT_S, longest_s)
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -17,7 +17,11 @@
 from limedyke.proxy.statements.members.member_queries import MemberQueries
 from limedyke.proxy.statements.members.pinned_connection import PinnedConnection
 from limedyke.proxy.statements.read_runner import ReadRunner
-from limedyke.proxy.statements.settlement import settle_first, settle_in_transaction
+from limedyke.proxy.statements.settlement import (
+    settle_ended_at_rest,
+    settle_first,
+    settle_in_transaction,
+)
 from limedyke.proxy.statements.statement_log import NotSentReason, StatementLog
 from limedyke.proxy.statements.statement_metrics import StatementMetrics
 from limedyke.proxy.statements.statement_outcome import StatementOutcome
@@ -93,6 +97,8 @@
 
     async def _run_pinned(self, pinned: PinnedConnection, attempt: Attempt) -> StatementOutcome:
         """Run a further statement of a transaction on its connection; retry while it is busy."""
+        if not pinned.end_rest():
+            return settle_ended_at_rest(attempt.session, attempt.run, pinned)
         while True:
             answer = await self._exchange.run(pinned, attempt, None, attempt.time_left())
             if answer.kind is not AnswerKind.BUSY:
--- a/limedyke/proxy/statements/settlement.py
+++ b/limedyke/proxy/statements/settlement.py
@@ -42,6 +42,7 @@
         return await _transaction_failed(session, run, pinned, answer)
     session.ran(run)
     if run.statement.kind is not StatementKind.COMMIT:
+        pinned.begin_rest(session.database.priority)
         return StatementOutcome(_success(answer), pinned)
     session.wrote_up_to(answer.position if run.writes else None)
     await pinned.give_back()
@@ -66,6 +67,19 @@
     return StatementOutcome(refusal(ResultCode.READ_UNANSWERED, detail))
 
 
+def settle_ended_at_rest(
+    session: StatementSession, run: RunOnMember, pinned: PinnedConnection
+) -> StatementOutcome:
+    """Return the result of a statement whose transaction gave way to a request while it rested."""
+    if run.statement.kind is StatementKind.COMMIT:
+        session.close_transaction()
+    else:
+        session.fail_transaction()
+    detail = f"it rested while requests waited for connections to {pinned.identity}"
+    retry_after_ms = pinned.pool.retry_after_ms(session.database.priority)
+    return StatementOutcome(refusal(ResultCode.IDLE_IN_TRANSACTION, detail, retry_after_ms))
+
+
 async def _transaction_failed(
     session: StatementSession, run: RunOnMember, pinned: PinnedConnection, answer: MemberAnswer
 ) -> StatementOutcome:
