Carry out no forwarded statement whose time is over

Cause: a forwarded unit carries the time that it may take, counted from when it is read. A home proxy that was paused read a COMMIT two seconds late, took it for new, and committed it after its client had been told LD3001 (unknown) and had written the next value elsewhere. The sender's request to abandon the unit lies behind it in the same receive buffer and comes too late. Second place: nothing looked at the clock between reading a statement of an open transaction and sending it.

Change: units say when they were sent by their sender's clock; the receiving end takes the shortest journey for the difference of the clocks and subtracts what a unit took longer (core/message_delay.py). No time is left once the sender has closed the link for silence, which is what counts for PostgreSQL's long limits. The clock is looked at just before a statement goes to a member (AnswerKind.TOO_LATE, did not run).

--- a/features/forwarding_work.feature
+++ b/features/forwarding_work.feature
@@ -99,3 +99,12 @@
   Scenario: Forwarded units leave no tasks behind at the home proxy
     When forwarding: 200 reads run through p2
     Then forwarding: p1 has no tasks left of them
+
+  Scenario Outline: forwarding: a unit whose time is over when it arrives does not run, <which>
+    When forwarding: a write whose time is over arrives at p1, <which>
+    Then forwarding: it is refused as <code>, nothing was written, and no transaction is open
+
+    Examples:
+      | which                      | code             |
+      | in an open transaction     | TRANSACTION_LOST |
+      | outside a transaction      | QUEUE_TIMEOUT    |
--- a/features/steps/forwarding_work_steps.py
+++ b/features/steps/forwarding_work_steps.py
@@ -13,7 +13,7 @@
 from limedyke.messages.work import AbandonWork, Access
 from limedyke.proxy.forwarding import link as forwarding_link
 from limedyke.proxy.forwarding import server as forwarding_server
-from limedyke.result_codes import CODE_BY_NUMBER
+from limedyke.result_codes import CODE_BY_NUMBER, ResultCode
 
 TRANSACTION = 9
 HELD_ANSWER_MS = 300
@@ -378,3 +378,19 @@
 def step_no_tasks(context):
     more = _live_tasks() - context.tasks_before
     assert more < 20, more
+
+
+@when("forwarding: a write whose time is over arrives at p1, {which}")
+def step_expired(context, which):
+    transaction = TRANSACTION if which == "in an open transaction" else 0
+    if transaction:
+        assert context.lab.ask("BEGIN", transaction=transaction).end.code == 0
+    context.answer = context.lab.ask(WRITE, transaction=transaction, deadline_ms=0)
+
+
+@then("forwarding: it is refused as {code:w}, nothing was written, and no transaction is open")
+def step_expired_refused(context, code):
+    end = context.answer.end
+    assert end.code == ResultCode[code].value.number, end
+    assert context.lab.members.admin("a", COUNT) == [(0,)]
+    assert context.lab.proxies["p1"]._local.open_transactions == 0
--- a/features/support/statement_homes.py
+++ b/features/support/statement_homes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+import time
 
 import curio
 from curio import socket
@@ -48,6 +49,7 @@
         self.server = ForwardingServer(self.service, StatementUnit, refuse_unit)
         self.links: set[Link] = set()
         self.is_frozen = False
+        self.paused_until = 0.0
         self.address = ""
 
     async def start(self) -> None:
@@ -68,7 +70,15 @@
                 await curio.sleep(FROZEN_S)
             return message
 
+        fill = link._fill
+
+        async def fill_unless_paused() -> None:
+            await curio.traps._read_wait(link._socket._fileno)
+            await curio.sleep(max(0.0, self.paused_until - time.monotonic()))
+            await fill()
+
         link.receive = receive_unless_frozen
+        link._fill = fill_unless_paused
         await self.server.serve(link)
 
     async def lease(self, connections: int) -> None:
@@ -76,6 +86,10 @@
         leases = (ConnectionLease(GROUP, "shared", connections),) if connections else ()
         await self.groups.leases_changed(leases, NEVER)
 
+    def pause(self, seconds: float) -> None:
+        """Leave messages in the receive buffers of its links for some time."""
+        self.paused_until = time.monotonic() + seconds
+
     def freeze(self) -> None:
         """Stop processing messages from its links, so that nothing is answered."""
         self.is_frozen = True
--- a/limedyke/messages/statements.py
+++ b/limedyke/messages/statements.py
@@ -67,6 +67,7 @@
     """The outcome of a statement at a member.
 
     ``LOST``: the connection broke after sending.  ``NOT_SENT``: it broke before sending.
+    ``TOO_LATE``: the statement's time was over before it could be sent.
     """
 
     DONE = "done"
@@ -80,6 +81,7 @@
     ABORTED = "aborted"
     FAILED = "failed"
     TIMED_OUT = "timed-out"
+    TOO_LATE = "too-late"
     LOST = "lost"
     NOT_SENT = "not-sent"
 
@@ -95,6 +97,7 @@
         AnswerKind.MALFORMED,
         AnswerKind.ABORTED,
         AnswerKind.NOT_SENT,
+        AnswerKind.TOO_LATE,
     }
 )
 """Outcomes that prove that the statement did not run."""
@@ -161,6 +164,7 @@
     :param deadline_ms: time left for waiting and running
     :param tenant: the client's tenant; empty for a public database
     :param may_decline: whether the home proxy may decline it if its queue is long
+    :param sent_ms: when it was sent, by the sender's monotonic clock; 0 if not stated
     """
 
     stream: int
@@ -175,6 +179,7 @@
     deadline_ms: int
     tenant: str = ""
     may_decline: bool = False
+    sent_ms: int = 0
 
 
 @message(217)
--- a/limedyke/messages/work.py
+++ b/limedyke/messages/work.py
@@ -96,6 +96,7 @@
         except ReadyForQuery are relayed
     :param leaves_state: the batch may change settings or other state of its connection; once the
         transaction has ended, discard that state before the connection serves another unit
+    :param sent_ms: when it was sent, by the sender's monotonic clock; 0 if not stated
     """
 
     stream: int
@@ -114,6 +115,7 @@
     settings: tuple[SessionSetting, ...]
     data: bytes
     leaves_state: bool = False
+    sent_ms: int = 0
 
 
 @message(94)
--- a/limedyke/proxy/forwarding/link.py
+++ b/limedyke/proxy/forwarding/link.py
@@ -40,6 +40,7 @@
 
 
 NEVER = float("inf")
+MS_PER_S = 1_000.0
 ForwardedUnit = WorkUnit | StatementUnit
 ForwardedEnd = AnswerEnd | StatementUnitEnd
 
@@ -276,7 +277,7 @@
         self._streams[number] = stream
         self._stream_by_unit[unit.stream] = number
         self.used_at = time.monotonic()
-        sent = dataclasses.replace(unit, stream=number)
+        sent = dataclasses.replace(unit, stream=number, sent_ms=int(began_at * MS_PER_S))
         ended = False
         try:
             if not self._work_began.is_set():
--- a/limedyke/proxy/forwarding/server.py
+++ b/limedyke/proxy/forwarding/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 import time
 from collections.abc import Awaitable, Callable
@@ -9,6 +10,7 @@
 
 import curio
 
+from limedyke.core.message_delay import MessageDelay
 from limedyke.event_log import EventLog
 from limedyke.messages.work import (
     AbandonWork,
@@ -18,7 +20,12 @@
     WorkUnit,
 )
 from limedyke.proxy.executor import Relay, refusal
-from limedyke.proxy.forwarding.link import ForwardedEnd, ForwardedUnit
+from limedyke.proxy.forwarding.link import (
+    MS_PER_S,
+    SILENCE_LIMIT_S,
+    ForwardedEnd,
+    ForwardedUnit,
+)
 from limedyke.proxy.forwarding.outbox import Outbox
 from limedyke.proxy.forwarding.work_key import WorkKey
 from limedyke.result_codes import ResultCode
@@ -127,6 +134,7 @@
         self._tasks: set[curio.Task] = set()
         self._last_heard_at = time.monotonic()
         self._work_began = curio.Event()
+        self._delay = MessageDelay()
 
     async def run(self) -> None:
         """Serve until the link closes or falls silent."""
@@ -199,7 +207,7 @@
             self._streams[message.stream] = stream
             if not self._work_began.is_set():
                 await self._work_began.set()
-            await self._spawn(self._run_unit, message, stream)
+            await self._spawn(self._run_unit, self._with_time_left(message), stream)
         elif isinstance(message, AnswerCredit):
             stream = self._streams.get(message.stream)
             if stream is not None:
@@ -211,6 +219,22 @@
         else:
             raise LinkClosedError(f"unexpected message {type(message).__name__}")
 
+    def _with_time_left(self, unit: ForwardedUnit) -> ForwardedUnit:
+        """Return a unit with the time that it has left after its journey.
+
+        No time is left once its sender has closed the link for silence, as the sender has given up
+        on it then.
+        """
+        if not unit.sent_ms:
+            return unit
+        delay_s = self._delay.delay_s(unit.sent_ms / MS_PER_S, time.monotonic())
+        left_ms = max(0, unit.deadline_ms - int(delay_s * MS_PER_S))
+        if delay_s >= SILENCE_LIMIT_S:
+            left_ms = 0
+        if not left_ms:
+            _log.warning("unit-too-late", origin=self._origin, delay_ms=int(delay_s * MS_PER_S))
+        return dataclasses.replace(unit, deadline_ms=left_ms)
+
     async def _run_unit(self, unit: ForwardedUnit, stream: _Stream) -> None:
         try:
             await self._outbox.put(await self._end_of(unit, stream))
--- a/limedyke/proxy/local_executor.py
+++ b/limedyke/proxy/local_executor.py
@@ -18,7 +18,7 @@
 from limedyke.proxy.unit_read import UnitRead
 from limedyke.proxy.unit_transaction import UnitInTransaction, roll_back
 from limedyke.proxy.unit_write import UnitWrite
-from limedyke.result_codes import Outcome, ResultCode
+from limedyke.result_codes import Failure, Outcome, ResultCode
 from limedyke.settings.proxy import ProxySettings
 
 MS_PER_S = 1_000.0
@@ -104,6 +104,8 @@
 
     async def _run(self, context: UnitContext) -> AnswerEnd:
         unit = context.unit
+        if context.expired:
+            return await self._refuse_expired(context)
         if unit.transaction:
             transaction = self._transactions.get(context.transaction_key)
             if transaction is not None:
@@ -119,6 +121,14 @@
             return await UnitOnceWrite(context).run()
         return await UnitWrite(context).run()
 
+    async def _refuse_expired(self, context: UnitContext) -> AnswerEnd:
+        """Refuse a unit whose time was over before it could run; end its open transaction."""
+        detail = "its time was over before it could run"
+        if not self.has_transaction(context.transaction_key):
+            return context.failed(Failure(ResultCode.QUEUE_TIMEOUT, detail))
+        await self._abandon_transaction(context.transaction_key)
+        return context.failed(Failure(ResultCode.TRANSACTION_LOST, detail))
+
     async def abandon(self, work: AbandonWork, origin: str = LOCAL_ORIGIN) -> None:
         """Cancel a unit or roll back a transaction (see ``Executor``)."""
         running = self._running.get(WorkKey(origin, work.stream))
--- a/limedyke/proxy/statements/members/member_connection.py
+++ b/limedyke/proxy/statements/members/member_connection.py
@@ -144,13 +144,16 @@
         begin: Statement | None = None,
         prepared: PreparedShape | None = None,
         after: LogPosition | None = None,
+        send_by: float = float("inf"),
     ) -> MemberAnswer:
         """Run a statement under the session's values.
 
         :param begin: statement that begins a transaction first
         :param after: log position that the member must hold for the first of these statements
+        :param send_by: latest time to send it, seconds of the monotonic clock
         :returns: the statement's answer, or that of ``begin`` if it failed;
-            ``LOST`` when the connection broke and the statement may have run
+            ``LOST`` when the connection broke and the statement may have run;
+            ``TOO_LATE`` when its time was over before it was sent
         """
         name = ""
         preparations = self._requests_to_set(values)
@@ -165,6 +168,8 @@
             if begun.kind is not AnswerKind.DONE:
                 return begun
             after = None
+        if time.monotonic() >= send_by:
+            return MemberAnswer(AnswerKind.TOO_LATE, detail="not sent in time")
         if prepared is not None:
             return await self._exchange([self._codec.execute(statement, name, after)])
         return await self._exchange([self._codec.statement(statement, after)])
--- a/limedyke/proxy/statements/members/member_exchange.py
+++ b/limedyke/proxy/statements/members/member_exchange.py
@@ -109,7 +109,12 @@
         try:
             async with curio.timeout_after(max(0.0, limit_s)):
                 answer = await pinned.connection.run(
-                    run.statement, attempt.session.settings, run.begin, run.prepared, after
+                    run.statement,
+                    attempt.session.settings,
+                    run.begin,
+                    run.prepared,
+                    after,
+                    attempt.deadline,
                 )
         except curio.TaskTimeout:
             is_answered = _record_timeout(observed, started_at)
@@ -149,6 +154,8 @@
         observed = pinned.pool.observed
         is_replica = pinned.identity != attempt.group.primary
         self._metrics.member_answered(answer.kind, is_replica, now - started_at)
+        if answer.kind is AnswerKind.TOO_LATE:
+            return
         if answer.kind in (AnswerKind.LOST, AnswerKind.NOT_SENT):
             observed.broke(now)
             return
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -64,6 +64,9 @@
         attempt = Attempt.begin(session, run, group, self._log)
         if pinned is not None:
             return await self._run_pinned(pinned, attempt)
+        if attempt.time_left() <= 0.0:
+            attempt.last_failure = "its time was over before it could run"
+            return StatementOutcome(attempt.final_refusal(ResultCode.NO_MEMBER))
         limits = self._limits()
         if limits is None:
             return await self._run_first(attempt)
