Find the successor of a paused leader, and let operations wait for it

Cause: a proxy left its leader only when the link closed, after the silence limit (2 s), or a second after an unanswered report on a member. A paused leader keeps its links, so nobody asked the other controllers, each of which knew the new one. And the operation was refused as soon as the proxy's share was used up, though it had time left.

Change: after 0.3 s without an answer to a request for tokens or to a report, the proxy asks the other controllers while it keeps its link, and moves when one answers as the leader.

--- a/features/support/leaders_world.py
+++ b/features/support/leaders_world.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from limedyke.core.limits.leader_outage import LeaderOutage
 from limedyke.core.limits.operation_allowance import FEW_PROXIES, OperationAllowance
 from limedyke.core.limits.operation_limits import OperationLimits
 from limedyke.messages.declaration import Tenant
@@ -21,9 +22,24 @@
 TENANT = "one"
 
 
+@dataclass(frozen=True, slots=True)
+class Held:
+    """An operation that waits for a leader.
+
+    :param latest: latest time until which it may wait
+    :param until: when it is refused unless a leader has answered
+    """
+
+    latest: float
+    until: float
+
+
 @dataclass(slots=True)
 class Proxy:
-    """A home proxy; ``name`` changes with each start of its process."""
+    """A home proxy; ``name`` changes with each start of its process.
+
+    :ivar held: operations that wait for a leader
+    """
 
     name: str
     allowance: OperationAllowance = field(default_factory=OperationAllowance)
@@ -34,6 +50,8 @@
     contacted_at: float = 0.0
     predecessor: str = ""
     started_at: float = 0.0
+    outage: LeaderOutage = field(default_factory=LeaderOutage)
+    held: list[Held] = field(default_factory=list)
 
 
 class LeadersWorld:
@@ -96,6 +114,8 @@
             if is_on:
                 proxy.predecessor, proxy.name = proxy.name, f"{proxy.name}x"
                 proxy.allowance = OperationAllowance()
+                proxy.outage = LeaderOutage()
+                proxy.held = []
                 proxy.started_at = self.now
                 proxy.linked_at = self.now + RECONNECT_S * (0.6 + 0.4 * self._random.random())
 
@@ -144,6 +164,8 @@
         for number, count in wanted.items():
             if count:
                 self._run(serving[number], count)
+        for proxy in serving:
+            self._settle_held(proxy)
 
     def _arrivals(self) -> int:
         """Return how many operations arrive in a step; they are evenly spaced."""
@@ -194,9 +216,21 @@
         else:
             self._run_without_leader(proxy, count)
 
-    def _ask(self, proxy: Proxy, count: int) -> None:
+    def _settle_held(self, proxy: Proxy) -> None:
+        """Request held operations of the leader once there is one; refuse those held too long."""
+        held, proxy.held = proxy.held, []
+        for operation in held:
+            if proxy.is_linked:
+                self._ask(proxy, 1, int((operation.latest - self.now) * MS_PER_S))
+            elif self.now < operation.until:
+                proxy.held.append(operation)
+            else:
+                self.refused.append(self.now)
+
+    def _ask(self, proxy: Proxy, count: int, wait_ms: int = WAIT_MS) -> None:
         self.messages += 1
-        by_priority = (OperationsOfPriority(1, count, WAIT_MS),)
+        proxy.outage.note_answer()
+        by_priority = (OperationsOfPriority(1, count, max(0, wait_ms)),)
         demand = OperationDemand(
             TENANT, count, proxy.allowance.prefetch_count(self.now), by_priority
         )
@@ -210,12 +244,17 @@
         self.refused += [self.now] * (count - at_once - len(grant.waits_ms))
 
     def _run_without_leader(self, proxy: Proxy, count: int) -> None:
+        latest = self.now + WAIT_MS / MS_PER_S
+        proxy.outage.note_unanswered(self.now)
         for _ in range(count):
             if proxy.allowance.take_reserve(self.now, len(self.proxies) <= FEW_PROXIES):
                 self.ran.append(self.now)
                 continue
             in_s = proxy.allowance.promise_reserve(WAIT_MS / MS_PER_S, self.now)
-            if in_s is None:
-                self.refused.append(self.now)
-            else:
+            held_until = proxy.outage.held_until(latest, proxy.allowance.was_over_limit, self.now)
+            if in_s is not None:
                 self.ran.append(self.now + in_s)
+            elif held_until > self.now:
+                proxy.held.append(Held(latest, held_until))
+            else:
+                self.refused.append(self.now)
--- a/limedyke/core/limits/operation_allowance.py
+++ b/limedyke/core/limits/operation_allowance.py
@@ -46,9 +46,13 @@
 
 
 class OperationAllowance:
-    """Granted operations in stock, and the reserve for times without a leader."""
+    """Granted operations in stock, and the reserve for times without a leader.
+
+    :ivar was_over_limit: the leader could not grant at once all that it was last asked for
+    """
 
     def __init__(self) -> None:
+        self.was_over_limit = False
         self._stock: deque[float] = deque()
         self._demand = UseRate()
         self._granted = UseRate()
@@ -84,6 +88,7 @@
 
     def apply_grant(self, grant: OperationGrant, now: float) -> None:
         """Apply the leader's answer except for the granted operations, which the caller adds."""
+        self.was_over_limit = bool(grant.waits_ms or grant.retry_after_ms)
         operations = grant.operations + len(grant.waits_ms)
         self._leaderless_operations = grant.alone_tenths / TENTHS
         self._leaderless_total_rate = grant.alone_of_per_minute / SECONDS_PER_MINUTE
--- a/limedyke/proxy/control/client.py
+++ b/limedyke/proxy/control/client.py
@@ -37,6 +37,7 @@
 from limedyke.proxy.control.controller_selector import ControllerSelector
 from limedyke.proxy.control.handler import ControlHandler
 from limedyke.proxy.control.leader_search import FoundLeader, LeaderSearch
+from limedyke.proxy.control.leader_silence import LeaderSilence
 from limedyke.proxy.control.leases import ControlLeases
 from limedyke.proxy.control.quorum_stamp_tracker import QuorumStampTracker
 from limedyke.proxy.control.reports import ControlReports
@@ -44,6 +45,7 @@
 from limedyke.proxy.control.state_receiver import ControlStateReceiver
 from limedyke.proxy.control.status_messages import ProxyStatusMessages
 from limedyke.proxy.control.store import ControlStore, StoredControl
+from limedyke.proxy.control.successor_search import SuccessorSearch
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.control.view_check import ViewFreshnessCheck
 from limedyke.proxy.limits.operation_limiter import OperationLimiter
@@ -97,7 +99,8 @@
         self._status_messages = ProxyStatusMessages(settings)
         self._quorum_stamp = QuorumStampTracker()
         self._view_confirmation = ViewFreshnessCheck(self._ask_leader, self._applied_index)
-        self._reports = ControlReports()
+        self._silence = LeaderSilence()
+        self._reports = ControlReports(self._silence)
         self._leases = ControlLeases(
             settings.name, handler.leases_changed, lambda: self._link is not None
         )
@@ -108,10 +111,15 @@
         self._search = LeaderSearch(
             identity, settings.source_ip, self._controllers, self._hello, self._silence_limit_s
         )
+        self._successor_search = SuccessorSearch(self._search, self._silence)
         self._primary_lease_ends_at = 0.0
         self._heartbeats_sent_at: dict[int, float] = {}
         self.limits = OperationLimiter(
-            self._tenants, self._send, lambda: self.leases_expire_at, self._count_homes
+            self._tenants,
+            self._send,
+            lambda: self.leases_expire_at,
+            self._count_homes,
+            self._silence,
         )
         self.clients = 0
         self.links_opened = 0
@@ -252,13 +260,14 @@
 
     async def _keep_connected(self) -> None:
         while True:
-            found = await self._search.find()
+            found = self._successor_search.take_found() or await self._search.find()
             try:
                 await self._serve_link(found)
             except LinkClosedError as error:
                 EVENTS.info("control-link-closed", controller=found.address, reason=error)
             finally:
                 self._link = None
+                self._silence.link_closed()
                 await found.link.close()
             await curio.sleep(self._controllers.pause_s())
 
@@ -273,11 +282,13 @@
         EVENTS.info("control-connected", controller=found.address, name=link.peer_name)
         self.links_opened += 1
         self._quorum_stamp.link_opened(time.monotonic())
+        self._silence.link_opened()
         async with curio.TaskGroup(wait=any) as tasks:
             await tasks.spawn(serve_until_closed, self._receive_all, link, found.first)
             await tasks.spawn(serve_until_closed, self._send_heartbeats, link)
             await tasks.spawn(serve_until_closed, self._reports.watch_silence)
             await tasks.spawn(serve_until_closed, self._leases.watch_lost)
+            await tasks.spawn(serve_until_closed, self._successor_search.watch, found.address)
         raise LinkClosedError(tasks.completed.result)
 
     async def _send_heartbeats(self, link: Link) -> None:
@@ -373,6 +384,7 @@
         if self._quorum_stamp.is_older(stamp):
             raise LinkClosedError("the quorum stamp is older than one received before")
         self._reports.answer_received()
+        await self._silence.end()
         if self._quorum_stamp.advance(stamp, time.monotonic()):
             self._controllers.accepted(self._address)
             await self._leases.renew(stamp.sequence, stamp.lease_duration_ms / 1000)
--- a/limedyke/proxy/control/leader_search.py
+++ b/limedyke/proxy/control/leader_search.py
@@ -65,13 +65,16 @@
         self._dialling: set[str] = set()
         self._links: set[Link] = set()
 
-    async def find(self) -> FoundLeader:
-        """Return the first controller that answers as the leader."""
+    async def find(self, avoid: str = "") -> FoundLeader:
+        """Return the first controller that answers as the leader.
+
+        :param avoid: address of a controller that is not asked
+        """
         found = None
         try:
             async with curio.TaskGroup() as attempts:
                 while found is None:
-                    await self._begin_attempt(attempts)
+                    await self._begin_attempt(attempts, avoid)
                     found = await self._wait_for_attempt(attempts)
                 await attempts.cancel_remaining()
         finally:
@@ -81,11 +84,11 @@
             self._dialling.clear()
         return found
 
-    async def _begin_attempt(self, attempts: curio.TaskGroup) -> None:
+    async def _begin_attempt(self, attempts: curio.TaskGroup, avoid: str) -> None:
         if len(self._dialling) >= CONCURRENT_ATTEMPTS:
             return
         address = self._controllers.next_address()
-        if address not in self._dialling:
+        if address != avoid and address not in self._dialling:
             self._dialling.add(address)
             await attempts.spawn(self._attempt, address)
 
--- a/limedyke/proxy/control/report_answer_timer.py
+++ b/limedyke/proxy/control/report_answer_timer.py
@@ -3,12 +3,16 @@
 A proxy leaves a partitioned leader when its quorum stamp has not advanced for the silence limit.
 That is too long while a group has no primary, so a proxy also leaves a leader that does not answer
 a report within a second.  It does this at most once per interval, so that a leader that is slow
-under many reports does not have to accept new links of all proxies repeatedly.
+under many reports does not have to accept new links of all proxies repeatedly.  Before that, it
+looks for another leader without leaving this one.
 """
 
 from __future__ import annotations
 
 ANSWER_LIMIT_S = 1.0
+DOUBT_LIMIT_S = 0.3
+"""Time after which a leader that has not answered may be paused. It is longer than a round trip
+between distant regions plus a short pause of the leader."""
 SHORTEST_INTERVAL_S = 10.0
 """Minimum time between two links that are left because of an unanswered report."""
 
@@ -19,6 +23,7 @@
     def __init__(self) -> None:
         self._reported_at: float | None = None
         self._left_at = float("-inf")
+        self._is_doubted = False
 
     @property
     def is_waiting(self) -> bool:
@@ -33,6 +38,17 @@
     def answer_received(self) -> None:
         """Record that a heartbeat was answered, or that a new link was opened."""
         self._reported_at = None
+        self._is_doubted = False
+
+    def doubt_in_s(self, now: float) -> float:
+        """Return the seconds until the leader is doubted; infinite if it is or need not be."""
+        if self._reported_at is None or self._is_doubted:
+            return float("inf")
+        return self._reported_at + DOUBT_LIMIT_S - now
+
+    def doubted(self) -> None:
+        """Record that the leader is doubted because of the unanswered report."""
+        self._is_doubted = True
 
     def remaining_s(self, now: float) -> float:
         """Return the seconds left for an answer; infinite if no timeout is running."""
@@ -43,4 +59,4 @@
     def link_closed(self, now: float) -> None:
         """Record that the link was closed because a report was not answered."""
         self._left_at = now
-        self._reported_at = None
+        self.answer_received()
--- a/limedyke/proxy/control/reports.py
+++ b/limedyke/proxy/control/reports.py
@@ -7,6 +7,7 @@
 import curio
 
 from limedyke.messages.control import MemberReport
+from limedyke.proxy.control.leader_silence import LeaderSilence
 from limedyke.proxy.control.report_answer_timer import ReportAnswerTimer
 from limedyke.transport.link import LinkClosedError
 
@@ -15,9 +16,12 @@
     """The latest report of each member, and the timeout for the leader's answer.
 
     Times are seconds of ``time.monotonic()``.
+
+    :param silence: is told when a report is unanswered
     """
 
-    def __init__(self) -> None:
+    def __init__(self, silence: LeaderSilence) -> None:
+        self._silence = silence
         self._reports: dict[tuple[str, str], MemberReport] = {}
         self._answer_timer = ReportAnswerTimer()
         self._wakeup = curio.Event()
@@ -57,10 +61,16 @@
         self._answer_timer.answer_received()
         while True:
             self._wakeup.clear()
-            remaining_s = self._answer_timer.remaining_s(time.monotonic())
-            if remaining_s <= 0:
-                self._answer_timer.link_closed(time.monotonic())
+            now = time.monotonic()
+            if self._answer_timer.remaining_s(now) <= 0:
+                self._answer_timer.link_closed(now)
                 raise LinkClosedError("a report is not answered")
+            if self._answer_timer.doubt_in_s(now) <= 0:
+                self._answer_timer.doubted()
+                await self._silence.begin()
+            remaining_s = min(
+                self._answer_timer.remaining_s(now), self._answer_timer.doubt_in_s(now)
+            )
             if remaining_s == float("inf"):
                 await self._wakeup.wait()
             else:
--- a/limedyke/proxy/limits/operation_limiter.py
+++ b/limedyke/proxy/limits/operation_limiter.py
@@ -6,10 +6,12 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
+from itertools import chain
 
 import curio
 from prometheus_client import CollectorRegistry
 
+from limedyke.core.limits.leader_outage import LeaderOutage
 from limedyke.core.limits.operation_allowance import FEW_PROXIES, OperationAllowance
 from limedyke.core.limits.token_queue import TokenQueue, TokenWaiter
 from limedyke.core.statements.time_estimate import TimeEstimate
@@ -24,6 +26,7 @@
     OperationsRequest,
     RetryTime,
 )
+from limedyke.proxy.control.leader_silence import LeaderSilence
 from limedyke.proxy.limits.limit_log import LimitLog
 from limedyke.proxy.limits.limit_metrics import LimitMetrics, Refused
 
@@ -77,6 +80,8 @@
     :param tenant: the tenant that runs it
     :param request: request id, for the log
     :param began_at: when the operation arrived
+    :ivar decides_at: when it is decided without the leader unless that has answered
+    :ivar is_asked: a message to the present leader requests its token
     :ivar notified_due: due time of the token that the waiting task has been notified of
     :ivar was_promised: the token was due later than the grant
     :ivar over: the refusal, if it was refused
@@ -85,6 +90,8 @@
     tenant: str = ""
     request: str = ""
     began_at: float = 0.0
+    decides_at: float = 0.0
+    is_asked: bool = False
     notified_due: float | None = None
     was_promised: bool = False
     over: OverLimit | None = None
@@ -99,6 +106,7 @@
     :param may_run_until: returns until when operations may run without the leader, seconds of the
         monotonic clock; after that the leader no longer accounts for them
     :param serving: returns how many proxies run operations
+    :param silence: is told when the leader leaves requests unanswered
 
     :ivar metrics: metrics on waits and refusals
     """
@@ -109,6 +117,7 @@
         send: Callable[[OperationsRequest], Awaitable[bool]],
         may_run_until: Callable[[], float],
         serving: Callable[[], int] = lambda: UNKNOWN_COUNT,
+        silence: LeaderSilence | None = None,
     ) -> None:
         self.metrics = LimitMetrics(CollectorRegistry())
         self._log = LimitLog(time.monotonic())
@@ -120,7 +129,8 @@
         self._queues: dict[str, TokenQueue] = {}
         self._unasked: dict[str, list[_Waiter]] = {}
         self._number = 0
-        self._is_answering = True
+        self._silence = silence or LeaderSilence()
+        self._outage = LeaderOutage()
         self._is_report_due = False
         self._began_at = time.monotonic()
         self._asked_at = float("-inf")
@@ -151,6 +161,7 @@
             until = now + declared.operation_wait_ms / MS_PER_S
         waiter = _Waiter(priority, until, self._number + 1, tenant=tenant, request=request)
         waiter.began_at = now
+        waiter.decides_at = now + ANSWER_LIMIT_S
         queue.add(waiter, now)
         try:
             await self._ask(waiter)
@@ -181,20 +192,30 @@
 
     async def granted(self, message: OperationsGranted) -> None:
         """Apply the leader's answer."""
-        if not self._is_answering:
+        if self._outage.is_present:
             EVENTS.info("limits-asked-again", number=message.number)
-        self._is_answering = True
+        self._outage.note_answer()
+        await self._silence.end()
         if message.number == self._number:
             self._answer_time.learn(time.monotonic() - self._asked_at)
         for grant in message.grants:
             await self._take_grant(message.number, grant)
+        if self._unasked:
+            await self._has_unasked.set()
 
     async def link_opened(self) -> None:
-        """Report recent use to the leader of a new link, which may be a different leader."""
+        """Report recent use to the leader of a new link, which may be a different leader.
+
+        What the leader before has not answered is asked again.
+        """
         self._is_report_due = True
         now = time.monotonic()
+        for queue in self._queues.values():
+            for waiter in queue.waiters:
+                waiter.is_asked = False
+                self._ask_with_next_message(waiter)
         is_young = now - self._began_at < YOUNG_PROCESS_S
-        if is_young or self._reports(now):
+        if is_young or self._unasked or self._reports(now):
             await self._has_unasked.set()
 
     async def run(self) -> None:
@@ -207,14 +228,23 @@
 
     async def _ask(self, waiter: _Waiter) -> None:
         """Request a token, or decide locally while the leader does not answer."""
-        if self._is_answering:
-            self._unasked.setdefault(waiter.tenant, []).append(waiter)
+        if not self._outage.is_present:
+            self._ask_with_next_message(waiter)
             await self._has_unasked.set()
             return
         if waiter.began_at - self._asked_at > UNANSWERED_PAUSE_S:
             await self._has_unasked.set()
         await self._decide_without_leader(waiter)
 
+    def _ask_with_next_message(self, waiter: _Waiter) -> None:
+        """Request a token with the next message, unless the leader was asked for it."""
+        if waiter.is_answered or waiter.is_asked:
+            return
+        unasked = self._unasked.setdefault(waiter.tenant, [])
+        if waiter not in unasked:
+            waiter.number = self._number + 1
+            unasked.append(waiter)
+
     async def _wait(self, waiter: _Waiter, queue: TokenQueue) -> OverLimit | None:
         """Wait until an operation's token is due or the operation is refused."""
         while waiter.over is None:
@@ -223,9 +253,9 @@
                 break
             until = waiter.due
             if until is None:
-                until = waiter.began_at + ANSWER_LIMIT_S
+                until = waiter.decides_at
                 if now >= until:
-                    self._stop_asking()
+                    await self._note_unanswered()
                     await self._decide_without_leader(waiter)
                     continue
             waiter.changed.clear()
@@ -243,8 +273,10 @@
         running_ms = int((now - self._began_at) * MS_PER_S) if self._is_report_due else 0
         if await self._send(OperationsRequest(self._number, demands, reports, running_ms)):
             self._is_report_due = False
+            for waiter in chain.from_iterable(unasked.values()):
+                waiter.is_asked = True
         else:
-            self._stop_asking()
+            await self._note_unanswered()
             await self._decide_waiting()
 
     def _reports(self, now: float) -> tuple[OperationReport, ...]:
@@ -269,10 +301,11 @@
         left_s = waiter.target_at - now - self._answer_time.usual_s
         return max(0, int(left_s * MS_PER_S) // WAIT_STEP_MS * WAIT_STEP_MS)
 
-    def _stop_asking(self) -> None:
-        if self._is_answering:
+    async def _note_unanswered(self) -> None:
+        if not self._outage.is_present:
             EVENTS.warning("limits-not-answered", number=self._number)
-        self._is_answering = False
+        self._outage.note_unanswered(self._asked_at)
+        await self._silence.begin()
 
     async def _decide_waiting(self) -> None:
         """Decide locally for all unanswered operations, since no leader is linked."""
@@ -282,7 +315,10 @@
                     await self._decide_without_leader(waiter)
 
     async def _decide_without_leader(self, waiter: _Waiter) -> None:
-        """Admit an operation from the reserve, now or soon, or refuse it."""
+        """Admit an operation from the reserve, now or soon, or refuse it.
+
+        While a successor of the leader is likely to answer in time, it waits instead.
+        """
         now = time.monotonic()
         queue = self._queues[waiter.tenant]
         allowance = self._allowances[waiter.tenant]
@@ -296,6 +332,13 @@
         in_s: float | None = 0.0
         if not allowance.take_reserve(now, is_one_of_few):
             in_s = allowance.promise_reserve(wait_s, now)
+        latest = min(waiter.target_at, may_run_until)
+        held_until = self._outage.held_until(latest, allowance.was_over_limit, now)
+        if in_s is None and held_until > now:
+            waiter.is_answered = False
+            waiter.decides_at = held_until
+            self._ask_with_next_message(waiter)
+            return
         refused = queue.add_tokens([] if in_s is None else [now + in_s], now)
         for other in refused:
             self._refuse(other, Refused.ALONE_USED_UP, allowance.retry_after_s(now))
