Wake held statements when a silent primary answers

What callers saw: a write that came while the primary seemed silent took 102 to 208 ms where 3 are usual, though the primary had answered meanwhile (known failure of statement_path, "say nothing of its health", the next write's 100 ms).

Cause: a held write waits for a change of the primary or looks again each 100 ms; a primary that answers again is no change. Also, a question on an idle connection that is suspected dead counted as owed by the member, which then seemed silent for up to 0.4 s more.

A pause moves the examination of the primary to the moment of the next write. Load does so by chance.

Change: a member that seemed silent and answers a question wakes what is held for its group's primary; questions on suspected connections do not count for its silence.

--- a/features/statement_path.feature
+++ b/features/statement_path.feature
@@ -281,6 +281,29 @@
       | on        | reachable                         |
       | off       | reachable, unreachable, reachable |
 
+  Scenario Outline: statement path: a write goes on as soon as a silent primary answers, after a pause of <pause> ms, <after> ms from the silence
+  The proxy learns late that the primary works, as it was paused itself. A write that comes meanwhile is held, and was sent
+  only when the next look at the primary was due, 100 ms later, though the primary had answered.
+    Given statement path: a session database on primary a and replicas b c, the proxy beside b
+    And statement path: the members are monitored from now on
+    When statement path: 3 clients write at once
+    And statement path: a has 2 connections
+    And statement path: all open connections to a go silent
+    And statement path: the process will pause for <pause> ms, in <after> ms
+    And statement path: the client asks "WRITE x 2" and is told "TIMEOUT I"
+    Then statement path: a was reported reachable
+    When statement path: the client asks "WRITE x 3" and is told "done I"
+    Then statement path: that took less than 100 ms
+
+    Examples:
+      | pause | after |
+      | 300   | 120   |
+      | 300   | 180   |
+      | 300   | 500   |
+      | 450   | 120   |
+      | 450   | 400   |
+      | 450   | 500   |
+
   Scenario Outline: statement path: a statement on a connection that went silent: "<asked>"
     Given statement path: a primary database on primary a and replicas b c, the proxy beside b
     And statement path: the members are monitored from now on
--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -210,6 +210,7 @@
                 await pool.drain()
             self.denying_members.discard(identity)
             self.pools[identity] = self._make_pool(ObservedMember(record))
+            self.pools[identity].on_answer = self._wake_waiters
             self.pools[identity].observed.leads = identity == self.primary
             await self.pools[identity].set_limit(self.limit_at(identity))
 
@@ -233,7 +234,10 @@
         await self._wake_waiters()
 
     async def wait_for_primary(self, until: float) -> bool:
-        """Wait briefly for a change of the primary; False when ``until`` has already passed."""
+        """Wait briefly for a primary that changes, or answers again.
+
+        :returns: False when ``until`` has already passed
+        """
         left_s = until - time.monotonic()
         if left_s <= 0.0:
             return False
--- a/limedyke/proxy/statements/members/member_pool.py
+++ b/limedyke/proxy/statements/members/member_pool.py
@@ -5,7 +5,7 @@
 import math
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import curio
 from result import Err, Ok
@@ -96,6 +96,7 @@
     :ivar judgement: the status of the member that was last logged
     :ivar opened: number of connections open or being opened
     :ivar use: measures the demand for connections
+    :ivar on_answer: called when the member answers a status query after it seemed silent
     :ivar ended_for_waiting: number of resting transactions that were ended for waiting requests
     """
 
@@ -116,6 +117,7 @@
         self.opened = 0
         self.is_closed = False
         self.use = ConnectionUse()
+        self.on_answer: Callable[[], Awaitable[None]] | None = None
         self.ended_for_waiting = 0
         self._resting = RestingTransactions()
         self._ending_count = 0
@@ -217,6 +219,11 @@
         self.observed.outstanding += len(silent_connections)
         return silent_connections
 
+    async def notify_answer(self) -> None:
+        """Tell those that wait for the member that it answers again."""
+        if self.on_answer is not None:
+            await self.on_answer()
+
     @property
     def has_room(self) -> bool:
         """Whether a connection is available at once."""
--- a/limedyke/proxy/statements/members/member_queries.py
+++ b/limedyke/proxy/statements/members/member_queries.py
@@ -6,6 +6,7 @@
 
 import curio
 
+from limedyke.event_log import EventLog
 from limedyke.messages.statements import MemberStatus
 from limedyke.messages.work import LogPosition
 from limedyke.proxy.statements.group import StatementGroup
@@ -23,6 +24,7 @@
 
 SEARCH_INTERVAL_S = 0.15
 STATUS_QUERY_TIMEOUT_S = 0.5
+EVENTS = EventLog("pools")
 
 
 class MemberQueries:
@@ -132,13 +134,35 @@
         """
         while silent_connections:
             connection = silent_connections.pop()
-            await self._query_on(pool, connection, limit_s)
+            await self._query_suspect(pool, connection, limit_s)
             if connection.is_closed:
                 break
         for connection in silent_connections:
             await connection.close()
             await pool.putconn(connection)
 
+    async def _query_suspect(
+        self, pool: MemberPool, connection: MemberConnection, limit_s: float
+    ) -> None:
+        """Query on a connection that may be dead; it is closed if no answer comes.
+
+        The member has just answered on another connection, so a missing answer is no silence of the
+        member: counted as one, it would hold statements until the member answers something else.
+        """
+        try:
+            async with curio.timeout_after(limit_s):
+                status = await connection.ask_status()
+            position = status.position if status is not None else None
+            pool.observed.answered(time.monotonic(), position)
+        except (curio.TaskTimeout, ConnectionLostError) as error:
+            EVENTS.info(
+                "silent-connection-closed",
+                member=pool.observed.record.identity,
+                reason=type(error).__name__,
+            )
+        finally:
+            await pool.putconn(connection)
+
     async def _query_on(
         self, pool: MemberPool, connection: MemberConnection, limit_s: float
     ) -> MemberStatus | None:
@@ -154,7 +178,10 @@
                 status = await connection.ask_status()
             position = status.position if status is not None else None
             now = time.monotonic()
+            was_silent = observed.seems_silent(now)
             observed.answered(now, position)
+            if was_silent:
+                await pool.notify_answer()
             if status is None:
                 observed.concurrency.turned_away(now - asked_at, now)
             else:
