Keep the logs of failed scenarios, and let two deployments run side by side

A failure of a scenario with real processes could not be traced afterwards, as its folder of logs was removed with the scenario (known failure of waiting_controllers). A failed scenario now keeps its folder, says where, and shows the last lines of each log, so that a run whose machine is gone can be read too.

Two deployments at once met at fixed loopback addresses and ended at once with LD5004, which limited what "beside load" could mean. LIMEDYKE_TEST_NETWORK sets the first two parts of all addresses; the default is as before.

--- a/features/environment.py
+++ b/features/environment.py
@@ -11,10 +11,14 @@
 import parse
 from behave import register_type
 from behave.model import Scenario
+from behave.model_core import Status
 from behave.runner import Context
 
 from limedyke.garbage_collection import resume_garbage_collection
 
+SHOWN_LOG_LINES = 15
+"""Lines of each process's log that are shown when a scenario has failed."""
+
 
 @parse.with_pattern(r".*")
 def _anything(text: str) -> str:
@@ -44,5 +48,13 @@
 
 
 def after_scenario(context: Context, scenario: Scenario) -> None:
-    """Remove the scenario's folder."""
-    shutil.rmtree(context.folder, ignore_errors=True)
+    """Remove the scenario's folder; keep it if the scenario failed and left logs there."""
+    logs = sorted(context.folder.glob("*.log"))
+    if scenario.status is Status.passed or not logs:
+        shutil.rmtree(context.folder, ignore_errors=True)
+        return
+    print(f"logs of the failed scenario are kept in {context.folder}")
+    for log in logs:
+        lines = log.read_text(errors="replace").splitlines()
+        print(f"--- {log.name}, the last {SHOWN_LOG_LINES} of {len(lines)} lines")
+        print("\n".join(lines[-SHOWN_LOG_LINES:]))
--- a/features/steps/waiting_controllers_steps.py
+++ b/features/steps/waiting_controllers_steps.py
@@ -17,6 +17,7 @@
     CONTROL_PORT,
     FIRST_INTERNAL_PORT,
     GROUP,
+    NETWORK,
 )
 from limedyke.transport.http_client import HttpCall, call_http
 
@@ -26,7 +27,7 @@
 
 @given("waiting controllers: {count:d} more controllers started")
 def step_start(context, count):
-    context.waiting = [f"127.31.{1 + number % 3}.{20 + number}" for number in range(count)]
+    context.waiting = [f"{NETWORK}.{1 + number % 3}.{20 + number}" for number in range(count)]
     for ip in context.waiting:
         context.deployment.start_controller(ip)
 
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -18,13 +18,15 @@
 from limedyke.transport.http_server import HttpAnswer, HttpLimits, HttpRequest, HttpServer
 from limedyke.transport.link import listen
 
-CONTROLLERS = ("127.31.1.1", "127.31.2.1", "127.31.3.1")
-PROXIES = ("127.31.1.2", "127.31.2.2")
-ZONES = {"127.31.1": "z1", "127.31.2": "z2", "127.31.3": "z3"}
+NETWORK = os.environ.get("LIMEDYKE_TEST_NETWORK", "127.31")
+"""First two parts of all addresses, so that two deployments can run on one machine."""
+CONTROLLERS = tuple(f"{NETWORK}.{zone}.1" for zone in (1, 2, 3))
+PROXIES = tuple(f"{NETWORK}.{zone}.2" for zone in (1, 2))
+ZONES = {f"{NETWORK}.{zone}": f"z{zone}" for zone in (1, 2, 3)}
 MAX_STALENESS_MS = 2_000
 CONTROL_PORT, FRONT_PORT, READY_PORT, CLOUD_PORT = 28_782, 28_784, 28_785, 28_783
 FIRST_INTERNAL_PORT = 28_440
-CLOUD_ADDRESS = f"127.31.9.1:{CLOUD_PORT}"
+CLOUD_ADDRESS = f"{NETWORK}.9.1:{CLOUD_PORT}"
 HEARTBEAT_S = 0.3
 PROMOTE_S = 0.2
 CALL_TIMEOUT_S = 3.0
