Keep ended sessions open as long as the stopping process lasts

What callers saw: a READ 4.989 s after a proxy was told to stop got no whole answer (known failure of planned_stop, members work 700 ms on a read).

Cause: once a session was over its connection was closed after 0.5 s of silence, also when no statements were taken any more and the process went on. A client that had seen its session open, and was held up for longer before it sent, met a closed connection.

Change: after statements are no longer accepted the connection stays open until its client closes it or the process ends, and late statements are told that they did not run.

--- a/features/statement_stop.feature
+++ b/features/statement_stop.feature
@@ -60,6 +60,23 @@
     Then statement stop: it is told "BUSY I" with LD3006
     And statement path: "WRITE x 1" ran nowhere
 
+  Scenario Outline: statement stop: a client that is held up for <hold> ms before it sends, <when>, is answered
+  A client checks that its session is still open, is held up by a busy machine, and sends. The session had been ended
+  meanwhile, and its connection closed after 0.5 s of silence, though the process went on for longer.
+    Given statement stop: a session database on primary a
+    And statement stop: a client with an open transaction, which delays the end
+    And statement stop: the proxy stops within 4 s
+    When statement stop: the client asks "READ x" repeatedly until the answer is not "- done I"
+    And statement path: <hold> ms pass
+    And statement stop: the client, which has not read anything yet, asks "WRITE x 1"
+    Then statement stop: it is told "BUSY I" with LD3006
+    And statement path: "WRITE x 1" ran nowhere
+
+    Examples:
+      | hold | when                                 |
+      | 300  | within the usual silence             |
+      | 650  | after it, before the process ends    |
+
   Scenario: statement stop: a client that took the end of its session for a refused statement is told twice
   5 requests on 30 days of overlapping stops got no answer, as their connections closed 5 to 33 ms after they were sent.
   An earlier statement had been in flight at the end of the session and was refused; 0.5 s later the connection was
--- a/limedyke/proxy/statements/clients/client.py
+++ b/limedyke/proxy/statements/clients/client.py
@@ -32,7 +32,7 @@
     StatementReceived,
 )
 from limedyke.proxy.statements.clients.session_admission import SessionAdmission
-from limedyke.proxy.statements.clients.session_end import end_session
+from limedyke.proxy.statements.clients.session_end import SILENCE_S, end_session
 from limedyke.proxy.statements.executor import StatementExecutor
 from limedyke.proxy.statements.groups import StatementGroups
 from limedyke.proxy.statements.settlement import settle_unanswered
@@ -214,11 +214,20 @@
             await interrupt(self.task, error)
 
     async def _end_session(self, code: ResultCode) -> None:
-        """End the session; statements that arrived meanwhile are answered as not run."""
+        """End the session; statements that arrived meanwhile are answered as not run.
+
+        Once no statements are accepted, the connection stays open for as long as the process does:
+        a client may have begun to send before it was told, and be held up for longer than the usual
+        silence.
+        """
         self._has_ended = True
-        limit_s = max(0.0, self._services.stop.schedule.ends_at - time.monotonic())
+        now = time.monotonic()
+        schedule = self._services.stop.schedule
+        limit_s = max(0.0, schedule.ends_at - now)
+        silence_s = limit_s if now >= schedule.statements_until else SILENCE_S
         reason = refusal(code, retry_after_ms=STOPPING_RETRY_AFTER_MS)
-        await end_session(self._socket, self._codec, reason, tuple(self._events), limit_s)
+        events = tuple(self._events)
+        await end_session(self._socket, self._codec, reason, events, limit_s, silence_s)
 
     async def _discard_end_request(self) -> None:
         """Discard a pending request to end the session, because the client sent data.
--- a/limedyke/proxy/statements/clients/session_end.py
+++ b/limedyke/proxy/statements/clients/session_end.py
@@ -30,6 +30,7 @@
     reason: StatementAnswer,
     unanswered_events: Sequence[ClientEvent],
     limit_s: float,
+    silence_s: float = SILENCE_S,
 ) -> None:
     """Tell a client that its session is over, and wait until it closes or sends nothing more.
 
@@ -39,11 +40,12 @@
     :param reason: a refusal, which says that a statement did not run
     :param unanswered_events: events that were received but not answered
     :param limit_s: time limit in seconds
+    :param silence_s: silence of the client, in seconds, after which the connection is closed
     """
     try:
         async with curio.timeout_after(min(limit_s, MAXIMUM_END_S)):
             await sock.sendall(codec.session_over(reason))
-            await _refuse_late_statements(sock, codec, reason, unanswered_events)
+            await _refuse_late_statements(sock, codec, reason, unanswered_events, silence_s)
         await sock.shutdown(socket.SHUT_WR)
     except (OSError, curio.TaskTimeout):
         return
@@ -54,6 +56,7 @@
     codec: ClientCodec,
     reason: StatementAnswer,
     unanswered_events: Sequence[ClientEvent],
+    silence_s: float,
 ) -> None:
     """Refuse statements until no more arrive.
 
@@ -71,7 +74,7 @@
             whole = codec.answer(reason, TransactionStatus.IDLE)
             await sock.sendall(rest if is_announced else whole)
             is_announced = False
-        data = await _receive(sock)
+        data = await _receive(sock, silence_s if is_announced else SILENCE_S)
         if data == b"" or (data is None and is_announced):
             return
         if data is None:
@@ -80,8 +83,8 @@
         events = codec.feed(data) if data is not None else ()
 
 
-async def _receive(sock: socket.socket) -> bytes | None:
+async def _receive(sock: socket.socket, silence_s: float) -> bytes | None:
     """Return received bytes, empty at the end of the connection; None after a silence."""
-    async with curio.ignore_after(SILENCE_S):
+    async with curio.ignore_after(silence_s):
         return await sock.recv(RECEIVE_BYTES)
     return None
