Refuse waiting requests by the present pace of their member's queue

What callers saw: of 30 writes with 200 ms each, one was told after 152 to 176 ms that it can't be served, where 100 ms are allowed (known failure of pool_refusals, "the time is too short").

Cause: the estimated cost of a turn follows by a tenth with each request that ends. When turns took 38 to 50 ms instead of the learned 32, the last waiting write was kept until 24 ms were left.

Evidence: a trial that prints the moments, beside 16 busy processes on 8 cores, 8 runs: one failed; its turns came at 44, 88, 126, 176 and 218 ms, the check of waiting requests ran at each, and the refusal came at 176 ms by an estimate of 27 to 35 ms. In the seven others turns kept to 34 to 40 ms and nothing waited in vain.

Change: while requests wait, each turn ahead is taken to need at least the shorter of the last two gaps between turns.

Five features on pools, queues and statements passed (154 scenarios).

--- a/features/request_queue.feature
+++ b/features/request_queue.feature
@@ -46,6 +46,20 @@
       | regularly                      | 0         | refused as no-turn-in-time |
       | at random                      | 0.75      | let in                    |
 
+  Scenario Outline: A member that takes <real> ms where <usual> ms are usual is noticed after two turns
+  Five requests wait at a member that has become slower. Their estimated cost follows slowly, and the last one was told
+  that it can't be served in time when the one before it got its turn.
+    Given queueing: one slot, <usual> ms a request as learned, and 5 requests that wait with 200 ms left
+    When queueing: each turn takes <real> ms
+    Then queueing: <refused> of them is refused, <when>
+
+    Examples:
+      | usual | real | refused | when         |
+      | 32    | 32   | 0       | never        |
+      | 32    | 39   | 0       | never        |
+      | 32    | 44   | 1       | after 88 ms  |
+      | 32    | 60   | 2       | after 120 ms |
+
   Scenario: An urgent request that arrives at a full queue displaces the least urgent one
     Given queueing: a member with 1 slots, 1 ms a request and 0 ms a change of tenant
     And queueing: 10 may wait
--- a/features/steps/request_queue_steps.py
+++ b/features/steps/request_queue_steps.py
@@ -9,6 +9,8 @@
 from features.support.queue_replay import QueueReplay
 from limedyke.core.queueing.queue_answer import Queued, QueueDrain
 from limedyke.core.queueing.queued_request import QueuedRequest
+from limedyke.core.queueing.recent_pace import RecentPace
+from limedyke.core.queueing.request_queue import RequestQueue
 
 MS = 1_000.0
 
@@ -281,3 +283,36 @@
         if has_limit(outcome.request) and outcome.at <= outcome.request.target_at
     ]
     assert len(in_time) >= share / 100 * count, (len(in_time), count)
+
+
+@given(
+    "queueing: one slot, {usual_ms:d} ms a request as learned, and {count:d} requests that wait "
+    "with {left_ms:d} ms left"
+)
+def step_slower(context, usual_ms, count, left_ms):
+    context.queue = RequestQueue(usual_ms / MS)
+    context.pace = RecentPace()
+    context.pace.start(0.0)
+    for _ in range(count):
+        request = QueuedRequest("one", 1, 0.0, deadline_at=left_ms / MS)
+        context.queue.place(request, 0.0)
+
+
+@when("queueing: each turn takes {real_ms:d} ms")
+def step_turns(context, real_ms):
+    context.refused_at_ms = []
+    now = 0.0
+    while context.queue:
+        now += real_ms / MS
+        request = context.queue.pop(now, lambda tenant: True)
+        context.pace.turn(now)
+        context.queue.finished(request, real_ms / MS)
+        drain = QueueDrain(1.0, 1, least_gap_s=context.pace.gap_s)
+        refused = context.queue.expire(now, drain)
+        context.refused_at_ms += [round(now * MS)] * len(refused)
+
+
+@then("queueing: {count:d} of them is refused, {when}")
+def step_noticed(context, count, when):
+    expected = [] if when == "never" else [int(when.split()[1])] * count
+    assert context.refused_at_ms == expected, context.refused_at_ms
--- a/limedyke/core/queueing/queue_answer.py
+++ b/limedyke/core/queueing/queue_answer.py
@@ -17,6 +17,7 @@
     :param extra_s: time per request in addition to its slot time, for example to open a connection
     :param waiting_limit: bounds all waiting requests; 0 for no such bound
     :param variation: variation of the time between two dequeued requests, relative to that time
+    :param least_gap_s: least time between two turns as observed lately; 0 if unknown
     """
 
     slots: float
@@ -24,6 +25,7 @@
     extra_s: float = 0.0
     waiting_limit: int = 0
     variation: float = 0.0
+    least_gap_s: float = 0.0
 
 
 LIKELY_SERVED_SHARE = 0.8
--- a/limedyke/core/queueing/request_queue.py
+++ b/limedyke/core/queueing/request_queue.py
@@ -213,7 +213,7 @@
         slots = max(drain.slots, admission.LEAST_SLOTS)
         for request in self.in_order(now):
             cost_s = self._flows[request.tenant].mean_cost_s + drain.extra_s
-            wait_s = (work_s + cost_s) / slots
+            wait_s = max((work_s + cost_s) / slots, (ahead + 1) * drain.least_gap_s)
             left_s = request.deadline_at - now
             if wait_s > _max_expected_wait_s(left_s, ahead, drain):
                 retry_after_ms = admission.bounded_retry_ms(wait_s / 2)
--- a/limedyke/proxy/members/gate.py
+++ b/limedyke/proxy/members/gate.py
@@ -13,6 +13,7 @@
 from limedyke.core.group_view import MemberState
 from limedyke.core.queueing.queue_answer import QueueDrain, Refused
 from limedyke.core.queueing.queued_request import NEVER, QueuedRequest
+from limedyke.core.queueing.recent_pace import RecentPace
 from limedyke.core.queueing.request_queue import RequestQueue
 from limedyke.core.queueing.retry_schedule import RetrySchedule
 from limedyke.core.slot_use import SlotUse
@@ -70,6 +71,7 @@
         self.pools: dict[str, BackendPool] = {}
         self._on_trouble = on_trouble
         self._queue = RequestQueue()
+        self._pace = RecentPace()
         self._retry_schedule = RetrySchedule()
         self._next_late_check_at = 0.0
         self._waiters: dict[int, _Waiter] = {}
@@ -123,6 +125,8 @@
                 Failure(ResultCode.NO_MEMBER, detail, math.ceil(reconnect_delay_s * MS_PER_S))
             )
         waiter = _Waiter(request, unit.settings)
+        if not self._queue:
+            self._pace.start(now)
         answer = self._queue.push(waiter, now, self._drain(pool.limit))
         if isinstance(answer, Refused):
             return Err(self._over_budget(unit.priority, answer))
@@ -186,7 +190,8 @@
 
     def _drain(self, connections: int) -> QueueDrain:
         """Return the rate at which the queue drains for a tenant with ``connections``."""
-        return QueueDrain(max(1.0, float(self.state.in_flight_limit)), connections)
+        slots = max(1.0, float(self.state.in_flight_limit))
+        return QueueDrain(slots, connections, least_gap_s=self._pace.gap_s)
 
     def _grant(
         self, request: QueuedRequest, connection: BackendConnection | None, now: float
@@ -265,6 +270,7 @@
                 self._queue.finished(waiter, 0.0)
                 self._queue.place(waiter, now)
                 continue
+            self._pace.turn(now)
             waiter.grant = self._start_unit(waiter, connection, now)
             await waiter.event.set()
         await self._refuse_late_waiters(now)
