Pause between looks for another leader when only one controller is known

Found by reading the change that looks for the successor of a paused leader, before it was used: with one controller in the settings there is nobody else to ask, and the search went round without ever waiting, so that the whole process stood still.

Names of the same change: a leader that does not answer is suspected, not doubted; the scenarios on statements whose time is over are late_statements.

--- a/features/paused_leader.feature
+++ b/features/paused_leader.feature
@@ -26,6 +26,14 @@
     Then paused leader: the proxy has kept its link
     And paused leader: no operation was refused
 
+  Scenario: paused leader: a proxy that knows only this controller goes on while it looks for another
+    Given paused leader: a proxy linked to the only controller, and a tenant that may run 12 a second
+    When paused leader: 1 operations a second arrive for 2 s
+    And paused leader: it is paused for 900 ms, and no other one leads
+    And paused leader: 10 operations a second arrive for 2 s
+    Then paused leader: the proxy has kept its link
+    And paused leader: no operation was refused
+
   Scenario: paused leader: without a leader operations beyond the proxy's share are refused, after a second at once
     Given paused leader: a proxy linked to it, and a tenant that may run 12 a second
     When paused leader: 1 operations a second arrive for 2 s
--- a/features/steps/late_orders_steps.py
+++ b/features/steps/late_statements_steps.py
@@ -22,36 +22,36 @@
 OLD_VALUE = "old"
 
 
-@step("late orders: the client has begun no transaction")
+@step("late statements: the client has begun no transaction")
 def step_no_transaction(context):
     pass
 
 
-@step("late orders: the client has begun a transaction that wrote old")
+@step("late statements: the client has begun a transaction that wrote old")
 def step_transaction(context):
     assert run(context, context.client.ask, "BEGIN") == "done T"
     assert run(context, context.client.ask, f"WRITE x {OLD_VALUE}") == "done T"
 
 
-@step("late orders: {name:w} pauses for {milliseconds:d} ms")
+@step("late statements: {name:w} pauses for {milliseconds:d} ms")
 def step_pause(context, name, milliseconds):
     context.path.homes[name].pause(milliseconds / MS_PER_S)
 
 
-@then('late orders: no member committed "{value}"')
+@then('late statements: no member committed "{value}"')
 def step_not_committed(context, value):
     members = context.path.group.members.values()
     written = [write for m in members for commit in m.log.commits for write in commit.writes]
     assert ("x", value) not in written, written
 
 
-@given("late orders: answers of {name:w} travel {milliseconds:d} ms")
+@given("late statements: answers of {name:w} travel {milliseconds:d} ms")
 def step_travel(context, name, milliseconds):
     context.path.group.members[name].faults.answers_travel_s = milliseconds / MS_PER_S
 
 
 @when(
-    "late orders: the process pauses for {milliseconds:d} ms before the next statement is sent "
+    "late statements: the process pauses for {milliseconds:d} ms before the next statement is sent "
     "to {name:w}"
 )
 def step_pause_before_sending(context, milliseconds, name):
@@ -69,7 +69,7 @@
     context.add_cleanup(undo)
 
 
-@when('late orders: the client asks "{first}", then "{asked}"')
+@when('late statements: the client asks "{first}", then "{asked}"')
 def step_ask_both(context, first, asked):
     async def ask_both() -> str:
         await context.client.ask(first)
@@ -78,13 +78,15 @@
     context.told = run(context, ask_both)
 
 
-@then('late orders: the last answer is "{told}", and {name:w} ran "{text}" {times:d} times')
+@then('late statements: the last answer is "{told}", and {name:w} ran "{text}" {times:d} times')
 def step_ran(context, told, name, text, times):
     assert context.told == told, context.told
     assert context.path.runs_of(text) == [name] * times, context.path.runs_of(text)
 
 
-@given("late orders: a link over which units with {left_ms:d} ms arrive, the first without delay")
+@given(
+    "late statements: a link over which units with {left_ms:d} ms arrive, the first without delay"
+)
 def step_link(context, left_ms):
     link = SimpleNamespace(send_framed=None)
     context.served = _ServedLink(ForwardingServer(None), None, link, "origin")
@@ -98,17 +100,19 @@
     return context.served._with_time_left(dataclasses.replace(context.unit, sent_ms=sent_ms))
 
 
-@when("late orders: a unit arrives that has been on its way for {delay_ms:d} ms longer")
+@when("late statements: a unit arrives that has been on its way for {delay_ms:d} ms longer")
 def step_arrives(context, delay_ms):
     context.arrived = _arrive_after(context, delay_ms)
 
 
-@then("late orders: it has {left_ms:d} ms left")
+@then("late statements: it has {left_ms:d} ms left")
 def step_left(context, left_ms):
     assert abs(context.arrived.deadline_ms - left_ms) <= CLOCK_STEP_MS, context.arrived
 
 
-@then("late orders: messages sent at {sent} that arrive at {arrived} have delays of {delays} ms")
+@then(
+    "late statements: messages sent at {sent} that arrive at {arrived} have delays of {delays} ms"
+)
 def step_delays(context, sent, arrived, delays):
     delay = MessageDelay()
     moments = zip(_numbers(sent), _numbers(arrived), strict=True)
--- a/features/steps/paused_leader_steps.py
+++ b/features/steps/paused_leader_steps.py
@@ -16,10 +16,22 @@
 
 @given("paused leader: a proxy linked to it, and a tenant that may run {rate:d} a second")
 def step_lab(context, rate):
+    _start(context, PausedLeaderLab(context.folder, rate))
+
+
+@given(
+    "paused leader: a proxy linked to the only controller, and a tenant that may run {rate:d} a "
+    "second"
+)
+def step_lab_of_one(context, rate):
+    _start(context, PausedLeaderLab(context.folder, rate, knows_second=False))
+
+
+def _start(context, lab: PausedLeaderLab) -> None:
     context.kernel = curio.Kernel()
-    context.lab = PausedLeaderLab(context.folder, rate)
+    context.lab = lab
     context.add_cleanup(lambda: context.kernel.run(shutdown=True))
-    context.kernel.run(context.lab.start)
+    context.kernel.run(lab.start)
 
 
 @when("paused leader: {per_s:g} operations a second arrive for {seconds:g} s")
--- a/features/support/paused_leader.py
+++ b/features/support/paused_leader.py
@@ -81,12 +81,14 @@
 class PausedLeaderLab:
     """The controllers and the client.
 
+    :param knows_second: the proxy's settings name both controllers
     :ivar answers: results of all operations, in order of arrival
     :ivar switched_s: seconds from the pause until the proxy was linked to the successor
     """
 
     folder: Path
     rate: int
+    knows_second: bool = True
     answers: list[OverLimit | None] = field(default_factory=list)
     switched_s: float = float("inf")
     arrived_at: list[float] = field(default_factory=list)
@@ -104,7 +106,7 @@
         self.second.leader = self.first.address
         self.second.term = TERM + 1
         self.first.lead(self.tenants)
-        addresses = (self.first.address, self.second.address)
+        addresses = (self.first.address, self.second.address)[: 1 + self.knows_second]
         settings = client_settings(self.folder, addresses, SILENCE_MS)
         self.store = ControlStore(self.folder)
         secrets = Secrets({"cluster": KEY.decode()})
--- a/limedyke/core/limits/leader_outage.py
+++ b/limedyke/core/limits/leader_outage.py
@@ -27,7 +27,7 @@
     def note_unanswered(self, asked_at: float) -> None:
         """Record that a request was not answered in time.
 
-        :param asked_at: when the request was due to be answered from; the outage began then
+        :param asked_at: when the request was sent; the outage counts from then
         """
         if self._began_at is None:
             self._began_at = asked_at
--- a/limedyke/core/queueing/recent_pace.py
+++ b/limedyke/core/queueing/recent_pace.py
@@ -1,7 +1,7 @@
 """Time between the last turns of a queue, while requests wait; sans-IO.
 
 The smoothed cost of requests follows a member that becomes slower only after many turns. Requests
-whose turn can't come in time any more would be told when only one is left before them.
+whose turn can't come in time any more would be refused when only one is left before them.
 """
 
 from __future__ import annotations
--- a/limedyke/core/statements/resting_transactions.py
+++ b/limedyke/core/statements/resting_transactions.py
@@ -1,4 +1,4 @@
-"""Transactions that rest between two statements at one member, and which gives way; sans-IO.
+"""Transactions at one member that rest between two statements, and which gives way; sans-IO.
 
 A transaction keeps its connection while its client does nothing. Clients that rest, or that
 vanished without closing their connections, would otherwise hold all connections to a member for as
@@ -74,11 +74,11 @@
 
         :param held: connections in use by tenant
         """
-        chosen = next(self._giving_way(claim, held, now), None)
-        if chosen is not None:
-            chosen.is_ended = True
-            self._resting.remove(chosen)
-        return chosen
+        resting = next(self._giving_way(claim, held, now), None)
+        if resting is not None:
+            resting.is_ended = True
+            self._resting.remove(resting)
+        return resting
 
     def _giving_way(
         self, claim: ConnectionClaim, held: Mapping[str | None, int], now: float
--- a/limedyke/proxy/control/leader_search.py
+++ b/limedyke/proxy/control/leader_search.py
@@ -88,7 +88,9 @@
         if len(self._dialling) >= CONCURRENT_ATTEMPTS:
             return
         address = self._controllers.next_address()
-        if address != avoid and address not in self._dialling:
+        if address == avoid:
+            await curio.sleep(self._controllers.pause_s())
+        elif address not in self._dialling:
             self._dialling.add(address)
             await attempts.spawn(self._attempt, address)
 
--- a/limedyke/proxy/control/report_answer_timer.py
+++ b/limedyke/proxy/control/report_answer_timer.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 ANSWER_LIMIT_S = 1.0
-DOUBT_LIMIT_S = 0.3
+SUSPECT_AFTER_S = 0.3
 """Time after which a leader that has not answered may be paused. It is longer than a round trip
 between distant regions plus a short pause of the leader."""
 SHORTEST_INTERVAL_S = 10.0
@@ -23,7 +23,7 @@
     def __init__(self) -> None:
         self._reported_at: float | None = None
         self._left_at = float("-inf")
-        self._is_doubted = False
+        self._is_suspected = False
 
     @property
     def is_waiting(self) -> bool:
@@ -38,17 +38,17 @@
     def answer_received(self) -> None:
         """Record that a heartbeat was answered, or that a new link was opened."""
         self._reported_at = None
-        self._is_doubted = False
+        self._is_suspected = False
 
-    def doubt_in_s(self, now: float) -> float:
-        """Return the seconds until the leader is doubted; infinite if it is or need not be."""
-        if self._reported_at is None or self._is_doubted:
+    def suspect_in_s(self, now: float) -> float:
+        """Return the seconds until the leader is suspected; infinite if it is, or need not be."""
+        if self._reported_at is None or self._is_suspected:
             return float("inf")
-        return self._reported_at + DOUBT_LIMIT_S - now
+        return self._reported_at + SUSPECT_AFTER_S - now
 
-    def doubted(self) -> None:
-        """Record that the leader is doubted because of the unanswered report."""
-        self._is_doubted = True
+    def mark_suspected(self) -> None:
+        """Record that the leader is suspected because of the unanswered report."""
+        self._is_suspected = True
 
     def remaining_s(self, now: float) -> float:
         """Return the seconds left for an answer; infinite if no timeout is running."""
--- a/limedyke/proxy/control/reports.py
+++ b/limedyke/proxy/control/reports.py
@@ -17,7 +17,7 @@
 
     Times are seconds of ``time.monotonic()``.
 
-    :param silence: is told when a report is unanswered
+    :param silence: is notified of unanswered reports
     """
 
     def __init__(self, silence: LeaderSilence) -> None:
@@ -65,11 +65,11 @@
             if self._answer_timer.remaining_s(now) <= 0:
                 self._answer_timer.link_closed(now)
                 raise LinkClosedError("a report is not answered")
-            if self._answer_timer.doubt_in_s(now) <= 0:
-                self._answer_timer.doubted()
+            if self._answer_timer.suspect_in_s(now) <= 0:
+                self._answer_timer.mark_suspected()
                 await self._silence.begin()
             remaining_s = min(
-                self._answer_timer.remaining_s(now), self._answer_timer.doubt_in_s(now)
+                self._answer_timer.remaining_s(now), self._answer_timer.suspect_in_s(now)
             )
             if remaining_s == float("inf"):
                 await self._wakeup.wait()
--- a/limedyke/proxy/limits/operation_limiter.py
+++ b/limedyke/proxy/limits/operation_limiter.py
@@ -106,7 +106,7 @@
     :param may_run_until: returns until when operations may run without the leader, seconds of the
         monotonic clock; after that the leader no longer accounts for them
     :param serving: returns how many proxies run operations
-    :param silence: is told when the leader leaves requests unanswered
+    :param silence: is notified of unanswered requests
 
     :ivar metrics: metrics on waits and refusals
     """
--- a/limedyke/proxy/statements/clients/client.py
+++ b/limedyke/proxy/statements/clients/client.py
@@ -217,8 +217,8 @@
         """End the session; statements that arrived meanwhile are answered as not run.
 
         Once no statements are accepted, the connection stays open for as long as the process does:
-        a client may have begun to send before it was told, and be held up for longer than the usual
-        silence.
+        a client may have begun to send before it was notified, and be held up for longer than the
+        usual silence.
         """
         self._has_ended = True
         now = time.monotonic()
--- a/limedyke/proxy/statements/members/member_pool.py
+++ b/limedyke/proxy/statements/members/member_pool.py
@@ -220,7 +220,7 @@
         return silent_connections
 
     async def notify_answer(self) -> None:
-        """Tell those that wait for the member that it answers again."""
+        """Notify those that wait for the member that it answers again."""
         if self.on_answer is not None:
             await self.on_answer()
 
