--- a/features/support/controller_lab.py
+++ b/features/support/controller_lab.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +17,9 @@
 from limedyke_lab.fleet.process import ManagedProcess, end_all, environment
 
 HOST = "127.0.0.1"
+FIRST_PORT = 10_000
+FIRST_OUTGOING_PORT = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+RANDOM = random.SystemRandom()
 SECRETS = {"cluster": "cluster-key", "anna-key": "anna's key", "bert-key": "bert's key"}
 START_TIMEOUT_S = 20.0
 COMMAND_TIMEOUT_S = 30.0
@@ -25,10 +29,19 @@
 
 
 def free_address() -> str:
-    """Return a loopback address whose port was free a moment ago."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return f"{HOST}:{sock.getsockname()[1]}"
+    """Return a loopback address whose port was free a moment ago.
+
+    The port is below those that the kernel gives to outgoing connections, one of which would
+    otherwise take it before a listener does.
+    """
+    while True:
+        port = RANDOM.randrange(FIRST_PORT, FIRST_OUTGOING_PORT)
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        return f"{HOST}:{port}"
 
 
 def wait_for(condition: Callable[[], object], what: str, timeout_s: float = START_TIMEOUT_S):
