Match the leader's answers with reports on members

What callers saw: nothing yet but a failed test. When a primary fails while the leader is paused, proxies whose reports nobody reads look for the successor only when their links count as silent, up to 2 s later.

Cause: any answer of the leader ended the wait for the answer to a report, also the one to a heartbeat sent before it, which is on its way while the leader pauses. Found beside it: a report that follows while an answer is awaited had no heartbeat of its own, so its answer was not awaited.

Change: only the answer to a heartbeat sent after the report counts; a report that followed gets a heartbeat when the one before is answered.

The step of the timer's cases passes numbers of heartbeats now and still checks each remaining time exactly.

--- a/features/paused_leader.feature
+++ b/features/paused_leader.feature
@@ -18,6 +18,16 @@
     And paused leader: 1500 ms pass
     Then paused leader: the proxy was linked to the other one within 800 ms of the pause
 
+  Scenario: paused leader: the answer to an earlier heartbeat is not taken for the answer to a report
+    The answer is on its way as the leader is paused, and arrives after the report was sent.
+    Given paused leader: a proxy linked to it, and a tenant that may run 12 a second
+    And paused leader: its answers to heartbeats take 100 ms
+    When paused leader: 200 ms pass
+    And paused leader: it is paused for 3000 ms, and another one leads 300 ms later
+    And paused leader: the proxy reports a member
+    And paused leader: 1500 ms pass
+    Then paused leader: the proxy was linked to the other one within 800 ms of the pause
+
   Scenario: paused leader: a leader that answers late and has no successor keeps its links
     Given paused leader: a proxy linked to it, and a tenant that may run 12 a second
     When paused leader: 1 operations a second arrive for 2 s
--- a/features/steps/control_proxies_steps.py
+++ b/features/steps/control_proxies_steps.py
@@ -109,15 +109,18 @@
 
 @then('proxies: after "{events:Anything}" the leader may be silent for {seconds} s')
 def _(context, events, seconds):
-    silence, now = ReportAnswerTimer(), 0.0
+    silence, now, sequence = ReportAnswerTimer(), 0.0, 1
     for event in filter(None, events.split(", ")):
         at, word = event.split()
         now = float(at)
         match word:
             case "report":
-                silence.report_sent(now)
+                sequence += silence.report_sent(now, sequence + 1)
             case "heard":
-                silence.answer_received()
+                if silence.answer_received(sequence):
+                    sequence += silence.report_sent(now, sequence + 1)
+            case "heard-earlier":
+                assert not silence.answer_received(sequence - 1)
             case "left":
                 silence.link_closed(now)
     assert silence.remaining_s(now) == float(seconds), silence.remaining_s(now)
--- a/features/steps/paused_leader_steps.py
+++ b/features/steps/paused_leader_steps.py
@@ -34,6 +34,11 @@
     context.kernel.run(lab.start)
 
 
+@given("paused leader: its answers to heartbeats take {milliseconds:d} ms")
+def step_slow_answers(context, milliseconds):
+    context.lab.first.answer_s = milliseconds / MS_PER_S
+
+
 @when("paused leader: {per_s:g} operations a second arrive for {seconds:g} s")
 def step_send(context, per_s, seconds):
     context.kernel.run(context.lab.send, per_s, seconds)
--- a/features/support/paused_leader.py
+++ b/features/support/paused_leader.py
@@ -40,11 +40,13 @@
 
     :ivar leads: whether it answers as the leader
     :ivar paused_until: it handles no message before
+    :ivar answer_s: seconds that an answer to a heartbeat takes
     """
 
     term: int = TERM
     leads: bool = False
     paused_until: float = 0.0
+    answer_s: float = 0.0
     limits: OperationLimits | None = None
     report_count: int = 0
 
@@ -64,6 +66,7 @@
         while True:
             message = await self._receive(link)
             if isinstance(message, ProxyHeartbeat):
+                await curio.sleep(self.answer_s)
                 self.counter += 1
                 stamp = QuorumStamp(message.sequence, self.term, self.counter, PRESENT, LEASE_MS)
                 await link.send(stamp)
--- a/limedyke/proxy/control/client.py
+++ b/limedyke/proxy/control/client.py
@@ -195,9 +195,10 @@
     async def _request_answer(self) -> None:
         """Send a heartbeat for the leader to answer, unless an answer is already awaited."""
         link = self._link
-        if link is None or self._reports.is_awaiting_answer:
+        if link is None:
+            return
+        if not await self._reports.report_sent(self._status_messages.sequence + 1):
             return
-        await self._reports.report_sent()
         try:
             await self._send_heartbeat(link, ())
         except LinkClosedError:
@@ -383,7 +384,8 @@
     async def _handle_stamp(self, stamp: QuorumStamp) -> None:
         if self._quorum_stamp.is_older(stamp):
             raise LinkClosedError("the quorum stamp is older than one received before")
-        self._reports.answer_received()
+        if self._reports.answer_received(stamp.sequence):
+            await self._request_answer()
         await self._silence.end()
         if self._quorum_stamp.advance(stamp, time.monotonic()):
             self._controllers.accepted(self._address)
--- a/limedyke/proxy/control/report_answer_timer.py
+++ b/limedyke/proxy/control/report_answer_timer.py
@@ -5,6 +5,9 @@
 a report within a second.  It does this at most once per interval, so that a leader that is slow
 under many reports does not have to accept new links of all proxies repeatedly.  Before that, it
 looks for another leader without leaving this one.
+
+Only the answer to a heartbeat that was sent after the report counts.  An answer to an earlier
+heartbeat may still be on its way when the leader pauses, and says nothing of the report.
 """
 
 from __future__ import annotations
@@ -22,22 +25,40 @@
 
     def __init__(self) -> None:
         self._reported_at: float | None = None
+        self._awaited_sequence = 0
+        self._is_followed = False
         self._left_at = float("-inf")
         self._is_suspected = False
 
-    @property
-    def is_waiting(self) -> bool:
-        """Whether a report was sent that the leader has not answered."""
-        return self._reported_at is not None
+    def report_sent(self, now: float, sequence: int) -> bool:
+        """Record a sent report; the timeout runs from the first unanswered one.
+
+        :param sequence: the next heartbeat, whose answer is the answer to this report
+        :returns: whether that heartbeat is to be sent now
+        """
+        if self._reported_at is not None:
+            self._is_followed = True
+            return False
+        self._reported_at = now
+        self._awaited_sequence = sequence
+        return True
+
+    def answer_received(self, sequence: int) -> bool:
+        """Record the answer to a heartbeat.
 
-    def report_sent(self, now: float) -> None:
-        """Record a sent report; the timeout runs from the first unanswered one."""
-        if self._reported_at is None:
-            self._reported_at = now
+        :returns: whether another report has followed the one that is answered, so that its answer
+            has to be requested
+        """
+        if self._reported_at is None or sequence < self._awaited_sequence:
+            return False
+        is_followed = self._is_followed
+        self.reset()
+        return is_followed
 
-    def answer_received(self) -> None:
-        """Record that a heartbeat was answered, or that a new link was opened."""
+    def reset(self) -> None:
+        """Forget unanswered reports, as the link was closed or a new one was opened."""
         self._reported_at = None
+        self._is_followed = False
         self._is_suspected = False
 
     def suspect_in_s(self, now: float) -> float:
@@ -59,4 +80,4 @@
     def link_closed(self, now: float) -> None:
         """Record that the link was closed because a report was not answered."""
         self._left_at = now
-        self.answer_received()
+        self.reset()
--- a/limedyke/proxy/control/reports.py
+++ b/limedyke/proxy/control/reports.py
@@ -26,11 +26,6 @@
         self._answer_timer = ReportAnswerTimer()
         self._wakeup = curio.Event()
 
-    @property
-    def is_awaiting_answer(self) -> bool:
-        """Whether a report was sent that the leader has not answered."""
-        return self._answer_timer.is_waiting
-
     def keep(self, report: MemberReport) -> None:
         """Keep a report, replacing an earlier one of the same member."""
         self._reports[(report.group, report.member)] = report
@@ -44,21 +39,29 @@
         """Return the latest report of each member."""
         return tuple(self._reports.values())
 
-    async def report_sent(self) -> None:
-        """Start the answer timeout, as a report was sent to the leader."""
-        self._answer_timer.report_sent(time.monotonic())
+    async def report_sent(self, sequence: int) -> bool:
+        """Start the answer timeout, as a report was sent to the leader.
+
+        :param sequence: the next heartbeat, whose answer is the answer to the report
+        :returns: whether that heartbeat is to be sent now
+        """
+        is_first = self._answer_timer.report_sent(time.monotonic(), sequence)
         await self._wakeup.set()
+        return is_first
 
-    def answer_received(self) -> None:
-        """Stop the answer timeout, as the leader answered."""
-        self._answer_timer.answer_received()
+    def answer_received(self, sequence: int) -> bool:
+        """Stop the answer timeout if this heartbeat, which the leader answered, covers the report.
+
+        :returns: whether the answer to a later report has to be requested
+        """
+        return self._answer_timer.answer_received(sequence)
 
     async def watch_silence(self) -> None:
         """Close the link when a report is not answered in time.
 
         :raises LinkClosedError: when the answer timeout has passed
         """
-        self._answer_timer.answer_received()
+        self._answer_timer.reset()
         while True:
             self._wakeup.clear()
             now = time.monotonic()
