Count a leader's outage from the first unanswered request

What callers saw: without a leader, operations that the proxy's share does not cover are to be refused at once from 1.2 s after the first request without an answer (docs/LIMITS.md). They were held until about 1.5 s: one that arrived 1.3 s after the pause was refused 0.17 s later.

Cause: the outage is noticed when the first request has had no answer for 0.3 s, and was taken to begin with the last request sent, which is up to 0.3 s younger.

Evidence: of 24 runs of the lab of paused_leader with 30 operations a second that print waits, the last operation held was refused 1.470 to 1.482 s after the pause, 18 ms before the moment from which a scenario allows 50 ms.

Change: each waiting operation knows when the present leader was asked for it, and the outage begins with the request of the one that notices it.

Result: the new scenario fails before in 3 of 3 runs (0.174, 0.179, 0.176 s where 0.05 are allowed) and passes in 3 of 3. operation_waiting, operation_limits and paused_leader passed.

--- a/features/paused_leader.feature
+++ b/features/paused_leader.feature
@@ -51,6 +51,14 @@
     And paused leader: 30 operations a second arrive for 3 s
     Then paused leader: at least 20 operations were refused, those that arrived after 1500 ms within 50 ms
 
+  Scenario: paused leader: the wait for a successor counts from the first request without an answer
+    Each operation sends a request of its own. A wait that counts from the last of them is 0.3 s too long.
+    Given paused leader: a proxy linked to it, and a tenant that may run 12 a second
+    When paused leader: 1 operations a second arrive for 2 s
+    And paused leader: it is paused for 9000 ms, and no other one leads
+    And paused leader: 30 operations a second arrive for 3 s
+    Then paused leader: at least 20 operations were refused, those that arrived after 1300 ms within 50 ms
+
   Scenario Outline: paused leader: an operation waits for a successor, <case>
     Given paused leader: a leader last asked 0 ms ago has not answered
     When paused leader: <after> ms later an operation arrives that may wait <wait> ms, its tenant was <where> its limit
--- a/limedyke/proxy/limits/operation_limiter.py
+++ b/limedyke/proxy/limits/operation_limiter.py
@@ -81,7 +81,7 @@
     :param request: request id, for the log
     :param began_at: when the operation arrived
     :ivar decides_at: when it is decided without the leader unless that has answered
-    :ivar is_asked: a message to the present leader requests its token
+    :ivar asked_at: when the present leader was asked for its token; None if it was not
     :ivar notified_due: due time of the token that the waiting task has been notified of
     :ivar was_promised: the token was due later than the grant
     :ivar over: the refusal, if it was refused
@@ -91,7 +91,7 @@
     request: str = ""
     began_at: float = 0.0
     decides_at: float = 0.0
-    is_asked: bool = False
+    asked_at: float | None = None
     notified_due: float | None = None
     was_promised: bool = False
     over: OverLimit | None = None
@@ -212,7 +212,7 @@
         now = time.monotonic()
         for queue in self._queues.values():
             for waiter in queue.waiters:
-                waiter.is_asked = False
+                waiter.asked_at = None
                 self._ask_with_next_message(waiter)
         is_young = now - self._began_at < YOUNG_PROCESS_S
         if is_young or self._unasked or self._reports(now):
@@ -238,7 +238,7 @@
 
     def _ask_with_next_message(self, waiter: _Waiter) -> None:
         """Request a token with the next message, unless the leader was asked for it."""
-        if waiter.is_answered or waiter.is_asked:
+        if waiter.is_answered or waiter.asked_at is not None:
             return
         unasked = self._unasked.setdefault(waiter.tenant, [])
         if waiter not in unasked:
@@ -255,7 +255,7 @@
             if until is None:
                 until = waiter.decides_at
                 if now >= until:
-                    await self._note_unanswered()
+                    await self._note_unanswered(waiter.asked_at)
                     await self._decide_without_leader(waiter)
                     continue
             waiter.changed.clear()
@@ -274,9 +274,9 @@
         if await self._send(OperationsRequest(self._number, demands, reports, running_ms)):
             self._is_report_due = False
             for waiter in chain.from_iterable(unasked.values()):
-                waiter.is_asked = True
+                waiter.asked_at = now
         else:
-            await self._note_unanswered()
+            await self._note_unanswered(now)
             await self._decide_waiting()
 
     def _reports(self, now: float) -> tuple[OperationReport, ...]:
@@ -301,10 +301,11 @@
         left_s = waiter.target_at - now - self._answer_time.usual_s
         return max(0, int(left_s * MS_PER_S) // WAIT_STEP_MS * WAIT_STEP_MS)
 
-    async def _note_unanswered(self) -> None:
+    async def _note_unanswered(self, asked_at: float | None) -> None:
+        """Record that a request was not answered in time; the last one if ``asked_at`` is None."""
         if not self._outage.is_present:
             EVENTS.warning("limits-not-answered", number=self._number)
-        self._outage.note_unanswered(self._asked_at)
+        self._outage.note_unanswered(self._asked_at if asked_at is None else asked_at)
         await self._silence.begin()
 
     async def _decide_waiting(self) -> None:
