Give a share without a leader to the operations that wait longest

What callers saw: with the leader paused for 0.9 s, an operation of a tenant below its limit waited 0.8 s, its whole time, and was refused with LD3017, while operations that came 0.2 s after it ran at once.

Cause: each waiting operation was decided when its own answer was 0.3 s late. One that arrived after the outage had been noticed was decided at once and took what the proxy's share covers before them, whatever their priority and time.

Evidence: the lab of paused_leader, 10 operations a second: those of 0.000, 0.101 and 0.302 s ran without the leader, that of 0.202 s waited until the leader was back at 0.9 s.

Change: when the missing answer is noticed, and when an operation arrives afterwards, all that wait are decided, the most urgent and among equals the earliest first.

--- a/features/paused_leader.feature
+++ b/features/paused_leader.feature
@@ -59,6 +59,15 @@
     And paused leader: 30 operations a second arrive for 3 s
     Then paused leader: at least 20 operations were refused, those that arrived after 1300 ms within 50 ms
 
+  Scenario: paused leader: operations that wait for its answer run before later ones of the same urgency
+    What the proxy's share covers went to operations that arrived after the missing answer was noticed.
+    Given paused leader: a proxy linked to it, and a tenant that may run 12 a second
+    When paused leader: 1 operations a second arrive for 2 s
+    And paused leader: it is paused for 900 ms, and no other one leads
+    And paused leader: 10 operations a second arrive for 0.8 s
+    Then paused leader: no operation was refused
+    And paused leader: no operation ran more than 20 ms before an earlier one
+
   Scenario Outline: paused leader: an operation waits for a successor, <case>
     Given paused leader: a leader last asked 0 ms ago has not answered
     When paused leader: <after> ms later an operation arrives that may wait <wait> ms, its tenant was <where> its limit
--- a/features/steps/paused_leader_steps.py
+++ b/features/steps/paused_leader_steps.py
@@ -97,6 +97,18 @@
     assert max(late) * MS_PER_S <= limit_ms, max(late)
 
 
+@then("paused leader: no operation ran more than {limit_ms:d} ms before an earlier one")
+def step_in_order(context, limit_ms):
+    lab = context.lab
+    ended = [at + took for at, took in zip(lab.arrived_at, lab.took_s, strict=True)]
+    early = [
+        (number, later)
+        for number, later in enumerate(ended)
+        if later + limit_ms / MS_PER_S < max(ended[: number + 1])
+    ]
+    assert not early, (early, ended)
+
+
 @given("paused leader: a leader last asked 0 ms ago has not answered")
 def step_outage(context):
     context.outage = LeaderOutage()
--- a/limedyke/proxy/limits/operation_limiter.py
+++ b/limedyke/proxy/limits/operation_limiter.py
@@ -234,7 +234,7 @@
             return
         if waiter.began_at - self._asked_at > UNANSWERED_PAUSE_S:
             await self._has_unasked.set()
-        await self._decide_without_leader(waiter)
+        await self._decide_queue(self._queues[waiter.tenant])
 
     def _ask_with_next_message(self, waiter: _Waiter) -> None:
         """Request a token with the next message, unless the leader was asked for it."""
@@ -256,7 +256,7 @@
                 until = waiter.decides_at
                 if now >= until:
                     await self._note_unanswered(waiter.asked_at)
-                    await self._decide_without_leader(waiter)
+                    await self._decide_queue(queue)
                     continue
             waiter.changed.clear()
             async with curio.ignore_after(max(MIN_WAIT_S, until - now)):
@@ -311,9 +311,17 @@
     async def _decide_waiting(self) -> None:
         """Decide locally for all unanswered operations, since no leader is linked."""
         for queue in self._queues.values():
-            for waiter in queue.waiters:
-                if not waiter.is_answered:
-                    await self._decide_without_leader(waiter)
+            await self._decide_queue(queue)
+
+    async def _decide_queue(self, queue: TokenQueue) -> None:
+        """Decide locally for unanswered operations of a tenant, the most urgent first.
+
+        Otherwise one that has just arrived would take what the share covers, and those that wait
+        for the leader's answer longer would be refused.
+        """
+        for waiter in queue.waiters:
+            if not waiter.is_answered:
+                await self._decide_without_leader(waiter)
 
     async def _decide_without_leader(self, waiter: _Waiter) -> None:
         """Admit an operation from the reserve, now or soon, or refuse it.
