Use tokens granted ahead for operations that wait

What callers saw: as a paused leader answered again, an operation that had waited for 0.1 s waited another 0.1 s for a promised token, while one that arrived in between ran at once.

Cause: what a grant holds beyond the operations of its own message went into the proxy's stock, which serves arrivals. Operations asked for in a later message wait for their own answer, whose tokens may be due later.

Change: tokens granted beyond a message's operations go to others of the tenant that wait without an arrived token, the rest into the stock.

--- a/features/paused_leader.feature
+++ b/features/paused_leader.feature
@@ -64,7 +64,7 @@
     Given paused leader: a proxy linked to it, and a tenant that may run 12 a second
     When paused leader: 1 operations a second arrive for 2 s
     And paused leader: it is paused for 900 ms, and no other one leads
-    And paused leader: 10 operations a second arrive for 0.8 s
+    And paused leader: 10 operations a second arrive for 1 s
     Then paused leader: no operation was refused
     And paused leader: no operation ran more than 20 ms before an earlier one
 
--- a/limedyke/proxy/limits/operation_limiter.py
+++ b/limedyke/proxy/limits/operation_limiter.py
@@ -354,13 +354,18 @@
         await self._notify_changes(queue, refused)
 
     async def _take_grant(self, number: int, grant: OperationGrant) -> None:
-        """Apply a grant to the operations requested by this message, most urgent first."""
+        """Apply a grant to the operations requested by this message, most urgent first.
+
+        What it grants beyond them goes to others that wait, and only the rest into the stock: an
+        operation that arrives later would take it from the stock before them.
+        """
         now = time.monotonic()
         allowance = self._allowances[grant.tenant]
         allowance.apply_grant(grant, now)
         queue = self._queues[grant.tenant]
         wanted = sum(1 for w in queue.waiters if w.number <= number and not w.is_answered)
-        at_once = min(grant.operations, wanted)
+        without_token = sum(1 for w in queue.waiters if w.due is None or w.due > now)
+        at_once = min(grant.operations, max(wanted, without_token))
         allowance.add(grant.operations - at_once, now)
         dues = [now] * at_once + [now + wait_ms / MS_PER_S for wait_ms in grant.waits_ms]
         refused = queue.answered(number, dues, now)
