Stop the proxy before the controllers in the paused leader's tests

One scenario of features/paused_leader.feature was counted as failed in a whole run of the tests (8 passed, 1 failed) that did not land for it. No check failed: its cleanup did.

Cause: the kernel's shutdown cancels the newest tasks first, the links' tasks, while the proxy's client still runs. It looks for a leader at once, and a controller that is not cancelled yet serves the new link. The task for it is not among those that are cancelled: "CLEANUP-ERROR ... AssertionError: New tasks created during shutdown".

Change: the lab cancels the client, then the controllers, before the kernel shuts down. Checks are as they were.

--- a/features/steps/paused_leader_steps.py
+++ b/features/steps/paused_leader_steps.py
@@ -31,6 +31,7 @@
     context.kernel = curio.Kernel()
     context.lab = lab
     context.add_cleanup(lambda: context.kernel.run(shutdown=True))
+    context.add_cleanup(context.kernel.run, lab.stop)
     context.kernel.run(lab.start)
 
 
--- a/features/support/paused_leader.py
+++ b/features/support/paused_leader.py
@@ -100,6 +100,7 @@
 
     def __post_init__(self) -> None:
         """Create two controllers; the first leads."""
+        self._tasks: list[curio.Task] = []
         self.tenants = {
             TENANT: Tenant(
                 TENANT, (), operations_per_minute=60 * self.rate, operation_burst=self.rate
@@ -118,12 +119,20 @@
 
     async def start(self) -> None:
         """Start all; return when the proxy is linked and has leases."""
-        for controller in (self.first, self.second):
-            await curio.spawn(controller.run, daemon=True)
-        await curio.spawn(self.client.run, daemon=True)
+        for program in (self.first.run, self.second.run, self.client.run):
+            self._tasks.append(await curio.spawn(program, daemon=True))
         while self.client.leases_expire_at < time.monotonic():
             await curio.sleep(POLL_S)
 
+    async def stop(self) -> None:
+        """Stop the client before the controllers.
+
+        Otherwise it would look for a leader as the links close, and the controllers would serve new
+        links, whose tasks outlive the others.
+        """
+        while self._tasks:
+            await self._tasks.pop().cancel()
+
     async def send(self, per_s: float, seconds: float) -> None:
         """Send operations at a constant rate."""
         tasks = []
