Decide an overdue operation again in whatever state it is

If the overdue one counted as answered and had lost its token, it would be passed over and its task would go round without a pause.

--- a/limedyke/proxy/limits/operation_limiter.py
+++ b/limedyke/proxy/limits/operation_limiter.py
@@ -253,6 +253,7 @@
                 until = waiter.decides_at
                 if now >= until:
                     await self._note_unanswered(waiter.asked_at)
+                    waiter.is_answered = False  # decided again, also if it has lost its token
                     await self._decide_queue(queue)
                     continue
             waiter.changed.clear()
@@ -311,10 +312,10 @@
             await self._decide_queue(queue)
 
     async def _decide_queue(self, queue: TokenQueue) -> None:
-        """Decide locally for unanswered operations of a tenant, the most urgent first.
+        """Decide locally for a tenant's unanswered operations, the most urgent first.
 
-        Otherwise one that has just arrived would take what the share covers, and those that wait
-        for the leader's answer longer would be refused.
+        Otherwise one that has just arrived would take what the share covers, and those that have
+        waited for the leader's answer for longer would be refused.
         """
         for waiter in queue.waiters:
             if not waiter.is_answered:
