--- a/features/control_proxies.feature
+++ b/features/control_proxies.feature
@@ -61,18 +61,18 @@
     Then proxies: after "<events>" the leader may be silent for <seconds> s
 
     Examples:
-      | events                                  | seconds |
-      |                                         | inf     |
-      | 0 report                                | 1       |
-      | 0 report, 0.5 report                    | 0.5     |
-      | 0 report, 0.5 heard                     | inf     |
-      | 0 report, 0.5 heard, 0.7 report         | 1       |
-      | 0 report, 0.1 heard-earlier             | 0.9     |
-      | 0 report, 0.1 report, 0.2 heard         | 1       |
-      | 0 report, 0.1 report, 0.2 heard, 0.3 heard | inf  |
-      | 0 report, 1 left, 2 report              | inf     |
-      | 0 report, 1 left, 2 report, 10.5 report | inf     |
-      | 0 report, 1 left, 11.5 report           | 1       |
+      | events                                     | seconds |
+      |                                            | inf     |
+      | 0 report                                   | 1       |
+      | 0 report, 0.5 report                       | 0.5     |
+      | 0 report, 0.5 heard                        | inf     |
+      | 0 report, 0.5 heard, 0.7 report            | 1       |
+      | 0 report, 0.1 heard-earlier                | 0.9     |
+      | 0 report, 0.1 report, 0.2 heard            | 1       |
+      | 0 report, 0.1 report, 0.2 heard, 0.3 heard | inf     |
+      | 0 report, 1 left, 2 report                 | inf     |
+      | 0 report, 1 left, 2 report, 10.5 report    | inf     |
+      | 0 report, 1 left, 11.5 report              | 1       |
 
   Scenario Outline: proxies: state in force is on disk, whenever the proxy crashes
     Given proxies: a proxy with <disk>
