--- a/review/standins/members.py
+++ b/review/standins/members.py
@@ -15,6 +15,7 @@
 
 SLOTS = 5
 LAG_S = 0.008
+CALL_LIMIT_S = 1.0
 """Figures of ``sites/chlad-pool.toml``, as the page SYSTEM gives them."""
 
 
@@ -29,12 +30,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """A client's statement that a member ran."""
+    """A client's statement that a member ran.
+
+    :ivar applied: id of the last write that reads at the member saw then; empty for none
+    """
 
     at: float
     member: str
     request_id: str
     text: str
+    applied: str
 
 
 @dataclass(eq=False, slots=True)
@@ -45,6 +50,8 @@
     :ivar applied: how many of them reads see
     :ivar is_deaf: it receives no commits from the primary
     :ivar cut_from: addresses of machines that are partitioned from it
+    :ivar is_cut_from_control: it is partitioned from the controllers
+    :ivar lag_s: how long it takes to apply what it has received
     """
 
     identity: str
@@ -54,6 +61,8 @@
     is_running: bool = False
     is_deaf: bool = False
     cut_from: set[str] = field(default_factory=set)
+    is_cut_from_control: bool = False
+    lag_s: float = LAG_S
     state: str = "ready"
     received: list[Commit] = field(default_factory=list)
     applied: int = 0
@@ -224,7 +233,7 @@
         async with self._received:
             self._received.notify_all()
         count = len(member.received)
-        await asyncio.sleep(LAG_S)
+        await asyncio.sleep(member.lag_s)
         member.applied = max(member.applied, min(count, len(member.received)))
 
     def signature(self, member: Member) -> str:
@@ -259,6 +268,9 @@
 
     async def tell(self, member: Member, method: str, body: dict | None) -> bool:
         """Call ``/instances/ID`` at one controller after the other until one acknowledges."""
+        if member.is_cut_from_control:
+            await asyncio.sleep(CALL_LIMIT_S)
+            return False
         controllers = list(self._deployment.controllers)
         random.shuffle(controllers)
         addresses = [self._deployment.control_address(machine) for machine in controllers]
@@ -275,6 +287,7 @@
 
     def note_run(self, member: Member, request_id: str, text: str) -> None:
         """Record that a member runs a client's statement."""
-        run = Run(self._record.now(), member.identity, request_id, text)
+        seen = member.received[member.applied - 1].request_id if member.applied else ""
+        run = Run(self._record.now(), member.identity, request_id, text, seen)
         self.runs.append(run)
         self._record.note(f"run {request_id} at {member.identity} of {self.name}: {text}")
