--- a/review/2/case.py
+++ b/review/2/case.py
@@ -41,11 +41,13 @@
 """Twice as long as ``srv_crash`` has it in the site file."""
 PROMOTED_LIMIT_S = 6.0
 SETTLED_S = 3.0
-PROXY_CUT_S = 0.7
+PROXY_CUT_S = 0.4
 """How long A stays cut off from the proxies once B leads."""
-REACHED_S = 0.8
+REACHED_S = 0.5
 SECOND_CUT_S = 5.0
-CONTROL_CUT_S = 10.0
+CONTROL_CUT_AFTER_S = 1.0
+"""Before A loses the lead, so that it can't say so."""
+CONTROL_CUT_S = 8.0
 AFTERWARDS_S = 10.0
 LEAST_ACKNOWLEDGED = 50
 
@@ -133,9 +135,9 @@
         spawn(self._come_back(first))
         member_a = await self._next_primary(first)
         await asyncio.sleep(SETTLED_S)
-        spawn(self._cut_from_control(member_a))
         some_proxies = self._deployment.proxies[:2]
         self._cut(member_a, some_proxies, True)
+        spawn(self._cut_from_control(member_a))
         member_b = await self._next_primary(member_a)
         spawn(self._lag(member_a))
         await asyncio.sleep(PROXY_CUT_S)
@@ -167,6 +169,7 @@
         raise CaseCannotRunError(f"no member replaces {replaced.identity}")
 
     async def _cut_from_control(self, member: Member) -> None:
+        await asyncio.sleep(CONTROL_CUT_AFTER_S)
         self._record.say(f"member {member.identity} is cut off from the controllers")
         member.is_cut_from_control = True
         await asyncio.sleep(CONTROL_CUT_S)
