--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Exit status: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-# TROUBLE=0 leaves the disruption out; TROUBLE=late or TROUBLE=kill keeps one part of it.
+# TROUBLE=0 leaves the disruption out.
 # KEEP_LOGS=1 keeps the logs of the processes.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -d target/deps ]; then
