--- a/features/soak/fault_injection.py
+++ b/features/soak/fault_injection.py
@@ -33,8 +33,10 @@
 class SoakDeployment(Deployment):
     """Puts a relay in front of each member, and restarts exited processes as the platform does."""
 
-    def __init__(self, folder: Path, proxies: tuple[str, ...] = PROXIES) -> None:
-        super().__init__(folder, proxies)
+    def __init__(
+        self, folder: Path, proxies: tuple[str, ...] = PROXIES, synchronous_replicas: int = 0
+    ) -> None:
+        super().__init__(folder, proxies, synchronous_replicas)
         self.history = ProcessHistory()
         self.relays: dict[str, MemberRelay] = {}
         self._is_stopping = False
--- a/features/support/announced_world.py
+++ b/features/support/announced_world.py
@@ -11,10 +11,12 @@
     AuthorityAnswered,
     AuthorityOutcome,
     HeartbeatReceived,
+    LogDecision,
     MemberReported,
     Propose,
     ProxyConnected,
     RequestPromotion,
+    SendToProxy,
     TimePassed,
     UpdateApplied,
 )
@@ -48,14 +50,16 @@
     """Applies proposals immediately; proxies confirm them, except those in ``unconfirming``.
 
     :param started_at_ms: start time of all members; 0 if they do not report it
+    :param synchronous_replicas: replicas for which the group's commits wait
     """
 
-    def __init__(self, members: dict[str, str], started_at_ms: int = 0) -> None:
+    def __init__(
+        self, members: dict[str, str], started_at_ms: int = 0, synchronous_replicas: int = 0
+    ) -> None:
         self.now = 100.0
         self.test = StateUnderTest()
-        access = TenantAccess("shared", GROUP, "", "", 30)
-        group = Group(GROUP, (), 30, 1, (access,), "", PromotionMode.AUTHORITY, announced=True)
-        self.test.apply(DeclareVersion(1, b"{}", Declaration(groups=(group,))))
+        self.version = 0
+        self.test.apply(self._declaration(synchronous_replicas))
         self.members = {
             name: replace(a_member(name, role), started_at_ms=started_at_ms)
             for name, role in members.items()
@@ -65,11 +69,32 @@
         self.unconfirming: set[str] = set()
         self.sequences = dict.fromkeys(members, 1)
         self.calls: list[RequestPromotion] = []
+        self.decisions: list[str] = []
         self.heartbeats = 0
         self.proxies = list(PROXIES)
         self.timing = ControlTiming(lease_s=30.0)
         self.lead()
 
+    def _declaration(self, synchronous_replicas: int) -> DeclareVersion:
+        self.version += 1
+        group = Group(
+            GROUP,
+            (),
+            30,
+            1,
+            (TenantAccess("shared", GROUP, "", "", 30),),
+            "",
+            PromotionMode.AUTHORITY,
+            announced=True,
+            synchronous_replicas=synchronous_replicas,
+        )
+        return DeclareVersion(self.version, b"{}", Declaration(groups=(group,)))
+
+    def declare(self, synchronous_replicas: int) -> None:
+        """Declare how many replicas the group's commits wait for."""
+        self.apply(self._declaration(synchronous_replicas))
+        self.post()
+
     def lead(self, found_by: Iterable[str] | None = None) -> None:
         """Start a new leader.
 
@@ -90,7 +115,8 @@
 
     def _connect(self, name: str) -> None:
         address = f"127.1.0.{len(name)}:{ord(name[-1])}"
-        self.post(ProxyConnected(ProxyHello(name, 1, address, "z", 0, 0)))
+        hello = ProxyHello(name, 1, address, "z", 0, 0, reports_positions=True)
+        self.post(ProxyConnected(hello))
         self.beat(name, first=True)
 
     def home_proxies(self) -> tuple[str, ...]:
@@ -107,6 +133,13 @@
                     self.calls.append(command)
                 elif isinstance(command, Propose):
                     self.apply(command.entry)
+                elif isinstance(command, SendToProxy):
+                    self.deliver(command.proxy, command.message)
+                elif isinstance(command, LogDecision):
+                    self.decisions.append(command.text)
+
+    def deliver(self, proxy: str, message: object) -> None:
+        """Deliver a message to a proxy, which ignores it here."""
 
     def apply(self, entry: object) -> None:
         """Apply an entry, and notify the leader."""
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -39,11 +39,14 @@
 
     :param folder: holds data, node files and logs
     :param proxies: IP addresses of the proxies' machines
+    :param synchronous_replicas: replicas that must have received a commit before it is answered
     :ivar seeds: the controllers listed in node files
     :ivar priorities: priority by database, where it differs from ``USUAL_PRIORITY``
     """
 
-    def __init__(self, folder: Path, proxies: tuple[str, ...] = PROXIES) -> None:
+    def __init__(
+        self, folder: Path, proxies: tuple[str, ...] = PROXIES, synchronous_replicas: int = 0
+    ) -> None:
         self._folder = folder
         self.proxies = proxies
         self.seeds = CONTROLLERS
@@ -51,7 +54,7 @@
         self._extra_controllers: set[str] = set()
         self.tenants: list[dict] | None = None
         self.priorities: dict[str, int] = {}
-        self.group = StandInGroup(GROUP, ("a", "b", "c"))
+        self.group = StandInGroup(GROUP, ("a", "b", "c"), synchronous_replicas=synchronous_replicas)
         self.promotions: list[tuple[str, int]] = []
         self.version = 0
         self.statement_timeout_ms = 1_000
@@ -189,7 +192,8 @@
             }
             for name in databases
         ]
-        services = [{"name": GROUP, "maxConnections": 20, "syncReplicas": 0}]
+        replicas = self.group.synchronous_replicas
+        services = [{"name": GROUP, "maxConnections": 20, "syncReplicas": replicas}]
         body = {"version": version, "routes": routes, "services": services, "limits": {}}
         if self.tenants is not None:
             body["tenants"] = self.tenants
@@ -231,13 +235,15 @@
 
     async def _announce(self, member: StandInMember) -> None:
         """Announce a member; try the controllers in order until one acknowledges."""
+        if not member.announces_itself:
+            return
         body = {
             "service": GROUP,
             "address": self.address_of(member),
             "zone": "z1",
             "version": "v1",
             "capacity": 3,
-            "state": "ready",
+            "state": member.announced_state,
             "warmupLeftMs": 0,
             "dbRole": "primary" if member.is_primary else "replica",
             "callSeq": int(time.monotonic() * 1_000),
--- a/features/support/line_platform/group.py
+++ b/features/support/line_platform/group.py
@@ -12,6 +12,9 @@
 from features.support.line_platform.member_log import Commit, MemberLog, Run
 from features.support.line_platform.member_session import MemberSession
 
+RECEIVE_POLL_S = 0.002
+RECENT_COMMITS = 200
+
 
 @dataclass(slots=True)
 class MemberFaults:
@@ -43,11 +46,18 @@
 
 @dataclass(slots=True)
 class StandInMember:
-    """One member of a fake group."""
+    """One member of a fake group.
+
+    :ivar knows_hold: whether it knows PAUSE, RESUME and STEPDOWN; otherwise it calls them malformed
+    :ivar announced_state: what its heartbeats say, ``ready`` or ``draining``
+    :ivar announces_itself: whether its heartbeats reach the controllers
+    :ivar held_term: term of the PAUSE that keeps it from receiving; 0 for none
+    """
 
     identity: str
     group: StandInGroup
     connection_limit: int = 20
+    knows_hold: bool = True
     is_primary: bool = False
     log: MemberLog = field(default_factory=MemberLog)
     faults: MemberFaults = field(default_factory=MemberFaults)
@@ -55,11 +65,19 @@
     connections: int = 0
     opened: int = 0
     status_questions: int = 0
+    held_term: int = 0
+    announced_state: str = "ready"
+    announces_itself: bool = True
     incarnation: int = 1
     listener: socket.socket | None = None
     sessions: set[MemberSession] = field(default_factory=set)
     task: curio.Task | None = None
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the member runs; one that was never started counts as running."""
+        return self.task is None or not self.task.terminated
+
     @property
     def address(self) -> str:
         """The listen address."""
@@ -67,17 +85,31 @@
 
 
 class StandInGroup:
-    """All members of a group, with a record of the statements run and commits acknowledged."""
+    """All members of a group, with a record of the statements run and commits acknowledged.
+
+    :param synchronous_replicas: replicas that must have received a commit before it is answered
+    :ivar leader: the member that was promoted last; it leads again when it restarts after a crash
+    :ivar lacking: for each promotion, the member-acknowledged commits that its member lacked
+    """
 
-    def __init__(self, name: str, identities: tuple[str, ...], lag_s: float = 0.0) -> None:
+    def __init__(
+        self,
+        name: str,
+        identities: tuple[str, ...],
+        lag_s: float = 0.0,
+        synchronous_replicas: int = 0,
+    ) -> None:
         self.name = name
         self.term = 3
         self.lag_s = lag_s
         self.members = {identity: StandInMember(identity, self) for identity in identities}
         self.members[identities[0]].is_primary = True
+        self.leader = identities[0]
         self.runs: list[Run] = []
         self.acknowledged: list[tuple[float, Commit]] = []
         self.rolled_back: set[str] = set()
+        self.synchronous_replicas = synchronous_replicas
+        self.lacking: list[frozenset[Commit]] = []
         self._numbers = itertools.count(1)
         self._signatures = itertools.count(1)
 
@@ -113,6 +145,7 @@
             await self.crash(identity)
         member.log = MemberLog()
         member.incarnation += 1
+        member.held_term = 0
         member.faults.deaf = not leads
         await self.start_member(member)
         member.is_primary = leads
@@ -138,14 +171,14 @@
             await session.abort()
 
     async def restart(self, identity: str) -> None:
-        """Restart a crashed member with its log; it is the primary if no other was promoted."""
+        """Restart a crashed member with its log; it leads again if no other was promoted."""
         member = self.members[identity]
-        member.is_primary = self.primary is None
-        lead = self.primary
-        if lead is not member:
-            member.log.commits = list(lead.log.commits)
-            member.log.applied = len(member.log.commits)
+        member.is_primary = identity == self.leader
+        member.held_term = 0
         await self.start_member(member)
+        if not member.is_primary:
+            await self.release(member)
+            member.log.applied = len(member.log.commits)
 
     async def stop(self) -> None:
         """Stop all members that are running."""
@@ -155,10 +188,15 @@
 
     def promote(self, identity: str) -> None:
         """Make a member the primary of the next term; roll back replicas that are ahead of it."""
+        self.leader = identity
         for member in self.members.values():
             member.is_primary = member.identity == identity
+            member.held_term = 0
         self.term += 1
         lead = self.members[identity].log
+        acknowledged = {commit for _, commit in self.acknowledged}
+        lost_before = frozenset().union(*self.lacking)
+        self.lacking.append(frozenset(acknowledged - set(lead.commits) - lost_before))
         lead.applied = len(lead.commits)
         for member in self.members.values():
             log = member.log
@@ -174,16 +212,58 @@
 
     async def commit(
         self, member: StandInMember, request_id: str, writes: tuple[tuple[str, str], ...]
-    ) -> Commit:
-        """Append a commit to the primary's log and replicate it."""
+    ) -> Commit | None:
+        """Append a commit to the primary's log, and wait until enough replicas have received it.
+
+        :returns: None if the member lost the lead before that
+        """
         commit = Commit(self.term, next(self._numbers), request_id, writes)
         member.log.commits.append(commit)
         member.log.applied = len(member.log.commits)
         for other in self.members.values():
-            if other is not member and not other.faults.deaf:
-                other.log.commits.append(commit)
-                await curio.spawn(self._apply, other, len(other.log.commits), daemon=True)
-        return commit
+            if other is not member:
+                await self._replicate(member, other)
+        while member.is_primary and self._holders(commit, member) < self.synchronous_replicas:
+            await curio.sleep(RECEIVE_POLL_S)
+        return commit if member.is_primary or not self.synchronous_replicas else None
+
+    def _holders(self, commit: Commit, leader: StandInMember) -> int:
+        others = (member for member in self.members.values() if member is not leader)
+        return sum(commit in member.log.commits[-RECENT_COMMITS:] for member in others)
+
+    async def _replicate(self, leader: StandInMember, member: StandInMember) -> None:
+        """Bring all that a member lacks of the primary's log to it, unless it receives nothing."""
+        if member.faults.deaf or member.held_term or not member.is_running:
+            return
+        member.log.commits += leader.log.commits[len(member.log.commits) :]
+        await curio.spawn(self._apply, member, len(member.log.commits), daemon=True)
+
+    def hold(self, member: StandInMember, term: int) -> bool:
+        """Keep a replica from receiving; False if the term is not above the newest one."""
+        if member.is_primary or term <= max(self.term, member.held_term):
+            return False
+        member.held_term = term
+        return True
+
+    async def release(self, member: StandInMember) -> None:
+        """Let a replica receive again, with all that it has missed."""
+        member.held_term = 0
+        lead = self.primary
+        if lead is not None and lead is not member:
+            await self._replicate(lead, member)
+
+    async def listen_again(self, identity: str) -> None:
+        """End a member's deafness; it receives all that it has missed."""
+        member = self.members[identity]
+        member.faults.deaf = False
+        await self.release(member)
+
+    def step_down(self, member: StandInMember, term: int) -> bool:
+        """Turn the primary of a lower term into a replica; False if it is none."""
+        if not member.is_primary or term <= self.term:
+            return False
+        member.is_primary = False
+        return True
 
     async def _apply(self, member: StandInMember, count: int) -> None:
         lag_s = member.faults.lag_s or self.lag_s
--- a/features/support/line_platform/member_log.py
+++ b/features/support/line_platform/member_log.py
@@ -24,9 +24,16 @@
 
     def position(self, term: int) -> str:
         """Return the position of the last applied commit, or position 0 of ``term``."""
-        if self.applied == 0:
+        return self._position_of(self.applied, term)
+
+    def received_position(self, term: int) -> str:
+        """Return the position of the last received commit, or position 0 of ``term``."""
+        return self._position_of(len(self.commits), term)
+
+    def _position_of(self, count: int, term: int) -> str:
+        if count == 0:
             return f"{term}.0"
-        last = self.commits[self.applied - 1]
+        last = self.commits[count - 1]
         return f"{last.term}.{last.number}"
 
     def holds(self, position: str) -> bool:
--- a/features/support/line_platform/member_session.py
+++ b/features/support/line_platform/member_session.py
@@ -152,6 +152,8 @@
                 await self._ready("COMPLETE -")
             case "STATUS":
                 await self._status()
+            case "PAUSE" | "RESUME" | "STEPDOWN" if self._member.knows_hold:
+                await self._control(word, rest)
             case "READ":
                 await self._read(request_id, text, rest)
             case "WRITE":
@@ -181,10 +183,29 @@
         member = self._member
         member.status_questions += 1
         role = "primary" if member.is_primary else "replica"
-        position = member.log.position(member.group.term)
-        row = f"{role} {member.group.term} {position} 0 0 0 {member.connections}"
+        position = member.log.received_position(member.group.term)
+        held = member.held_term
+        row = f"{role} {member.group.term} {position} {held} 0 0 {member.connections}"
         await self._ready(f"DATAROW {row}", "COMPLETE -")
 
+    async def _control(self, word: str, term: str) -> None:
+        """Stop or begin to receive, or give up the lead."""
+        member = self._member
+        group = member.group
+        match word:
+            case "RESUME":
+                await group.release(member)
+                await self._ready("COMPLETE -")
+                return
+            case "PAUSE":
+                is_done = group.hold(member, int(term))
+            case _:
+                is_done = group.step_down(member, int(term))
+        if is_done:
+            await self._status()
+        else:
+            await self._error("MALFORMED")
+
     async def _execute(self, request_id: str, text: str, rest: str) -> None:
         name, _, arguments = rest.partition(" ")
         prepared = self._prepared.get(name)
@@ -230,7 +251,9 @@
     async def _acknowledge(self, request_id: str, writes: tuple[tuple[str, str], ...]) -> None:
         group = self._member.group
         commit = await group.commit(self._member, request_id, writes)
-        if await self._answer():
+        if commit is None:
+            await self.abort()
+        elif await self._answer():
             group.note_acknowledged(commit)
 
     async def _answer(self, *rows: str) -> bool:
--- a/features/support/scripted_controller.py
+++ b/features/support/scripted_controller.py
@@ -20,6 +20,7 @@
     LeaseUpdate,
     MemberReport,
     NotLeader,
+    PositionQuery,
     PromoteOrder,
     PromoteResult,
     ProxyHeartbeat,
@@ -175,6 +176,7 @@
     seen: Callable[[ControlView], None] = lambda view: None
     views: list[ControlView] = field(default_factory=list)
     leases: list[tuple[ConnectionLease, ...]] = field(default_factory=list)
+    queries: list[PositionQuery] = field(default_factory=list)
 
     async def control_changed(self, view: ControlView) -> None:
         """Record a view."""
@@ -189,6 +191,10 @@
         """Promote nothing."""
         return PromoteResult(order.group, order.term, "", "a test")
 
+    async def query_positions(self, query: PositionQuery) -> None:
+        """Record a position query."""
+        self.queries.append(query)
+
 
 def client_settings(folder: Path, addresses: tuple[str, ...], silence_ms: int) -> ProxySettings:
     """Return a proxy's settings with short intervals and timeouts."""
--- a/limedyke/controller/leading/proxy_sessions.py
+++ b/limedyke/controller/leading/proxy_sessions.py
@@ -14,6 +14,7 @@
     LeasesReturned,
     MemberReported,
     OperationsRequested,
+    PositionReported,
     PromotionAnswered,
     ProxyConnected,
     ProxyDisconnected,
@@ -29,6 +30,7 @@
     LeaseReturned,
     MemberReport,
     NotLeader,
+    PositionReport,
     PromoteResult,
     ProxyHeartbeat,
     ProxyHello,
@@ -219,6 +221,8 @@
             return LeasesReturned(proxy, message.leases)
         case PromoteResult():
             return PromotionAnswered(proxy, message.group, message.term, message.primary)
+        case PositionReport():
+            return PositionReported(proxy, message)
         case WritesPaused():
             return WritesPausedReported(proxy, message.group, message.term)
         case ProxyLeaving():
--- a/limedyke/core/control/events.py
+++ b/limedyke/core/control/events.py
@@ -9,6 +9,7 @@
     ConnectionLease,
     ControlUpdate,
     MemberReport,
+    PositionReport,
     ProxyHeartbeat,
     ProxyHello,
 )
@@ -82,6 +83,14 @@
     term: int
 
 
+@dataclass(frozen=True, slots=True)
+class PositionReported:
+    """A home proxy stated the log position of a member."""
+
+    proxy: str
+    report: PositionReport
+
+
 @dataclass(frozen=True, slots=True)
 class ProxyLeft:
     """A proxy drains; ``done`` once it holds no leases."""
@@ -140,6 +149,7 @@
     | OperationsRequested
     | PromotionAnswered
     | WritesPausedReported
+    | PositionReported
     | ProxyLeft
     | UpdateApplied
     | PlatformListed
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -21,6 +21,7 @@
     MemberReported,
     OperationsRequested,
     PlatformListed,
+    PositionReported,
     PromotionAnswered,
     Propose,
     ProxyConnected,
@@ -106,6 +107,7 @@
             self.membership,
             self.homes,
             timing,
+            generator,
             now,
         )
         self._timing = timing
@@ -130,6 +132,8 @@
             case MemberReported():
                 self.failover.report(event.proxy, event.report, now)
                 self.authority.report(event.proxy, event.report, now)
+            case PositionReported():
+                self.authority.position_reported(event.report, now)
             case OperationsRequested():
                 granted = self.limits.wanted(event.proxy, event.request, now)
                 self._commands.append(SendToProxy(event.proxy, granted))
@@ -289,7 +293,7 @@
         self.leases.set_group(group)
         self.leases.set_homes(group.name, homes)
         if group.announced:
-            self.authority.put_group(group.name, now)
+            self.authority.put_group(group, now)
         else:
             self.failover.put_group(group, homes, now)
 
--- a/limedyke/core/control/membership.py
+++ b/limedyke/core/control/membership.py
@@ -54,6 +54,7 @@
     revision: int = 0
     control_index: int = 0
     clients: int = 0
+    reports_positions: bool = False
 
 
 class ProxyMembership:
@@ -106,6 +107,7 @@
             connected=True,
             revision=hello.revision,
             control_index=hello.control_index,
+            reports_positions=hello.reports_positions,
         )
         self._pending_removals.pop(hello.name, None)
         self._schedule_record(record)
--- a/limedyke/core/control/primaries/authority_failover.py
+++ b/limedyke/core/control/primaries/authority_failover.py
@@ -5,14 +5,24 @@
 every proxy has confirmed the grant or may no longer rely on its earlier knowledge, then calls the
 authority with the grant's fencing number.  If the outcome of a call is unknown, a new grant with a
 higher fencing number follows.
+
+Where commits wait for replicas, the leader calls the authority only once the members' log positions
+show who holds every acknowledged commit.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping
+from random import Random
 
 from limedyke.core.control.announcements import AnnouncementTracker
-from limedyke.core.control.events import AuthorityOutcome, LogDecision, Propose, RequestPromotion
+from limedyke.core.control.events import (
+    AuthorityOutcome,
+    LogDecision,
+    Propose,
+    RequestPromotion,
+    SendToProxy,
+)
 from limedyke.core.control.lease_table import reissue_after_s
 from limedyke.core.control.membership import ProxyMembership
 from limedyke.core.control.primaries.authority_group_state import (
@@ -22,12 +32,21 @@
     is_from_earlier_incarnation,
 )
 from limedyke.core.control.primaries.primary_evaluator import PrimaryEvaluator
+from limedyke.core.control.primaries.synchronous_promotion import SynchronousPromotion
 from limedyke.core.control.proposal_batch import ProposalBatch
 from limedyke.core.control.timing import ControlTiming
 from limedyke.core.home import HomeDirectory
-from limedyke.messages.control import GroupPrimary, MemberReport, ProxyRecord, ProxyState
+from limedyke.messages.control import (
+    GroupPrimary,
+    MemberReport,
+    PositionReport,
+    ProxyRecord,
+    ProxyState,
+)
 from limedyke.messages.control_entries import PrimaryChange, TermGrant
 from limedyke.messages.databases import AnnouncedMember
+from limedyke.messages.declaration import Group
+from limedyke.messages.work import FIRST_POSITION
 
 PROPOSAL_RETRY_S = 1.0
 REFUSED_EXCLUSION_S = 2.0
@@ -46,6 +65,7 @@
     :param announcements: tells when members last announced themselves
     :param membership: tells when proxies last sent a message, and the index they have confirmed
     :param homes: the home proxies of each group; only they connect to members and report on them
+    :param generator: source of the ids of position queries
     :param now: when this controller became the leader
     """
 
@@ -58,11 +78,15 @@
         membership: ProxyMembership,
         homes: HomeDirectory,
         timing: ControlTiming,
+        generator: Random,
         now: float,
     ) -> None:
         self._evaluator = PrimaryEvaluator(
             members, proxies, announcements, membership, homes, timing, now
         )
+        self._synchronous = SynchronousPromotion(
+            self._evaluator.members_of, membership, homes, generator
+        )
         self._primaries = primaries
         self._members = members
         self._proxies = proxies
@@ -80,18 +104,26 @@
         state = self._group_states.get(group)
         return None if state is None else state.step
 
-    def put_group(self, group: str, now: float) -> None:
-        """Add a declared group; continue a promotion that an earlier leader began."""
-        if group in self._group_states:
+    @property
+    def awaiting_positions_count(self) -> int:
+        """How many groups have no primary because members have not stated their position."""
+        return self._synchronous.awaiting_count
+
+    def put_group(self, group: Group, now: float) -> None:
+        """Apply a group's declaration; continue a promotion that an earlier leader began."""
+        self._synchronous.put_group(group)
+        if group.name in self._group_states:
             return
-        state = self._group_states[group] = AuthorityGroupState(added_at=now)
-        recorded = self._recorded(group)
+        state = self._group_states[group.name] = AuthorityGroupState(added_at=now)
+        recorded = self._recorded(group.name)
         if recorded.term > 0 and not recorded.primary:
+            state.replaced = recorded.replaced
             state.enter(AuthorityStep.BACKING_OFF, now)
 
     def remove_group(self, group: str) -> None:
         """Remove a group that is no longer declared."""
         self._group_states.pop(group, None)
+        self._synchronous.remove_group(group)
 
     def report(self, proxy: str, report: MemberReport, now: float) -> None:
         """Process a proxy's report on a member."""
@@ -101,6 +133,14 @@
         state.reports.keep(proxy, report)
         self._evaluate_group(report.group, state, now)
 
+    def position_reported(self, report: PositionReport, now: float) -> None:
+        """Process the log position of a member."""
+        state = self._group_states.get(report.group)
+        if state is None:
+            return
+        self._synchronous.report(report)
+        self._evaluate_group(report.group, state, now)
+
     def proxy_disconnected(self, proxy: str) -> None:
         """Drop the reports of a disconnected proxy."""
         for state in self._group_states.values():
@@ -112,6 +152,8 @@
         if state is None:
             return
         if primary.primary:
+            self._synchronous.end_round(primary.group)
+            state.target_position = FIRST_POSITION
             state.failures = 0
             state.recorded_at = now
             state.reports.forget_member(primary.primary)
@@ -165,15 +207,20 @@
     def tick(self, now: float) -> None:
         """Evaluate all groups and handle expired deadlines; called several times a second."""
         for group, state in self._group_states.items():
+            self._synchronous.tick(group, self._recorded(group), now)
             is_watched = state.step in (AuthorityStep.WATCHED, AuthorityStep.SUSPECTED)
             if now >= state.deadline and not is_watched:
                 self._time_out(group, state, now)
             else:
                 self._evaluate_group(group, state, now)
 
-    def take_commands(self) -> list[Propose | RequestPromotion | LogDecision]:
-        """Return the collected proposals and calls."""
-        commands = [*self._proposals.take(), *self._commands]
+    def take_commands(self) -> list[Propose | SendToProxy | RequestPromotion | LogDecision]:
+        """Return the collected proposals, queries and calls."""
+        commands = [
+            *self._proposals.take(),
+            *self._synchronous.take_commands(),
+            *self._commands,
+        ]
         self._commands = []
         return commands
 
@@ -186,7 +233,9 @@
                 self._evaluate_primary(group, state, now)
             case AuthorityStep.FENCING:
                 if self._is_fenced(group, now):
-                    self._call(group, state, now)
+                    self._fenced(group, state, now)
+            case AuthorityStep.COLLECTING:
+                self._call(group, state, now)
             case AuthorityStep.CALLING | AuthorityStep.PROMOTING | AuthorityStep.BACKING_OFF:
                 self._follow_promoted(group, state, now)
 
@@ -254,14 +303,23 @@
         if recorded.started_at_ms == 0:
             return False
         self._log_decision(group, f"primary {recorded.primary} has started again")
-        if member.is_primary and not self._evaluator.candidates(
-            group, state, recorded.primary, now
-        ):
+        if member.is_primary and not self._others_could_lead(group, state, recorded.primary, now):
             self._record(group, state, recorded.term + 1, recorded.primary, now)
         else:
             self._grant(group, state, now)
         return True
 
+    def _others_could_lead(
+        self, group: str, state: AuthorityGroupState, primary: str, now: float
+    ) -> bool:
+        """Return whether a member other than the primary could lead, now or later.
+
+        Where commits wait for replicas, any other member may hold what the primary lost.
+        """
+        if self._synchronous.is_synchronous(group):
+            return len(self._evaluator.members_of(group)) > 1
+        return bool(self._evaluator.candidates(group, state, primary, now))
+
     def _grant(self, group: str, state: AuthorityGroupState, now: float) -> None:
         """Propose the next term; once it is granted, the group has no primary."""
         recorded = self._recorded(group)
@@ -282,19 +340,57 @@
                 return False
         return True
 
+    def _fenced(self, group: str, state: AuthorityGroupState, now: float) -> None:
+        """Continue once no proxy uses the replaced primary any more."""
+        if self._synchronous.is_synchronous(group):
+            self._synchronous.begin(self._recorded(group), now)
+            state.enter(AuthorityStep.COLLECTING)
+        self._call(group, state, now)
+
     def _call(self, group: str, state: AuthorityGroupState, now: float) -> None:
-        eligible = self._evaluator.candidates(group, state, "", now)
-        eligible = [member for member in eligible if member.identity != state.replaced] or eligible
-        if not eligible:
-            self._back_off(state, now)
-            return
-        state.target = eligible[0].identity
-        state.target_started_at_ms = eligible[0].started_at_ms
+        if self._synchronous.is_synchronous(group):
+            target = self._synchronous_target(group, state, now)
+            if target is None:
+                return
+        else:
+            target = self._target(group, state, now)
+            if target is None:
+                self._back_off(state, now)
+                return
+        state.target = target.identity
+        state.target_started_at_ms = target.started_at_ms
+        state.target_position = self._synchronous.position_of(group, target.identity)
         state.promoted_at = NEVER
+        self._synchronous.end_round(group)
         fence = self._recorded(group).fence
         self._commands.append(RequestPromotion(group, state.target, fence))
         state.enter(AuthorityStep.CALLING, now + self._timing.authority_timeout_s)
 
+    def _target(self, group: str, state: AuthorityGroupState, now: float) -> AnnouncedMember | None:
+        """Return the best candidate, the replaced primary last."""
+        eligible = self._evaluator.candidates(group, state, "", now)
+        eligible = [member for member in eligible if member.identity != state.replaced] or eligible
+        return eligible[0] if eligible else None
+
+    def _synchronous_target(
+        self, group: str, state: AuthorityGroupState, now: float
+    ) -> AnnouncedMember | None:
+        """Return the best candidate that surely holds all acknowledged commits; None to wait.
+
+        The replaced primary, or else a draining member, is chosen if no other one holds them. It is
+        replaced in turn once others have received what it holds.
+        """
+        holders = self._synchronous.holders(group, now)
+        ready = self._evaluator.candidates(group, state, "", now)
+        for member in ready:
+            if member.identity in holders and member.identity != state.replaced:
+                return member
+        if not self._synchronous.takes_second_choice(group, now):
+            return None
+        draining = self._evaluator.draining_candidates(group, state, now)
+        last = [member for member in draining if member.identity != state.replaced]
+        return next((m for m in (*ready, *last) if m.identity in holders), None)
+
     def _follow_promoted(self, group: str, state: AuthorityGroupState, now: float) -> None:
         """Record the target of a call as the primary once it announces that it leads."""
         target = self._members.get(state.target)
@@ -317,7 +413,10 @@
         expected = self._recorded(group).term
         member = self._members.get(primary)
         started_at_ms = member.started_at_ms if member is not None else 0
-        self._proposals.record(PrimaryChange(group, expected, term, primary, started_at_ms))
+        position = state.target_position if primary == state.target else FIRST_POSITION
+        self._proposals.record(
+            PrimaryChange(group, expected, term, primary, started_at_ms, position)
+        )
         state.enter(AuthorityStep.RECORDING, now + PROPOSAL_RETRY_S)
 
     def _back_off(self, state: AuthorityGroupState, now: float) -> None:
--- a/limedyke/core/control/primaries/authority_group_state.py
+++ b/limedyke/core/control/primaries/authority_group_state.py
@@ -8,7 +8,7 @@
 
 from limedyke.messages.control import MemberHealth, MemberReport
 from limedyke.messages.databases import AnnouncedMember
-from limedyke.messages.work import LogPosition
+from limedyke.messages.work import FIRST_POSITION, LogPosition
 
 NEVER = float("inf")
 
@@ -20,6 +20,7 @@
     SUSPECTED = "suspected"
     GRANTING = "granting"
     FENCING = "fencing"
+    COLLECTING = "collecting"
     CALLING = "calling"
     PROMOTING = "promoting"
     RECORDING = "recording"
@@ -132,6 +133,7 @@
     :param replaced: the primary before the term was granted
     :param target: the member to promote
     :param target_started_at_ms: start time of the target's incarnation at the call
+    :param target_position: log position of the target, where commits wait for replicas
     :param promoted_at: when the authority answered that it had promoted the target
     :param recorded_at: when the log entry of the current primary was applied
     """
@@ -144,6 +146,7 @@
     replaced: str = ""
     target: str = ""
     target_started_at_ms: int = 0
+    target_position: LogPosition = FIRST_POSITION
     promoted_at: float = NEVER
     failures: int = 0
     added_at: float = 0.0
--- a/limedyke/core/control/primaries/primary_evaluator.py
+++ b/limedyke/core/control/primaries/primary_evaluator.py
@@ -140,6 +140,18 @@
         eligible = self._eligible(group, state, leaving, now)
         return sorted(eligible, key=lambda member: self._rank(state, member, now))
 
+    def draining_candidates(
+        self, group: str, state: AuthorityGroupState, now: float
+    ) -> list[AnnouncedMember]:
+        """Return the draining members that could lead for want of another, the best first."""
+        draining = [
+            member
+            for member in self.members_of(group)
+            if member.state is MemberState.DRAINING
+            and state.excluded.get(member.identity, 0.0) <= now
+        ]
+        return sorted(draining, key=lambda member: self._rank(state, member, now))
+
     def _eligible(
         self, group: str, state: AuthorityGroupState, leaving: str, now: float
     ) -> list[AnnouncedMember]:
--- a/limedyke/core/control/primaries/primary_table.py
+++ b/limedyke/core/control/primaries/primary_table.py
@@ -5,8 +5,15 @@
 from collections.abc import Container, Iterable
 from dataclasses import replace
 
-from limedyke.messages.control import GroupPrimary
-from limedyke.messages.control_entries import GrantTerms, RecordPrimaries, SwitchoverTarget
+from limedyke.messages.control import Departure, GroupPrimary
+from limedyke.messages.control_entries import (
+    GrantTerms,
+    ProveDepartures,
+    RecordPrimaries,
+    SwitchoverTarget,
+)
+from limedyke.messages.databases import AnnouncedMember
+from limedyke.messages.work import FIRST_POSITION
 
 
 class PrimaryTable:
@@ -73,7 +80,15 @@
             known = self.find(grant.group, declared)
             if known is None or known.term != grant.expected_term or grant.term <= known.term:
                 continue
-            changed.append(self.keep(GroupPrimary(grant.group, grant.term, "", fence=index)))
+            granted = replace(
+                known,
+                term=grant.term,
+                primary="",
+                switching_over=False,
+                fence=index,
+                replaced=known.primary or known.replaced,
+            )
+            changed.append(self.keep(granted))
         return tuple(changed)
 
     def record_primaries(
@@ -88,12 +103,47 @@
             if change.term == known.term and known.primary:
                 continue
             self.switchover_targets.pop(change.group, None)
-            recorded = GroupPrimary(
-                change.group,
-                change.term,
-                change.primary,
-                fence=known.fence,
+            recorded = replace(
+                known,
+                term=change.term,
+                primary=change.primary,
+                switching_over=False,
                 started_at_ms=change.started_at_ms,
+                replaced="",
+                floor=max(known.floor, change.position),
+                departures=() if change.position > FIRST_POSITION else known.departures,
             )
             changed.append(self.keep(recorded))
         return tuple(changed)
+
+    def add_departure(self, group: str, departure: Departure) -> None:
+        """Record a departure from a group, unless it has no primary yet or it is the primary's.
+
+        The primary's own departure is known from the record: it is the primary, or was replaced.
+        """
+        known = self.primaries.get(group)
+        if known is None or known.term == 0:
+            return
+        if departure.identity == (known.primary or known.replaced):
+            return
+        self.keep(replace(known, departures=(*known.departures, departure)))
+
+    def member_returned(self, member: AnnouncedMember) -> None:
+        """Forget the departure of an incarnation that comes back, with its log."""
+        known = self.primaries.get(member.group)
+        if known is None:
+            return
+        left = tuple(
+            found
+            for found in known.departures
+            if (found.identity, found.started_at_ms) != (member.identity, member.started_at_ms)
+        )
+        if left != known.departures:
+            self.keep(replace(known, departures=left))
+
+    def prove_departures(self, entry: ProveDepartures) -> None:
+        """Forget the departures that a proof covers."""
+        known = self.primaries.get(entry.group)
+        if known is not None:
+            left = tuple(found for found in known.departures if found.index > entry.up_to_index)
+            self.keep(replace(known, departures=left))
--- a/limedyke/core/control/state.py
+++ b/limedyke/core/control/state.py
@@ -16,6 +16,7 @@
 from limedyke.messages.control import (
     ControlSnapshot,
     ControlUpdate,
+    Departure,
     GroupPrimary,
     ProxyRecord,
 )
@@ -31,6 +32,7 @@
     MembersRecorded,
     PlanOutcome,
     PlanRecord,
+    ProveDepartures,
     RecordAnswer,
     RecordControllers,
     RecordLimits,
@@ -121,6 +123,8 @@
                 return self._declare_version(index, entry)
             case RecordMembers():
                 return self._record_members(index, entry)
+            case ProveDepartures():
+                self._primary_table.prove_departures(entry)
         return ApplyResult()
 
     def first_answer(self, operator: str, request_id: str) -> object | None:
@@ -226,12 +230,36 @@
         if is_empty(change):
             return ApplyResult(DeclaredVersion(self.version))
         self.revision += 1
+        self._note_raised_replicas(index, change)
         self.declared.apply(change)
         return ApplyResult(DeclaredVersion(self.version), self._update_of(index, change))
 
+    def _note_raised_replicas(self, index: int, change: DeclarationChange) -> None:
+        """Note the groups whose earlier commits were acknowledged with fewer replicas."""
+        for group in change.groups:
+            known = self.declared.groups.get(group.name)
+            if known is not None and group.synchronous_replicas > known.synchronous_replicas:
+                self._primary_table.add_departure(group.name, Departure("", index))
+
+    def _note_departures(self, index: int, entry: RecordMembers) -> None:
+        """Note the members that an entry removes, or records as restarted without their logs."""
+        left = [self.announced[name] for name in entry.removed if name in self.announced]
+        for member in entry.members:
+            known = self.announced.get(member.identity)
+            if known is not None and known.started_at_ms != member.started_at_ms:
+                left.append(known)
+        for member in left:
+            group = self.declared.groups.get(member.group)
+            if group is not None and group.synchronous_replicas > 0:
+                departure = Departure(member.identity, index, member.started_at_ms)
+                self._primary_table.add_departure(group.name, departure)
+        for member in entry.members:
+            self._primary_table.member_returned(member)
+
     def _record_members(self, index: int, entry: RecordMembers) -> ApplyResult:
         self.displaced.apply(entry, self.announced)
         self.ended.apply(entry)
+        self._note_departures(index, entry)
         removed = tuple(name for name in entry.removed if self.announced.pop(name, None))
         changed = tuple(
             member for member in entry.members if self.announced.get(member.identity) != member
--- a/limedyke/messages/control.py
+++ b/limedyke/messages/control.py
@@ -14,6 +14,7 @@
 from limedyke.messages.databases import AnnouncedMember, Database, SessionLimits
 from limedyke.messages.declaration import Declaration, Group, ProxyIntent, Tenant, TokenKey
 from limedyke.messages.registry import message
+from limedyke.messages.work import FIRST_POSITION, LogPosition
 
 
 class MemberHealth(enum.StrEnum):
@@ -33,6 +34,22 @@
     GONE = "gone"
 
 
+@message(58)
+@dataclass(frozen=True, slots=True)
+class Departure:
+    """A member that left, or restarted without its log, and may alone hold acknowledged commits.
+
+    :param identity: of the member; empty for commits that were acknowledged while the group waited
+        for fewer replicas
+    :param index: index of the log entry that recorded the departure
+    :param started_at_ms: start time of the incarnation that left; 0 if it did not report it
+    """
+
+    identity: str
+    index: int
+    started_at_ms: int = 0
+
+
 @message(20)
 @dataclass(frozen=True, slots=True)
 class GroupPrimary:
@@ -44,8 +61,13 @@
         then send ``WritesPaused``
     :param fence: index of the log entry that granted the term; 0 if no promotion has begun.
         It increases over all terms, groups and leaders
-    :param started_at_ms: start time of the incarnation that leads, if reported; a later incarnation
-        has lost its log
+    :param started_at_ms: start time of the incarnation that leads, or led last, if reported; a
+        later incarnation has lost its log
+    :param replaced: the primary before this term was granted; empty once one is recorded
+    :param floor: log position that every later primary must hold, as an earlier one was promoted
+        with it; known only where commits wait for replicas
+    :param departures: those after which the remaining members have not been proven to hold what
+        the departed one may have held; only where commits wait for replicas
     """
 
     group: str
@@ -54,6 +76,9 @@
     switching_over: bool = False
     fence: int = 0
     started_at_ms: int = 0
+    replaced: str = ""
+    floor: LogPosition = FIRST_POSITION
+    departures: tuple[Departure, ...] = ()
 
 
 @message(21)
@@ -84,6 +109,7 @@
     :param folder_id: id of the data folder, which only one process at a time can lock: an earlier
         incarnation on the same folder has ended and holds no leases.  Without a folder, the id is
         derived from the process's listening address, which is equally exclusive
+    :param reports_positions: whether it answers ``PositionQuery``; earlier versions close the link
     """
 
     name: str
@@ -94,6 +120,7 @@
     revision: int
     folder_id: str = ""
     region: str = ""
+    reports_positions: bool = False
 
 
 @message(23)
@@ -277,6 +304,44 @@
     started_at_ms: int = 0
 
 
+@message(39)
+@dataclass(frozen=True, slots=True)
+class PositionQuery:
+    """Asks a home proxy for the log positions of members before one of them is promoted.
+
+    :param round_id: identifies the round of queries; unique over all leaders
+    :param fence: see ``GroupPrimary``; a proxy that knows another one ignores the query
+    :param members: identities of the members to query
+    :param hold: replicas are to stop receiving before they state their position; otherwise those
+        that stopped are to receive again first
+    :param timeout_ms: how long to repeat the query at a member that does not answer
+    """
+
+    group: str
+    round_id: int
+    fence: int
+    members: tuple[str, ...]
+    hold: bool
+    timeout_ms: int
+
+
+@message(40)
+@dataclass(frozen=True, slots=True)
+class PositionReport:
+    """The log position of one member, in answer to ``PositionQuery``.
+
+    :param round_id: of the query
+    :param started_at_ms: start time of the queried incarnation; 0 if members do not report it
+    :param position: the last position that the member has received, applied or not
+    """
+
+    group: str
+    round_id: int
+    member: str
+    started_at_ms: int
+    position: LogPosition
+
+
 @message(32)
 @dataclass(frozen=True, slots=True)
 class PromoteOrder:
--- a/limedyke/messages/control_entries.py
+++ b/limedyke/messages/control_entries.py
@@ -17,6 +17,7 @@
 from limedyke.messages.declaration import Declaration, Group, ProxyIntent, Tenant, TokenKey
 from limedyke.messages.operator import HistoryEntry, PlannedChange
 from limedyke.messages.registry import message
+from limedyke.messages.work import FIRST_POSITION, LogPosition
 from limedyke.result_codes import Failure, ResultCode
 
 COMPRESS_ABOVE_BYTES = 1_024
@@ -94,6 +95,7 @@
     """A new primary for one group, valid only while ``expected_term`` is the recorded one.
 
     :param started_at_ms: see ``GroupPrimary``
+    :param position: log position with which it was promoted; the first one if that is not known
     """
 
     group: str
@@ -101,6 +103,7 @@
     term: int
     primary: str
     started_at_ms: int = 0
+    position: LogPosition = FIRST_POSITION
 
 
 @message(156)
@@ -231,6 +234,18 @@
     ended: tuple[EndedIncarnation, ...] = ()
 
 
+@message(176)
+@dataclass(frozen=True, slots=True)
+class ProveDepartures:
+    """Forget a group's departures: the remaining members hold all that the departed ones held.
+
+    :param up_to_index: index of the last departure that the proof covers
+    """
+
+    group: str
+    up_to_index: int
+
+
 ControlEntry = (
     RecordPlan
     | ConfirmPlan
@@ -244,6 +259,7 @@
     | RecordControllers
     | DeclareVersion
     | RecordMembers
+    | ProveDepartures
 )
 
 
--- a/limedyke/messages/statements.py
+++ b/limedyke/messages/statements.py
@@ -137,6 +137,11 @@
     busy: int
     connections: int
 
+    @property
+    def is_held(self) -> bool:
+        """Whether it receives nothing more: no later term than that of the hold has begun."""
+        return self.held_term > self.position.term
+
 
 @message(214)
 @dataclass(frozen=True, slots=True)
--- a/limedyke/messages/work.py
+++ b/limedyke/messages/work.py
@@ -46,6 +46,10 @@
         return self.term >= required.term and self.position >= required.position
 
 
+FIRST_POSITION = LogPosition()
+"""The position of an empty log."""
+
+
 @message(91)
 @dataclass(frozen=True, slots=True)
 class PreparedStatement:
--- a/limedyke/proxy/control/bridge.py
+++ b/limedyke/proxy/control/bridge.py
@@ -6,11 +6,19 @@
 
 import curio
 
-from limedyke.messages.control import ConnectionLease, MemberReport, PromoteOrder, PromoteResult
+from limedyke.event_log import EventLog
+from limedyke.messages.control import (
+    ConnectionLease,
+    MemberReport,
+    PositionQuery,
+    PromoteOrder,
+    PromoteResult,
+)
 from limedyke.proxy.back_ends import BackEnds
 from limedyke.proxy.control.client import ControlClient
 from limedyke.proxy.control.view import ControlView
 
+EVENTS = EventLog("control_client")
 ViewHandler = Callable[[ControlView], Awaitable[None]]
 
 
@@ -45,6 +53,10 @@
         finally:
             self._results.pop(key, None)
 
+    async def query_positions(self, query: PositionQuery) -> None:
+        """Ignore the query: members with an authority are not served here."""
+        EVENTS.warning("positions-not-queried", group=query.group, reason="no announced members")
+
     async def promotion_done(self, result: PromoteResult) -> None:
         """Pass the result of a promotion to the waiting ``promote`` call."""
         waiting = self._results.get((result.group, result.term))
--- a/limedyke/proxy/control/client.py
+++ b/limedyke/proxy/control/client.py
@@ -26,6 +26,8 @@
     LeaseUpdate,
     MemberReport,
     NotLeader,
+    PositionQuery,
+    PositionReport,
     PromoteOrder,
     ProxyHello,
     QuorumStamp,
@@ -192,6 +194,10 @@
         await self._send(report)
         await self._request_answer()
 
+    async def report_position(self, report: PositionReport) -> None:
+        """Report the log position of a member; the leader queries again if it is lost."""
+        await self._send(report)
+
     async def _request_answer(self) -> None:
         """Send a heartbeat for the leader to answer, unless an answer is already awaited."""
         link = self._link
@@ -350,6 +356,7 @@
             QuorumStamp: self._handle_stamp,
             LeaseUpdate: self._leases.apply_update,
             PromoteOrder: self._handle_order,
+            PositionQuery: self._handler.query_positions,
             NotLeader: self._handle_not_leader,
             OperationsGranted: self.limits.granted,
         }
--- a/limedyke/proxy/control/handler.py
+++ b/limedyke/proxy/control/handler.py
@@ -4,7 +4,7 @@
 
 from typing import Protocol
 
-from limedyke.messages.control import ConnectionLease, PromoteOrder, PromoteResult
+from limedyke.messages.control import ConnectionLease, PositionQuery, PromoteOrder, PromoteResult
 from limedyke.proxy.control.view import ControlView
 
 
@@ -23,3 +23,6 @@
 
     async def promote(self, order: PromoteOrder) -> PromoteResult:
         """Execute a promotion; called in a separate task."""
+
+    async def query_positions(self, query: PositionQuery) -> None:
+        """Begin to query members for their log positions."""
--- a/limedyke/proxy/control/status_messages.py
+++ b/limedyke/proxy/control/status_messages.py
@@ -41,6 +41,7 @@
             revision=view.revision if view else 0,
             folder_id=stored.folder_id,
             region=self._settings.region,
+            reports_positions=True,
         )
 
     def next_heartbeat(
--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -11,6 +11,7 @@
 
 from limedyke.core.member_caps import holds_common
 from limedyke.core.queueing.retry_schedule import RetrySchedule
+from limedyke.core.statements.acknowledgement import AcknowledgementRule, Office, Permission
 from limedyke.core.statements.observed_member import ObservedMember
 from limedyke.core.statements.primary_outage import OutageTimes, PrimaryOutage
 from limedyke.core.statements.primary_positions import PrimaryPositions
@@ -47,6 +48,7 @@
         other member can be primary
     :param outage_times: usual durations of primary changes
 
+    :ivar fence: number of the grant of the current term
     :ivar retries: budget for retries of the group's statements
     :ivar self_reported_primary: member that claims to be primary but is not the recorded one
     :ivar replaced_primary: the former primary, while no primary is recorded
@@ -68,6 +70,7 @@
         self.retries = RetryBudget()
         self.primary = ""
         self.term = 0
+        self.fence = 0
         self.limit = 0
         self._declared: Group | None = None
         self._limits_at: Mapping[str, int] = NO_MEMBERS
@@ -80,6 +83,7 @@
         self.primary_changed = curio.Event()
         self.leased = curio.Event()
         self._retry_schedule = RetrySchedule()
+        self._acknowledgement = AcknowledgementRule()
         self._make_pool = make_pool
         self._lease_ends_at = lease_ends_at
 
@@ -188,6 +192,21 @@
         is_recorded = identity == self.primary and not self._primary_has_restarted()
         return is_recorded and self.primary_lease_left_s() > 0.0
 
+    @property
+    def is_synchronous(self) -> bool:
+        """Whether commits wait for replicas before they are acknowledged."""
+        return self._declared is not None and self._declared.synchronous_replicas > 0
+
+    def office_of(self, identity: str) -> Office:
+        """Return the office under which a statement is sent to a member now."""
+        return self._acknowledgement.office_of(identity)
+
+    def commit_permission(self, sent_under: Office) -> Permission:
+        """Tell whether the answer to a commit may be relayed to its client now."""
+        if not self.is_synchronous:
+            return Permission.GRANTED
+        return self._acknowledgement.permission(sent_under, self._lease_ends_at(), time.monotonic())
+
     def _primary_has_restarted(self) -> bool:
         """Tell whether the recorded primary restarted and so lost its log."""
         pool = self.pools.get(self.primary)
@@ -219,9 +238,13 @@
         identity = primary.primary if primary is not None else ""
         term = primary.term if primary is not None else 0
         self._primary_started_at_ms = primary.started_at_ms if primary is not None else 0
+        self.fence = primary.fence if primary is not None else 0
         if (identity, term) == (self.primary, self.term):
             return
         self.replaced_primary = "" if identity else self.primary
+        self._acknowledgement.primary_recorded(
+            Office(identity, term), self._lease_ends_at(), time.monotonic()
+        )
         if identity:
             self.outage.note_replaced(time.monotonic())
         self.primary = identity
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -23,6 +23,8 @@
     ConnectionLease,
     MemberHealth,
     MemberReport,
+    PositionQuery,
+    PositionReport,
     PromoteOrder,
     PromoteResult,
     member_of_budget,
@@ -33,6 +35,7 @@
 from limedyke.proxy.statements.members.member_codec import MemberCodec
 from limedyke.proxy.statements.members.member_pool import MemberPool
 from limedyke.proxy.statements.members.member_traffic import MemberTraffic
+from limedyke.proxy.statements.position_queries import PositionQueries
 from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.transport.traffic import NO_METER, Distance, Place, TrafficMeter
@@ -67,6 +70,9 @@
     async def report_member(self, report: MemberReport) -> None:
         """Report the state of a member."""
 
+    async def report_position(self, report: PositionReport) -> None:
+        """Report the log position of a member, in answer to a query."""
+
     async def return_leases(self, leases: tuple[ConnectionLease, ...]) -> None:
         """Report that no more than these connections are open."""
 
@@ -105,6 +111,7 @@
         self._unconfirmed_leases: set[tuple[str, str]] = set()
         self._reported: dict[tuple[str, str], _ReportedState] = {}
         self._unusable: set[str] = set()
+        self._positions = PositionQueries(runner.queries, self._report_position)
 
     async def control_changed(self, view: ControlView) -> None:
         """Apply a newer control view."""
@@ -156,6 +163,18 @@
         """Refuse the order: an external authority promotes the members of these groups."""
         return PromoteResult(order.group, order.term, "", "an external authority promotes")
 
+    async def query_positions(self, query: PositionQuery) -> None:
+        """Query members for their log positions."""
+        group = self.groups.get(query.group)
+        if group is None or group.limit == 0:
+            EVENTS.info("positions-not-queried", group=query.group, reason="no lease")
+            return
+        await self._positions.start(group, query)
+
+    async def _report_position(self, report: PositionReport) -> None:
+        if self.reporter is not None:
+            await self.reporter.report_position(report)
+
     async def wait_for_view(self, limit_s: float) -> ControlView | None:
         """Return the current view; wait for the first one for a limited time."""
         if self.view is None:
@@ -178,6 +197,8 @@
                 await self._close_idle_connections(now)
 
     async def _watch_group(self, group: StatementGroup, now: float) -> None:
+        if group.is_synchronous:
+            await self._positions.check_held(group, now)
         for identity, pool in list(group.pools.items()):
             observed = pool.observed
             await pool.check_waiting(now)
@@ -247,6 +268,7 @@
 
     def _discard_stale_reports(self, view: ControlView) -> None:
         self._unusable &= view.announced.keys()
+        self._positions.forget_members(set(view.announced))
         gone = [key for key in self._reported if key[1] not in view.announced]
         for key in gone:
             del self._reported[key]
--- a/limedyke/proxy/statements/members/member_codec.py
+++ b/limedyke/proxy/statements/members/member_codec.py
@@ -44,8 +44,18 @@
     def ask_status(self) -> bytes:
         """Query the member's status."""
 
+    def hold(self, term: int) -> bytes:
+        """Stop a replica from receiving until it is released or a member is promoted.
+
+        :param term: higher than any term that the member knows; otherwise it refuses, so that a
+            late request cannot stop it in a later term
+        """
+
+    def release(self) -> bytes:
+        """Let a held replica receive again."""
+
     def read_status(self, answer: MemberAnswer) -> MemberStatus | None:
-        """Return the status in an answer, or None."""
+        """Return the status in the answer to a query or a hold, or None."""
 
     def feed(self, data: bytes) -> list[MemberAnswer]:
         """Parse received bytes; return the answers that are complete.
--- a/limedyke/proxy/statements/members/member_connection.py
+++ b/limedyke/proxy/statements/members/member_connection.py
@@ -8,6 +8,7 @@
 
 import curio
 from curio import socket
+from result import Err, Ok, Result
 
 from limedyke.addresses import split_address
 from limedyke.messages.statements import (
@@ -188,16 +189,41 @@
     async def ask_status(self) -> MemberStatus | None:
         """Return the member's status; None when it is too busy to answer.
 
+        :raises ConnectionLostError: when the connection broke
+        """
+        answer = await self._ask(self._codec.ask_status())
+        return self._codec.read_status(answer) if answer.kind is AnswerKind.DONE else None
+
+    async def hold(self, term: int) -> Result[MemberStatus, MemberAnswer]:
+        """Stop a replica from receiving; return its status, or the answer that refuses it.
+
+        :param term: see ``MemberCodec``
+        :raises ConnectionLostError: when the connection broke
+        """
+        answer = await self._ask(self._codec.hold(term))
+        status = self._codec.read_status(answer) if answer.kind is AnswerKind.DONE else None
+        return Ok(status) if status is not None else Err(answer)
+
+    async def release(self) -> MemberAnswer:
+        """Let a held replica receive again.
+
+        :raises ConnectionLostError: when the connection broke
+        """
+        return await self._ask(self._codec.release())
+
+    async def _ask(self, request: bytes) -> MemberAnswer:
+        """Send a request of the proxy's own and return the answer.
+
         :raises ConnectionLostError: when the connection broke
         """
         self._purpose = Purpose.QUESTIONS
         try:
-            answer = await self._exchange([self._codec.ask_status()])
+            answer = await self._exchange([request])
         finally:
             self._purpose = Purpose.STATEMENTS
         if answer.kind is AnswerKind.LOST:
-            raise ConnectionLostError("no answer to a status query")
-        return self._codec.read_status(answer) if answer.kind is AnswerKind.DONE else None
+            raise ConnectionLostError("no answer to a request of the proxy's own")
+        return answer
 
     def _requests_to_set(self, values: dict[str, str]) -> list[bytes]:
         """Return the requests that give the connection exactly these values."""
--- a/limedyke/proxy/statements/members/member_queries.py
+++ b/limedyke/proxy/statements/members/member_queries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Awaitable, Callable
 
 import curio
 
@@ -25,6 +26,8 @@
 SEARCH_INTERVAL_S = 0.15
 STATUS_QUERY_TIMEOUT_S = 0.5
 EVENTS = EventLog("pools")
+Exchange = Callable[[MemberConnection], Awaitable[MemberStatus | None]]
+"""Requests on one connection; returns the member's status, or None if it was too busy."""
 
 
 class MemberQueries:
@@ -93,6 +96,30 @@
         The query uses any connection, even one that may be dead itself. A missing answer therefore
         only marks the member as silent; ``diagnose_silence`` then finds the cause.
         """
+        return await self.ask(pool, limit_s, MemberConnection.ask_status)
+
+    async def ask_anew(
+        self, pool: MemberPool, limit_s: float, exchange: Exchange
+    ) -> MemberStatus | None:
+        """Run an exchange on a new connection, or on a pooled one if there is no room for it.
+
+        A pooled connection may be dead without the member being so.
+        """
+        try:
+            async with curio.timeout_after(limit_s):
+                connection = await pool.open_new_connection()
+        except (ConnectionRefusedByMemberError, curio.TaskTimeout):
+            connection = None
+        except (ConnectionLostError, PoolClosedError):
+            return None
+        if connection is None:
+            return await self.ask(pool, limit_s, exchange)
+        return await self._query_on(pool, connection, limit_s, exchange)
+
+    async def ask(
+        self, pool: MemberPool, limit_s: float, exchange: Exchange
+    ) -> MemberStatus | None:
+        """Run an exchange on a pooled connection; None when the member doesn't answer."""
         try:
             connection = await pool.getconn(ANY_TENANT, {}, 0, limit_s)
         except PoolTimeoutError:
@@ -101,7 +128,7 @@
             return None
         except (ConnectionLostError, ConnectionRefusedByMemberError, PoolClosedError):
             return None
-        return await self._query_on(pool, connection, limit_s)
+        return await self._query_on(pool, connection, limit_s, exchange)
 
     async def diagnose_silence(self, pool: MemberPool, limit_s: float) -> None:
         """Find out whether a silent member hangs, or only connections to it are dead.
@@ -119,7 +146,7 @@
             await pool.connector.check_address(limit_s)
             return
         asked_at = time.monotonic()
-        await self._query_on(pool, connection, limit_s)
+        await self._query_on(pool, connection, limit_s, MemberConnection.ask_status)
         if connection.is_closed:
             pool.observed.answer_timed_out(asked_at, limit_s, time.monotonic())
             return
@@ -164,7 +191,11 @@
             await pool.putconn(connection)
 
     async def _query_on(
-        self, pool: MemberPool, connection: MemberConnection, limit_s: float
+        self,
+        pool: MemberPool,
+        connection: MemberConnection,
+        limit_s: float,
+        exchange: Exchange,
     ) -> MemberStatus | None:
         """Query on a connection and return it to the pool; it is closed if no answer comes."""
         observed = pool.observed
@@ -175,7 +206,7 @@
         status = None
         try:
             async with curio.timeout_after(limit_s):
-                status = await connection.ask_status()
+                status = await exchange(connection)
             position = status.position if status is not None else None
             now = time.monotonic()
             was_silent = observed.seems_silent(now)
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -9,9 +9,10 @@
 
 from limedyke.core.statements.observed_member import ObservedMember
 from limedyke.core.statements.session import RunOnMember, StatementSession, refusal
-from limedyke.messages.statements import NOT_RUN, AnswerKind, StatementKind
+from limedyke.messages.statements import NOT_RUN, AnswerKind, MemberAnswer, StatementKind
 from limedyke.proxy.limits.operation_limiter import OperationLimiter
 from limedyke.proxy.statements.attempt import MS_PER_S, RETRY_PAUSE_S, Attempt
+from limedyke.proxy.statements.commit_relay import relay_commit
 from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.members.member_exchange import MemberExchange
 from limedyke.proxy.statements.members.member_queries import MemberQueries
@@ -103,7 +104,7 @@
         if not pinned.end_rest():
             return settle_ended_at_rest(attempt.session, attempt.run, pinned)
         while True:
-            answer = await self._exchange.run(pinned, attempt, None, attempt.time_left())
+            answer = await self._run_on(pinned, attempt)
             if answer.kind is not AnswerKind.BUSY:
                 break
             attempt.record_failure(answer.kind, pinned.identity)
@@ -112,6 +113,12 @@
                 break
         return await settle_in_transaction(attempt.session, attempt.run, pinned, answer)
 
+    async def _run_on(self, pinned: PinnedConnection, attempt: Attempt) -> MemberAnswer:
+        """Run a statement on a connection; return its answer once it may be relayed."""
+        sent_under = attempt.group.office_of(pinned.identity)
+        answer = await self._exchange.run(pinned, attempt, None, attempt.time_left())
+        return await relay_commit(attempt, sent_under, answer)
+
     async def _run_on_primary(self, attempt: Attempt) -> StatementOutcome:
         """Run a write, or the first statement of a transaction that may write, on the primary."""
         group = attempt.group
@@ -136,7 +143,7 @@
             if not attempt.may_be_sent():
                 await pinned.release()
                 return StatementOutcome(attempt.final_refusal(ResultCode.NO_PRIMARY))
-            answer = await self._exchange.run(pinned, attempt, None, attempt.time_left())
+            answer = await self._run_on(pinned, attempt)
             if answer.kind not in NOT_RUN:
                 return await settle_first(attempt.session, attempt.run, pinned, answer)
             attempt.record_failure(answer.kind, pinned.identity)
