Play groups whose commits wait for a replica in mutants and in the soak

What was missing: no mutant of the change of primary in such groups, and no soak or seed in which commits wait for a replica, so that the loss of acknowledged commits by a promotion could not show in them.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -15,6 +15,7 @@
       | a write was committed twice                                               | a write takes effect once                              |
       | a refused write was committed                                             | what was refused is not kept                           |
       | an acknowledged write is in no member's log                               | what was acknowledged was committed                    |
+      | an acknowledged write was rolled back where commits wait for a replica    | an acknowledged commit survives a change of primary    |
       | a session read a value older than its last acknowledged write             | a session sees its own work                            |
       | a new session missed a write acknowledged to its client 3 s earlier       | a session sees its own work                            |
       | a client was not served at the end                                        | service comes back                                     |
@@ -78,3 +79,8 @@
   Scenario: soak: real processes under waves of load and the faults of a fixed seed
     When soak: seed 1, with waves of load beside its faults, is played for 8 s
     Then soak: it broke no promise, and served 500 statements
+
+  # The soak's members acknowledged no commit by a replica, so it could not show that a promotion loses one.
+  Scenario: soak: real processes whose commits wait for a replica, by a fixed seed
+    When soak: seed 5, whose commits wait for a replica, is played for 10 s
+    Then soak: it broke no promise, and served 100 statements
--- a/features/soak/checks.py
+++ b/features/soak/checks.py
@@ -125,6 +125,25 @@
     ]
 
 
+def check_synchronous(records: Iterable[ClientRecord], group: StandInGroup) -> list[Violation]:
+    """Check that a change of primary loses no commit that a client knows to be kept.
+
+    Only a group whose commits wait for replicas promises this.
+    """
+    if not group.synchronous_replicas:
+        return []
+    lost = [
+        write.request_id
+        for record in records
+        for write in record.writes
+        if write.word == "done" and write.request_id in group.rolled_back
+    ]
+    return [
+        Violation("an acknowledged commit survives a change of primary", name)
+        for name in lost[:MAX_REPORTED]
+    ]
+
+
 def check_load(records: Iterable[ClientRecord]) -> list[Violation]:
     """Check that a wave of load harms no client that did not cause it."""
     records = list(records)
--- a/features/soak/fault_injection.py
+++ b/features/soak/fault_injection.py
@@ -236,6 +236,10 @@
                     await self._crash(member, fault.for_s)
             case FaultKind.LOSE_ANSWERS:
                 member.faults.lose_answers = LOST_ANSWERS
+            case FaultKind.DEAF_REPLICA:
+                member.faults.deaf = True
+                await curio.sleep(fault.for_s)
+                await group.listen_again(member.identity)
             case FaultKind.BUSY_PRIMARY:
                 if group.primary is not None:
                     group.primary.faults.busy = BUSY_ANSWERS
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 MIN_GAP_S, MAX_GAP_S = 0.4, 1.8
+MIN_DEAF_S, MAX_DEAF_S = 0.5, 3.0
 WIPE_SPACING_S = 8.0
 """Least seconds between two wipes: the controllers tolerate one lost disk at a time, and that
 controller has to recover before the next loss."""
@@ -36,6 +37,11 @@
     SILENCE_LINK = "silence-link"
     SILENCE_OPEN = "silence-open-connections"
     """Silences the connections that are open at this time for good; new connections work."""
+    DEAF_REPLICA = "deaf-replica"
+    """A replica receives nothing; drawn only by ``draw_deafness``."""
+
+
+_USUAL_KINDS = [kind for kind in FaultKind if kind is not FaultKind.DEAF_REPLICA]
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,7 +69,7 @@
     at_s = generator.uniform(MIN_GAP_S, MAX_GAP_S)
     last_wipe_s = -WIPE_SPACING_S
     while at_s < seconds:
-        kind = generator.choice(list(FaultKind))
+        kind = generator.choice(_USUAL_KINDS)
         if kind is FaultKind.WIPE_CONTROLLER:
             if at_s < last_wipe_s + WIPE_SPACING_S:
                 kind = FaultKind.KILL_CONTROLLER
@@ -73,3 +79,15 @@
         faults.append(Fault(kind, at_s, for_s, generator.randrange(6)))
         at_s += generator.uniform(MIN_GAP_S, MAX_GAP_S)
     return tuple(faults)
+
+
+def draw_deafness(seed: int, seconds: float) -> tuple[Fault, ...]:
+    """Return times in which one replica after the other receives nothing; they may overlap."""
+    generator = random.Random(f"deafness {seed}")
+    faults: list[Fault] = []
+    at_s = generator.uniform(MIN_GAP_S, MAX_GAP_S)
+    while at_s < seconds:
+        for_s = generator.uniform(MIN_DEAF_S, MAX_DEAF_S)
+        faults.append(Fault(FaultKind.DEAF_REPLICA, at_s, for_s, generator.randrange(6)))
+        at_s += generator.uniform(MIN_GAP_S, MAX_GAP_S)
+    return tuple(faults)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -2,7 +2,8 @@
 
 SEEDS is one seed or a range such as ``1-5``.  The shape is ``faults``, ``stops`` (overlapping
 series of planned maintenance) or ``both``.  ``--waves`` adds bursts of clients; with ``--empties``
-most members that crash restart with empty logs.  Each seed prints one line.  A seed that breaks a
+most members that crash restart with empty logs; with ``--synchronous`` commits wait for a replica,
+and replicas receive nothing at times.  Each seed prints one line.  A seed that breaks a
 promise also prints its schedule, the broken promises and the folder of its logs, and the exit
 status is 1.
 """
@@ -19,7 +20,13 @@
 import curio
 import fire
 
-from features.soak.checks import Violation, check, check_load, check_stops
+from features.soak.checks import (
+    Violation,
+    check,
+    check_load,
+    check_stops,
+    check_synchronous,
+)
 from features.soak.fault_injection import FaultInjector, MaintenanceRunner, SoakDeployment
 from features.soak.load import (
     BATCH_DATABASE,
@@ -30,7 +37,7 @@
     TENANTS,
     SoakClient,
 )
-from features.soak.plan import Fault, draw_plan
+from features.soak.plan import Fault, draw_deafness, draw_plan
 from features.soak.stops import Series, draw_answer_time_s, draw_series
 from features.soak.waves import ANSWER_TIME_S, Wave, WaveLoad, draw_waves
 from features.support.line_platform.deployment import CONTROLLERS, PROXIES, ZONES
@@ -56,6 +63,7 @@
     :param has_stops: processes are stopped and told to reload their settings, in overlapping series
     :param has_empty_restarts: most members that crash restart without their logs
     :param has_waves: bursts of clients run beside the modest tenant
+    :param is_synchronous: commits wait for a replica, and replicas receive nothing at times
     """
 
     has_faults: bool = True
@@ -64,6 +72,7 @@
     clients: int = CLIENTS
     has_empty_restarts: bool = False
     has_waves: bool = False
+    is_synchronous: bool = False
 
     def machines(self) -> tuple[str, ...]:
         """Return the addresses of the proxies' machines; those added are spread over the zones."""
@@ -120,7 +129,8 @@
 
 
 async def _run_seed(seed: int, seconds: float, shape: SoakShape, folder: Path) -> SoakResult:
-    deployment = SoakDeployment(folder, shape.machines())
+    synchronous_replicas = int(shape.is_synchronous)
+    deployment = SoakDeployment(folder, shape.machines(), synchronous_replicas)
     tenants = (*TENANTS, MODEST) if shape.has_waves else TENANTS
     deployment.tenants = [tenant.to_document() for tenant in tenants]
     deployment.priorities = {BATCH_DATABASE: BATCH_PRIORITY}
@@ -135,6 +145,7 @@
     waves = draw_waves(seed, seconds) if shape.has_waves else ()
     wave_load = WaveLoad(deployment.proxies, seed)
     faults = draw_plan(seed, seconds) if shape.has_faults else ()
+    deafness = draw_deafness(seed, seconds) if shape.is_synchronous else ()
     series = draw_series(seed, seconds) if shape.has_stops else ()
     if shape.has_stops:
         deployment.set_answer_time(draw_answer_time_s(seed))
@@ -154,6 +165,7 @@
         async with curio.TaskGroup() as work:
             injector = FaultInjector(deployment, seed, shape.has_empty_restarts)
             await work.spawn(injector.run, faults)
+            await work.spawn(injector.run, deafness)
             await work.spawn(MaintenanceRunner(deployment).run, series)
             await work.spawn(wave_load.run, waves)
         await curio.sleep(RECOVERY_S)
@@ -169,13 +181,14 @@
     violations = check(all_records, deployment.group, healed_at, short_lived=wave_load.records)
     violations += check_stops(all_records, deployment.group, deployment.history)
     violations += check_load(all_records)
+    violations += check_synchronous(all_records, deployment.group)
     violations += [
         Violation("a change is acknowledged", f"version {version}")
         for version in operator.unacknowledged
     ]
     return SoakResult(
         seed,
-        (*faults, *series, *waves),
+        (*faults, *deafness, *series, *waves),
         tuple(violations),
         sum(len(record.served) for record in all_records),
         sum(len(record.writes) for record in all_records),
@@ -218,10 +231,13 @@
     clients: int = CLIENTS,
     empties: bool = False,
     waves: bool = False,
+    synchronous: bool = False,
 ) -> None:
     """Run the soak for SEEDS; exit with 1 when a promise was broken."""
     first, _, last = str(seeds).partition("-")
-    soak_shape = SoakShape(shape != "stops", shape != "faults", proxies, clients, empties, waves)
+    soak_shape = SoakShape(
+        shape != "stops", shape != "faults", proxies, clients, empties, waves, synchronous
+    )
     has_violations = False
     for seed in range(int(first), int(last or first) + 1):
         result = run_soak(seed, seconds, soak_shape)
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -8,7 +8,7 @@
 
 from behave import given, step, then, when
 
-from features.soak.checks import check, check_load, check_stops
+from features.soak.checks import check, check_load, check_stops, check_synchronous
 from features.soak.load import (
     BATCH_DATABASE,
     MODEST,
@@ -238,6 +238,7 @@
         *check([*records, *extra], context.group, HEALED_AT, short_lived=extra),
         *check_stops([*records, *extra], context.group, context.history),
         *check_load([*records, *extra]),
+        *check_synchronous([*records, *extra], context.group),
     ]
 
 
@@ -282,6 +283,17 @@
     context.result = run_soak(seed, seconds, SoakShape(has_empty_restarts=True))
 
 
+@when("soak: seed {seed:d}, whose commits wait for a replica, is played for {seconds:d} s")
+def step_synchronous_played(context, seed, seconds):
+    context.result = run_soak(seed, seconds, SoakShape(is_synchronous=True))
+
+
+@when("soak: an acknowledged write was rolled back where commits wait for a replica")
+def step_rolled_back(context):
+    context.group.synchronous_replicas = 1
+    context.group.rolled_back.add("w1")
+
+
 @when("soak: seed {seed:d} is played for {seconds:d} s")
 def step_played(context, seed, seconds):
     context.result = run_soak(seed, seconds)
--- a/features/steps/synchronous_promotion_steps.py
+++ b/features/steps/synchronous_promotion_steps.py
@@ -144,6 +144,16 @@
     world.deliver = deliver_and_time
 
 
+@given("positions: members do not know how to stop receiving")
+def step_knows_no_hold(context):
+    context.world.knows_hold = False
+
+
+@when("positions: a commit is sent by r")
+def step_commit_by(context):
+    context.world.commit("r")
+
+
 @when("positions: r is cut off from the controllers")
 def step_cut_off(context):
     context.world.unconfirming.add("r")
--- a/features/support/synchronous_history.py
+++ b/features/support/synchronous_history.py
@@ -15,6 +15,7 @@
 LONGEST_TRAVEL_S = 0.8
 LATE_CALL_SHARE = 0.3
 DEAF_SHARE = 0.5
+KNOWS_HOLD_SHARE = 0.5
 SEVERAL_REPLICAS_SHARE = 0.3
 
 
@@ -35,6 +36,7 @@
             members["d"] = "replica"
             required = self._random.choice((1, 2))
         self.world = SynchronousWorld(members, required)
+        self.world.knows_hold = self._random.random() < KNOWS_HOLD_SHARE
         self._next_name = "e"
         self._answered_calls = 0
 
--- a/features/support/synchronous_world.py
+++ b/features/support/synchronous_world.py
@@ -64,6 +64,7 @@
     :param members: roles by identity
     :param synchronous_replicas: replicas that must have received a commit before it is answered
 
+    :ivar knows_hold: whether members know how to stop receiving
     :ivar acknowledged: commits that clients know to be kept
     :ivar lost: acknowledged commits that a member lacked when it was promoted
     :ivar queries: the queries that proxies received
@@ -74,6 +75,7 @@
         self.models = {
             name: ModelMember(name, is_primary=role == "primary") for name, role in members.items()
         }
+        self.knows_hold = True
         self.member_term = FIRST_TERM
         self.required = synchronous_replicas
         self.acknowledged: set[LogPosition] = set()
@@ -130,7 +132,7 @@
             if proxy in self.unconfirming:
                 continue
             if message.hold and not model.is_primary:
-                model.is_held = True
+                model.is_held = self.knows_hold
             elif model.is_held:
                 self.release(name)
             started_at_ms = self.members[name].started_at_ms
--- a/features/synchronous_promotion.feature
+++ b/features/synchronous_promotion.feature
@@ -77,6 +77,19 @@
     When event: 2000 ms pass
     Then positions: a promotion is requested
 
+  # A proxy that did not know of the change relayed the commits of a primary that still led, to members that cannot be held.
+  Scenario: positions: a proxy that is cut off from the controllers acknowledges nothing of a replaced primary
+    Given positions: primary a, replicas b and c, commits wait for 1 replica
+    And positions: members do not know how to stop receiving
+    And positions: 3 commits are acknowledged
+    And positions: b receives nothing
+    When positions: r is cut off from the controllers
+    And event: p and q do not reach a
+    And event: 5000 ms pass
+    And positions: a commit is sent by r
+    Then positions: promotion is requested of b
+    And positions: no acknowledged commit is lost by it
+
   # The replaced primary was never promoted again, although nobody else had its commits.
   Scenario: positions: a replaced primary that comes back leads again if a replica stays away
     Given positions: primary a, replicas b and c, commits wait for 1 replica
@@ -173,8 +186,8 @@
     And positions: 3 commits are acknowledged
     When event: a crashes
     And event: 1000 ms pass
+    And event: a withdraws
     And positions: the call is carried out
-    And event: a restarts empty
     And event: b crashes
     And event: 10000 ms pass
     Then positions: promotions were requested 1 times
--- a/limedyke/controller/metrics.py
+++ b/limedyke/controller/metrics.py
@@ -69,6 +69,10 @@
         self.groups_without_primary = self._gauge(
             "groups_without_primary", "Groups whose primary is not recorded."
         )
+        self.groups_awaiting_positions = self._gauge(
+            "groups_awaiting_positions",
+            "Groups whose next primary waits for the log positions of members; 0 off the leader.",
+        )
 
     def _add_proxy_metrics(self) -> None:
         self.proxies = self._gauge("proxies", "Proxies known, by state.", "state")
--- a/limedyke/controller/status_pages.py
+++ b/limedyke/controller/status_pages.py
@@ -73,6 +73,8 @@
             self._refresh_agreement(replica)
             self._refresh_state(replica)
             leader = self._leader()
+            awaiting = 0 if leader is None else leader.decisions.awaiting_positions_count
+            self.metrics.groups_awaiting_positions.set(awaiting)
             if leader is not None:
                 self._refresh_proxies(replica, leader)
 
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -117,6 +117,11 @@
             self._put_group(group, now)
         self._update_lease_members(state.declared.groups)
 
+    @property
+    def awaiting_positions_count(self) -> int:
+        """How many groups have no primary because members have not stated their position."""
+        return self.authority.awaiting_positions_count
+
     def admits(self, hello: ProxyHello) -> bool:
         """Return whether a proxy may connect: no other process of its name may hold leases."""
         return may_connect(self._state.proxies.get(hello.name), hello)
