Keep replicas held until a primary is recorded, and send no write without a lease

What callers saw: nothing yet; both were found by tests of the change that queries positions, at a proxy with stand-in members.

Cause: the check for replicas that are held by mistake asked whether the recorded primary is sure. While none is recorded its name is empty, equals itself and counted as sure, so the check released replicas that a round of queries had just held. The other one: a proxy whose primary lease has ended cannot acknowledge a commit in a group whose commits wait for replicas, and yet sent the write, so that its client got an unknown outcome.

Change: the check wants a recorded primary. A write is held and then refused as not run (reason no-primary-lease) while the primary lease has ended, where commits wait for replicas.

--- a/features/lab_mutants.feature
+++ b/features/lab_mutants.feature
@@ -30,3 +30,7 @@
   Scenario: mutants: every planned stop mutant is caught
     When mutants: the mutants of the area "stop" are run
     Then mutants: the run ends with 0 and no mutant was missed
+
+  Scenario: mutants: every mutant of promotions where commits wait for replicas is caught
+    When mutants: the mutants of the area "positions" are run
+    Then mutants: the run ends with 0 and no mutant was missed
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -140,6 +140,7 @@
         self.primary = "a"
         self.primary_started_at_ms = 0
         self.term = 1
+        self.fence = 1
         self.lease_ends_at = NEVER
         self.idle_in_transaction_ms = 0
         self.draining: set[str] = set()
@@ -233,7 +234,17 @@
         """Return a view of the current state."""
         self.index += 1
         access = TenantAccess("shared", GROUP, "", "", 30)
-        group = Group(GROUP, (), 30, 1, (access,), "", PromotionMode.AUTHORITY, announced=True)
+        group = Group(
+            GROUP,
+            (),
+            30,
+            1,
+            (access,),
+            "",
+            PromotionMode.AUTHORITY,
+            announced=True,
+            synchronous_replicas=self.group.synchronous_replicas,
+        )
         database = Database(
             "db",
             GROUP,
@@ -265,7 +276,9 @@
 
     def _recorded_primary(self) -> GroupPrimary:
         started_at_ms = self.primary_started_at_ms or self.starts.get(self.primary, 0)
-        return GroupPrimary(GROUP, self.term, self.primary, started_at_ms=started_at_ms)
+        return GroupPrimary(
+            GROUP, self.term, self.primary, fence=self.fence, started_at_ms=started_at_ms
+        )
 
     def hold_key(self, tenant: str, *keys: str) -> None:
         """Replace a tenant's keys, from the next view on."""
--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -192,6 +192,10 @@
         is_recorded = identity == self.primary and not self._primary_has_restarted()
         return is_recorded and self.primary_lease_left_s() > 0.0
 
+    def has_sure_primary(self) -> bool:
+        """Tell whether a primary is recorded, under a lease that is still valid."""
+        return bool(self.primary) and self.is_surely_primary(self.primary)
+
     @property
     def is_synchronous(self) -> bool:
         """Whether commits wait for replicas before they are acknowledged."""
@@ -207,6 +211,10 @@
             return Permission.GRANTED
         return self._acknowledgement.permission(sent_under, self._lease_ends_at(), time.monotonic())
 
+    def may_commit(self) -> bool:
+        """Tell whether a commit that is sent now may be acknowledged, as far as is known."""
+        return not self.is_synchronous or time.monotonic() < self._lease_ends_at()
+
     def _primary_has_restarted(self) -> bool:
         """Tell whether the recorded primary restarted and so lost its log."""
         pool = self.pools.get(self.primary)
--- a/limedyke/proxy/statements/position_queries.py
+++ b/limedyke/proxy/statements/position_queries.py
@@ -55,7 +55,7 @@
         Each home proxy checks all replicas, as the one that held them may have ended. A hold that
         is carried out late is found by a later check.
         """
-        if not group.is_surely_primary(group.primary):
+        if not group.has_sure_primary():
             return
         for identity, pool in list(group.pools.items()):
             term, next_at = self._checks.get((group.name, identity), (-1, 0.0))
@@ -135,7 +135,7 @@
         async def exchange(connection: MemberConnection) -> MemberStatus | None:
             status = await connection.ask_status()
             is_held = status is not None and status.is_held and not status.is_primary
-            if not is_held or not group.is_surely_primary(group.primary):
+            if not is_held or not group.has_sure_primary():
                 return status
             answer = await connection.release()
             EVENTS.info(
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -124,8 +124,12 @@
         group = attempt.group
         while True:
             pool = group.primary_pool()
-            if pool is None or not _takes_writes(pool.observed, time.monotonic()):
-                attempt.record_failure(NotSentReason.NO_PRIMARY)
+            takes_writes = pool is not None and _takes_writes(pool.observed, time.monotonic())
+            if not takes_writes or not group.may_commit():
+                reason = (
+                    NotSentReason.NO_PRIMARY_LEASE if takes_writes else NotSentReason.NO_PRIMARY
+                )
+                attempt.record_failure(reason)
                 await self.queries.search_primary(group)
                 if not await attempt.wait_for_primary():
                     return StatementOutcome(attempt.final_refusal(ResultCode.NO_PRIMARY))
--- a/limedyke/proxy/statements/statement_log.py
+++ b/limedyke/proxy/statements/statement_log.py
@@ -46,6 +46,7 @@
     NO_CONNECTION_FREE = "no-connection-came-free"
     TURNED_AWAY = "turned-away"
     NO_LEASE = "no-lease-or-member-gone"
+    NO_PRIMARY_LEASE = "no-primary-lease"
 
 
 @dataclass(frozen=True, slots=True)
