Log what a promotion waits for where no member holds enough

What operators saw: nothing, where enough members had answered and none of them had received what an earlier primary was promoted with; the line named only members that had not answered, and not that the replaced primary's word would suffice.

Cause: the line was derived from the members without an answer alone.

Change: a round states what it lacks: the members that have not answered and the replaced primary, or the position that none has received. The gauge counts both.

--- a/features/steps/synchronous_promotion_steps.py
+++ b/features/steps/synchronous_promotion_steps.py
@@ -249,10 +249,11 @@
     assert is_relayed == (relayed == "relayed"), context.world.acknowledged
 
 
-@then("positions: the log names {name:w} as awaited")
-def step_awaited(context, name):
-    text = f"no promotion without the log positions of {name}"
-    assert text in context.world.decisions, context.world.decisions
+@then("positions: the log says that a promotion lacks {shortage}")
+def step_shortage(context, shortage):
+    assert context.world.decisions[-1] == f"no promotion without {shortage}", (
+        context.world.decisions
+    )
     assert context.world.leader.authority.awaiting_positions_count == 1
 
 
--- a/features/synchronous_promotion.feature
+++ b/features/synchronous_promotion.feature
@@ -38,7 +38,7 @@
     When event: <why>
     And event: 60000 ms pass
     Then positions: promotion is not requested
-    And positions: the log names b as awaited
+    And positions: the log says that a promotion lacks the log positions of b, or that of a
     When positions: the proxies reach b again
     And event: 2000 ms pass
     Then positions: promotion is requested of b
@@ -191,6 +191,7 @@
     And event: b crashes
     And event: 10000 ms pass
     Then positions: promotions were requested 1 times
+    And positions: the log says that a promotion lacks a member that has received 3.3
     When event: b comes back
     And event: 3000 ms pass
     Then positions: promotion is requested of b
@@ -239,6 +240,15 @@
       | 3        | 2        | 1    | a promotion is requested   |
       | 3        | 2        | 2    | promotion is not requested |
 
+  Scenario: positions: a primary whose other members are gone stays the primary
+    Given positions: a primary and 1 replicas, commits wait for 1 replicas
+    And positions: 3 commits are acknowledged
+    When event: b withdraws, and a crashes
+    And event: 3000 ms pass
+    Then positions: promotion is not requested
+    When event: a comes back
+    Then positions: a is recorded as the primary, and no replica is held
+
   Scenario: positions: a refused candidate does not make way for one that lacks commits
     Given positions: primary a, replicas b and c, commits wait for 1 replica
     And positions: c receives nothing
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -119,7 +119,7 @@
 
     @property
     def awaiting_positions_count(self) -> int:
-        """How many groups have no primary because members have not stated their position."""
+        """How many groups have no primary as no member surely holds all acknowledged commits."""
         return self.authority.awaiting_positions_count
 
     def admits(self, hello: ProxyHello) -> bool:
--- a/limedyke/core/control/primaries/authority_failover.py
+++ b/limedyke/core/control/primaries/authority_failover.py
@@ -106,7 +106,7 @@
 
     @property
     def awaiting_positions_count(self) -> int:
-        """How many groups have no primary because members have not stated their position."""
+        """How many groups have no primary as no member surely holds all acknowledged commits."""
         return self._synchronous.awaiting_count
 
     def put_group(self, group: Group, now: float) -> None:
--- a/limedyke/core/control/primaries/position_round.py
+++ b/limedyke/core/control/primaries/position_round.py
@@ -70,9 +70,15 @@
         stated = self._stated.get(member)
         return stated.position if stated is not None else FIRST_POSITION
 
-    def unanswered(self) -> list[str]:
-        """Return the counted members that have not stated their position, sorted."""
-        return sorted(self.counted.keys() - self._stated.keys())
+    def shortage(self) -> str:
+        """Return what a promotion lacks, for the event log; empty if a member may be promoted."""
+        if self.has_quorum:
+            required = self._required(self._longest_counted())
+            text = f"a member that has received {required.term}.{required.position}"
+            return "" if self.holders() else text
+        unanswered = sorted(self.counted.keys() - self._stated.keys())
+        text = f"the log positions of {', '.join(unanswered) or 'other members'}"
+        return f"{text}, or that of {self.replaced}" if self.replaced else text
 
     @property
     def has_quorum(self) -> bool:
@@ -88,7 +94,7 @@
         """Return the reports of members that hold all acknowledged commits, by a quorum's word."""
         if not self.has_quorum:
             return []
-        return self._at_least(max(self.position_of(name) for name in self.counted))
+        return self._at_least(self._longest_counted())
 
     def holders_by_replaced_primary(self) -> list[PositionReport]:
         """Return the reports of members that hold all that the replaced primary holds."""
@@ -96,6 +102,12 @@
             return []
         return self._at_least(self.position_of(self.replaced))
 
-    def _at_least(self, required: LogPosition) -> list[PositionReport]:
-        required = max(required, self.floor)
+    def _longest_counted(self) -> LogPosition:
+        return max(self.position_of(name) for name in self.counted)
+
+    def _required(self, position: LogPosition) -> LogPosition:
+        return max(position, self.floor)
+
+    def _at_least(self, position: LogPosition) -> list[PositionReport]:
+        required = self._required(position)
         return [stated for stated in self._stated.values() if stated.position >= required]
--- a/limedyke/core/control/primaries/synchronous_promotion.py
+++ b/limedyke/core/control/primaries/synchronous_promotion.py
@@ -48,7 +48,7 @@
     :param proof: the current proof that earlier departures no longer count; None when none runs
     :param query_at: when the next queries are due
     :param began_at: when the first queries of the round are due
-    :param awaited: the members that the log names as awaited
+    :param shortage: what the log says that a promotion lacks
     :param departures: those that the current round counts
     """
 
@@ -58,7 +58,7 @@
     proof: PositionProof | None = None
     query_at: float = 0.0
     began_at: float = 0.0
-    awaited: tuple[str, ...] = ()
+    shortage: str = ""
     departures: tuple[Departure, ...] = ()
 
 
@@ -87,8 +87,8 @@
 
     @property
     def awaiting_count(self) -> int:
-        """How many groups have no primary because members have not stated their position."""
-        return sum(bool(group.awaited) for group in self._groups.values())
+        """How many groups have no primary as no member surely holds all acknowledged commits."""
+        return sum(bool(group.shortage) for group in self._groups.values())
 
     def put_group(self, group: Group) -> None:
         """Apply a group's declaration."""
@@ -112,7 +112,7 @@
         group = self._groups[recorded.group]
         group.proof = None
         group.fence = recorded.fence
-        group.awaited = ()
+        group.shortage = ""
         group.began_at = group.query_at = now + SETTLE_S
         self._begin_round(group, recorded)
 
@@ -180,7 +180,7 @@
         known = self._groups.get(group)
         if known is not None:
             known.round = None
-            known.awaited = ()
+            known.shortage = ""
 
     def tick(self, group: str, recorded: GroupPrimary, now: float) -> None:
         """Send the queries that are due."""
@@ -189,7 +189,7 @@
             return
         if known.round is not None:
             self._follow_returns(known, recorded)
-            self._log_awaited(group, known, now)
+            self._log_shortage(group, known, now)
         elif not recorded.primary:
             known.proof = None
         elif recorded.departures and known.proof is None and now >= known.query_at:
@@ -237,13 +237,11 @@
             if self._membership.is_live(proxy, now) and session.reports_positions:
                 self._commands.append(SendToProxy(proxy, query))
 
-    def _log_awaited(self, name: str, group: _SynchronousGroup, now: float) -> None:
-        """Log the members that a promotion waits for, when they change."""
-        if now - group.began_at < WAIT_LOG_S:
+    def _log_shortage(self, name: str, group: _SynchronousGroup, now: float) -> None:
+        """Log what a promotion lacks, when that changes."""
+        shortage = group.round.shortage() if now - group.began_at >= WAIT_LOG_S else ""
+        if shortage == group.shortage:
             return
-        awaited = tuple(group.round.unanswered()) if not group.round.has_quorum else ()
-        if awaited == group.awaited:
-            return
-        group.awaited = awaited
-        text = f"no promotion without the log positions of {', '.join(awaited)}"
-        self._commands.append(LogDecision(name, text if awaited else "log positions are known"))
+        group.shortage = shortage
+        text = f"no promotion without {shortage}" if shortage else "a promotion lacks nothing more"
+        self._commands.append(LogDecision(name, text))
