Show that an empty primary makes way for a draining replica

What would have been lost: a primary that restarts empty and claims to lead was recorded again when its only other member was draining, and all that the group had acknowledged was gone with it.

Cause: a draining member is no candidate, so nobody else seemed able to lead.

Change: the test of the rule that came with the queries for positions: where commits wait for replicas, any other recorded member is asked first.

--- a/features/steps/synchronous_promotion_steps.py
+++ b/features/steps/synchronous_promotion_steps.py
@@ -97,6 +97,8 @@
             world.report("p q r", name, MemberHealth.REACHABLE, 0, FIRST_TERM)
         case [name, "restarts", "empty"]:
             world.come_back_empty(name)
+        case [name, "restarts", "empty", "as", "the", "primary"]:
+            world.come_back_empty(name, leads=True)
         case [name, "receives", "again"]:
             world.listen(name)
         case _:
--- a/features/support/synchronous_world.py
+++ b/features/support/synchronous_world.py
@@ -218,15 +218,19 @@
         self.silent.discard(name)
         self.announce(name, self.role_of(name))
 
-    def come_back_empty(self, name: str) -> None:
-        """Restart a member with an empty log; it receives nothing until ``listen``."""
+    def come_back_empty(self, name: str, leads: bool = False) -> None:
+        """Restart a member with an empty log; a replica receives nothing until ``listen``.
+
+        :param leads: whether it claims to be the primary
+        """
         model = self.models[name]
         model.log = []
         model.is_draining = False
-        model.is_down = model.is_held = model.is_primary = False
+        model.is_down = model.is_held = False
+        model.is_primary = leads
         model.is_deaf = True
         self.silent.discard(name)
-        self.start_again(name, "replica")
+        self.start_again(name, self.role_of(name))
 
     def join(self, name: str) -> None:
         """Let a new replica join, with an empty log until ``listen``."""
--- a/features/synchronous_promotion.feature
+++ b/features/synchronous_promotion.feature
@@ -147,6 +147,15 @@
       | before the primary ends   | b restarts empty, and a crashes                                       |
       | while it is waited for    | a crashes, and no proxy reaches c, and 500 ms pass, and b restarts empty |
 
+  # A primary that had restarted empty was recorded again, as the only other member was draining.
+  Scenario: positions: a primary that restarts empty makes way for a draining replica
+    Given positions: a primary and 1 replicas, commits wait for 1 replicas
+    And positions: 3 commits are acknowledged
+    When event: b drains, and a restarts empty as the primary
+    And event: 3000 ms pass
+    Then positions: promotion is requested of b
+    And positions: no acknowledged commit is lost by it
+
   # A replica that left was forgotten, although an acknowledged commit was held by it and the primary alone.
   Scenario Outline: positions: a replica that <leaves> counts until the others hold what it held
     Given positions: primary a, replicas b and c, commits wait for 1 replica
