--- a/limedyke/core/control/primaries/authority_failover.py
+++ b/limedyke/core/control/primaries/authority_failover.py
@@ -377,7 +377,7 @@
     ) -> AnnouncedMember | None:
         """Return the best candidate that surely holds all acknowledged commits; None to wait.
 
-        The replaced primary, or else a draining member, is chosen if no other one holds them. It is
+        The replaced primary, or else a draining member, leads if no other one holds them. It is
         replaced in turn once others have received what it holds.
         """
         holders = self._synchronous.holders(group, now)
--- a/limedyke/core/control/primaries/synchronous_promotion.py
+++ b/limedyke/core/control/primaries/synchronous_promotion.py
@@ -1,6 +1,6 @@
 """Finds the members that may lead groups whose commits wait for replicas; performs no I/O.
 
-An external authority promotes whichever member it is told to, with the log that the member has.
+An external authority promotes any member that a call names, with the log that the member has.
 In a group with ``synchronous_replicas`` the member must hold every acknowledged commit.  Once no
 proxy relays an acknowledgement of the replaced primary any more, the home proxies query the other
 members for their positions, and a member is promoted only when enough of them have answered.
