--- a/features/steps/synchronous_promotion_steps.py
+++ b/features/steps/synchronous_promotion_steps.py
@@ -193,7 +193,7 @@
     context.world.declare(required)
 
 
-@when("event: {events}")
+@when("positions event: {events}")
 def step_events(context, events):
     context.calls_before = len(context.world.calls)
     for event in events.split(", and "):
--- a/features/synchronous_promotion.feature
+++ b/features/synchronous_promotion.feature
@@ -8,8 +8,8 @@
     And positions: c receives nothing
     And positions: 3 commits are acknowledged
     And positions: the proxies reported b at 1 and c at 2 long ago
-    When event: <trouble>
-    And event: 2000 ms pass
+    When positions event: <trouble>
+    And positions event: 2000 ms pass
     Then positions: promotion is requested of b
     And positions: no acknowledged commit is lost by it
 
@@ -25,8 +25,8 @@
 
   Scenario: positions: without synchronous replicas no member is queried
     Given positions: primary a, replicas b and c, commits wait for 0 replicas
-    When event: a crashes
-    And event: 200 ms pass
+    When positions event: a crashes
+    And positions event: 200 ms pass
     Then positions: a promotion is requested
     And positions: no member was queried
 
@@ -35,12 +35,12 @@
     Given positions: primary a, replicas b and c, commits wait for 1 replica
     And positions: c receives nothing
     And positions: 3 commits are acknowledged
-    When event: <why>
-    And event: 60000 ms pass
+    When positions event: <why>
+    And positions event: 60000 ms pass
     Then positions: promotion is not requested
     And positions: the log says that a promotion lacks the log positions of b, or that of a
     When positions: the proxies reach b again
-    And event: 2000 ms pass
+    And positions event: 2000 ms pass
     Then positions: promotion is requested of b
     And positions: no acknowledged commit is lost by it
 
@@ -54,8 +54,8 @@
     Given positions: primary a, replicas b and c, commits wait for 1 replica
     And positions: c receives nothing
     When positions: a commit is sent whose answer arrives <ms> ms after the next grant
-    And event: a drains
-    And event: 3000 ms pass
+    And positions event: a drains
+    And positions event: 3000 ms pass
     Then positions: that commit is <relayed>
     And positions: members were queried no sooner than 250 ms after the grant
     And positions: promotion is requested of b
@@ -71,10 +71,10 @@
   Scenario: positions: a proxy that has not confirmed the grant delays the queries
     Given positions: primary a, replicas b and c, commits wait for 1 replica
     When positions: r is cut off from the controllers
-    And event: a crashes
-    And event: 1000 ms pass
+    And positions event: a crashes
+    And positions event: 1000 ms pass
     Then positions: no member was queried
-    When event: 2000 ms pass
+    When positions event: 2000 ms pass
     Then positions: a promotion is requested
 
   # A proxy that did not know of the change relayed the commits of a primary that still led, to members that cannot be held.
@@ -84,8 +84,8 @@
     And positions: 3 commits are acknowledged
     And positions: b receives nothing
     When positions: r is cut off from the controllers
-    And event: p and q do not reach a
-    And event: 5000 ms pass
+    And positions event: p and q do not reach a
+    And positions event: 5000 ms pass
     And positions: a commit is sent by r
     Then positions: promotion is requested of b
     And positions: no acknowledged commit is lost by it
@@ -95,11 +95,11 @@
     Given positions: primary a, replicas b and c, commits wait for 1 replica
     And positions: c receives nothing
     And positions: 3 commits are acknowledged
-    When event: a crashes, and b crashes
-    And event: 5000 ms pass
+    When positions event: a crashes, and b crashes
+    And positions event: 5000 ms pass
     Then positions: promotion is not requested
-    When event: a comes back
-    And event: 3000 ms pass
+    When positions event: a comes back
+    And positions event: 3000 ms pass
     Then positions: promotion is requested of a
     And positions: no acknowledged commit is lost by it
     And positions: a is recorded as the primary, and no replica is held
@@ -109,24 +109,24 @@
     Given positions: primary a, replicas b and c, commits wait for 1 replica
     And positions: c receives nothing
     And positions: 3 commits are acknowledged
-    When event: b crashes
-    And event: a drains
-    And event: 3000 ms pass
+    When positions event: b crashes
+    And positions event: a drains
+    And positions event: 3000 ms pass
     Then positions: promotion is not requested
-    When event: c receives again
-    And event: 3000 ms pass
+    When positions event: c receives again
+    And positions event: 3000 ms pass
     Then positions: promotion is requested of c
     And positions: no acknowledged commit is lost by it
 
   # An answer to an earlier round of queries counted in a later one, for another term.
   Scenario: positions: an answer of an earlier round does not count in a later one
     Given positions: primary a, replicas b and c, commits wait for 1 replica
-    When event: a crashes
-    And event: 1000 ms pass
+    When positions event: a crashes
+    And positions event: 1000 ms pass
     And positions: the authority answers unknown, and nobody reaches b and c
-    And event: 2000 ms pass
+    And positions event: 2000 ms pass
     And positions: the reports of the first round arrive again
-    And event: 2000 ms pass
+    And positions event: 2000 ms pass
     Then positions: promotions were requested 1 times
 
   # A member that restarted without its log was promoted for the position that it had stated before.
@@ -134,11 +134,11 @@
     Given positions: primary a, replicas b and c, commits wait for 1 replica
     And positions: c receives nothing
     And positions: 3 commits are acknowledged
-    When event: <events>
-    And event: 10000 ms pass
+    When positions event: <events>
+    And positions event: 10000 ms pass
     Then positions: promotion is not requested
-    When event: a comes back
-    And event: 3000 ms pass
+    When positions event: a comes back
+    And positions event: 3000 ms pass
     Then positions: promotion is requested of a
     And positions: no acknowledged commit is lost by it
 
@@ -151,8 +151,8 @@
   Scenario: positions: a primary that restarts empty makes way for a draining replica
     Given positions: a primary and 1 replicas, commits wait for 1 replicas
     And positions: 3 commits are acknowledged
-    When event: b drains, and a restarts empty as the primary
-    And event: 3000 ms pass
+    When positions event: b drains, and a restarts empty as the primary
+    And positions event: 3000 ms pass
     Then positions: promotion is requested of b
     And positions: no acknowledged commit is lost by it
 
@@ -161,9 +161,9 @@
     Given positions: primary a, replicas b and c, commits wait for 1 replica
     And positions: c receives nothing
     And positions: 3 commits are acknowledged
-    When event: <events>
-    And event: a crashes
-    And event: 5000 ms pass
+    When positions event: <events>
+    And positions event: a crashes
+    And positions event: 5000 ms pass
     Then positions: <outcome>
     And positions: no acknowledged commit is lost by it
 
@@ -180,11 +180,11 @@
     Given positions: primary a, replicas b and c, commits wait for 1 replica
     And positions: c receives nothing
     And positions: 3 commits are acknowledged
-    When event: b crashes, and 31000 ms pass, and a crashes
-    And event: 5000 ms pass
+    When positions event: b crashes, and 31000 ms pass, and a crashes
+    And positions event: 5000 ms pass
     Then positions: promotion is not requested
-    When event: b comes back
-    And event: 3000 ms pass
+    When positions event: b comes back
+    And positions event: 3000 ms pass
     Then positions: promotion is requested of b
     And positions: no acknowledged commit is lost by it
 
@@ -193,16 +193,16 @@
     Given positions: primary a, replicas b and c, commits wait for 1 replica
     And positions: c receives nothing
     And positions: 3 commits are acknowledged
-    When event: a crashes
-    And event: 1000 ms pass
-    And event: a withdraws
+    When positions event: a crashes
+    And positions event: 1000 ms pass
+    And positions event: a withdraws
     And positions: the call is carried out
-    And event: b crashes
-    And event: 10000 ms pass
+    And positions event: b crashes
+    And positions event: 10000 ms pass
     Then positions: promotions were requested 1 times
     And positions: the log says that a promotion lacks a member that has received 3.3
-    When event: b comes back
-    And event: 3000 ms pass
+    When positions event: b comes back
+    And positions event: 3000 ms pass
     Then positions: promotion is requested of b
     And positions: no acknowledged commit is lost by it
 
@@ -213,9 +213,9 @@
     And positions: c receives nothing
     And positions: 3 commits are acknowledged
     When positions: commits wait for 1 replica from now on
-    And event: <state>
-    And event: a crashes
-    And event: 5000 ms pass
+    And positions event: <state>
+    And positions event: a crashes
+    And positions event: 5000 ms pass
     Then positions: <outcome>
     And positions: no acknowledged commit is lost by it
 
@@ -226,18 +226,18 @@
 
   Scenario: positions: a group whose commits wait for no replica any more promotes whom it reaches
     Given positions: primary a, replicas b and c, commits wait for 1 replica
-    When event: a crashes, and no proxy reaches b
-    And event: 3000 ms pass
+    When positions event: a crashes, and no proxy reaches b
+    And positions event: 3000 ms pass
     Then positions: promotion is not requested
     When positions: commits wait for 0 replicas from now on
-    And event: 500 ms pass
+    And positions event: 500 ms pass
     Then positions: a promotion is requested
 
   Scenario Outline: positions: a primary and <replicas> replicas, commits wait for <required>, <down> down: <outcome>
     Given positions: a primary and <replicas> replicas, commits wait for <required> replicas
     And positions: 3 commits are acknowledged
-    When event: <down> replicas crash, and the primary crashes
-    And event: 5000 ms pass
+    When positions event: <down> replicas crash, and the primary crashes
+    And positions event: 5000 ms pass
     Then positions: <outcome>
 
     Examples:
@@ -252,27 +252,27 @@
   Scenario: positions: a primary whose other members are gone stays the primary
     Given positions: a primary and 1 replicas, commits wait for 1 replicas
     And positions: 3 commits are acknowledged
-    When event: b withdraws, and a crashes
-    And event: 3000 ms pass
+    When positions event: b withdraws, and a crashes
+    And positions event: 3000 ms pass
     Then positions: promotion is not requested
-    When event: a comes back
+    When positions event: a comes back
     Then positions: a is recorded as the primary, and no replica is held
 
   Scenario: positions: a refused candidate does not make way for one that lacks commits
     Given positions: primary a, replicas b and c, commits wait for 1 replica
     And positions: c receives nothing
     And positions: 3 commits are acknowledged
-    When event: a crashes
-    And event: 1000 ms pass
+    When positions event: a crashes
+    And positions event: 1000 ms pass
     And positions: the authority answers refused
-    And event: 5000 ms pass
+    And positions event: 5000 ms pass
     Then positions: promotion was requested of b alone, more than once
 
   Scenario: positions: proxies of the version before are not queried
     Given positions: primary a, replicas b and c, commits wait for 1 replica
     And positions: p q r are of the version before
-    When event: a crashes
-    And event: 3000 ms pass
+    When positions event: a crashes
+    And positions event: 3000 ms pass
     Then positions: no member was queried
     And positions: promotion is not requested
 
--- a/limedyke/core/control/membership.py
+++ b/limedyke/core/control/membership.py
@@ -46,6 +46,7 @@
 
     :param heard_at: when its last message arrived; the leader's start time if none has
     :param record: the record that the log should hold; None before the proxy's hello
+    :param reports_positions: see ``ProxyHello``
     """
 
     heard_at: float
--- a/limedyke/core/control/primaries/authority_group_state.py
+++ b/limedyke/core/control/primaries/authority_group_state.py
@@ -14,7 +14,10 @@
 
 
 class AuthorityStep(enum.StrEnum):
-    """The step of a group in the change of its primary."""
+    """The step of a group in the change of its primary.
+
+    ``COLLECTING``: members are queried for their log positions, where commits wait for replicas.
+    """
 
     WATCHED = "watched"
     SUSPECTED = "suspected"
