Read at the recorded primary only once it has said that it leads

Cause: a proxy went by the record and its lease alone. What the member itself had said did not count: neither that it refused a write as a replica, nor its status. Each new record cleared both, so the word of a moment ago was gone just when it mattered. An answer to a question from before a change counted as if it had been asked after it. A read whose answer named a position below that of a commit acknowledged by the same proxy was delivered. And a second grant without a primary forgot who had been replaced, so that writes went there again.

Change: MemberRoles keeps what members said, in the order of the questions. A read goes to the recorded primary without a position only after it has said, in answer to a question from after the record, that it leads, and as long as it has not denied it since. Many reads share one question; a probe asks where there are none. Successful commits and READONLY count as answers. A read below an acknowledged position is not delivered (kind "outdated") and tried again. The grant's own field tells who was replaced.

The scenario of a slow primary at the start still allows one query, and the one of a busy primary is refused as busy. hedged_reads' stand-in attempt got a group, as the read now asks it for the acknowledged position; its checks stay.

--- a/features/steps/hedged_reads_steps.py
+++ b/features/steps/hedged_reads_steps.py
@@ -11,7 +11,7 @@
 from limedyke.core.statements.time_estimate import TimeEstimate
 from limedyke.messages.databases import AnnouncedMember, MemberState
 from limedyke.messages.statements import AnswerKind, MemberAnswer
-from limedyke.messages.work import TransactionStatus
+from limedyke.messages.work import FIRST_POSITION, TransactionStatus
 from limedyke.proxy.statements.hedged_read import HedgedRead, HedgeTarget
 from limedyke.proxy.statements.members.pinned_connection import PinnedConnection
 
@@ -92,6 +92,7 @@
     """Return a hedged read, its two pools and the connection of the first."""
     pools = _Pool("first"), _Pool("second")
     attempt = SimpleNamespace(
+        group=SimpleNamespace(acknowledged=FIRST_POSITION),
         tried=set(),
         possible_runs=0,
         may_retry_read=lambda: True,
--- a/limedyke/messages/statements.py
+++ b/limedyke/messages/statements.py
@@ -67,7 +67,8 @@
     """The outcome of a statement at a member.
 
     ``LOST``: the connection broke after sending.  ``NOT_SENT``: it broke before sending.
-    ``TOO_LATE``: the statement's time was over before it could be sent.
+    ``TOO_LATE``: the statement's time was over before it could be sent.  ``OUTDATED``: a read of
+    the primary ran on a log that lacks an acknowledged commit, so its rows are not delivered.
     """
 
     DONE = "done"
@@ -84,6 +85,7 @@
     TOO_LATE = "too-late"
     LOST = "lost"
     NOT_SENT = "not-sent"
+    OUTDATED = "outdated"
 
 
 NOT_RUN = frozenset(
--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -12,6 +12,7 @@
 from limedyke.core.member_caps import holds_common
 from limedyke.core.queueing.retry_schedule import RetrySchedule
 from limedyke.core.statements.acknowledgement import AcknowledgementRule, Office, Permission
+from limedyke.core.statements.member_roles import MemberRoles
 from limedyke.core.statements.observed_member import ObservedMember
 from limedyke.core.statements.primary_outage import OutageTimes, PrimaryOutage
 from limedyke.core.statements.primary_positions import PrimaryPositions
@@ -20,7 +21,7 @@
 from limedyke.messages.control import ConnectionDemand, GroupPrimary, MemberHealth
 from limedyke.messages.databases import AnnouncedMember
 from limedyke.messages.declaration import Group
-from limedyke.messages.work import LogPosition
+from limedyke.messages.work import FIRST_POSITION, LogPosition
 from limedyke.proxy.statements.members.member_pool import MemberPool
 
 LEASE_MARGIN_S = 0.2
@@ -52,8 +53,10 @@
     :ivar retries: budget for retries of the group's statements
     :ivar self_reported_primary: member that claims to be primary but is not the recorded one
     :ivar replaced_primary: the former primary, while no primary is recorded
-    :ivar denying_members: members that reported that they are not primary
+    :ivar roles: what the members said of their roles
+    :ivar acknowledged: the highest position that the recorded primary acknowledged a commit with
     :ivar is_position_query_running: a query for the primary's position is running
+    :ivar confirmation: set when the running query for the primary's role ends; None if none runs
     """
 
     def __init__(
@@ -76,10 +79,12 @@
         self._limits_at: Mapping[str, int] = NO_MEMBERS
         self.self_reported_primary = ""
         self.replaced_primary = ""
-        self.denying_members: set[str] = set()
+        self.roles = MemberRoles()
+        self.acknowledged = FIRST_POSITION
         self._primary_started_at_ms = 0
         self.next_primary_search_at = 0.0
         self.is_position_query_running = False
+        self.confirmation: curio.Event | None = None
         self.primary_changed = curio.Event()
         self.leased = curio.Event()
         self._retry_schedule = RetrySchedule()
@@ -103,7 +108,7 @@
         recorded = self.pools.get(self.primary)
         if self._primary_has_restarted():
             recorded = None
-        if recorded is not None and self.primary not in self.denying_members:
+        if recorded is not None and not self.roles.denies(self.primary):
             return recorded
         if self.self_reported_primary == self.replaced_primary:
             return recorded
@@ -125,21 +130,28 @@
         return_s = self._retry_schedule.retry_after_s(priority, ready_in_s, time.monotonic(), gap_s)
         return math.ceil(return_s * MS_PER_S)
 
-    async def record_reported_role(self, identity: str, is_primary: bool) -> None:
-        """Record a member's own report on whether it is primary."""
+    async def record_reported_role(self, identity: str, is_primary: bool, asked_at: float) -> None:
+        """Record a member's own report on whether it is primary.
+
+        :param asked_at: when the member was asked, monotonic seconds
+        """
         if not is_primary:
-            self.denying_members.add(identity)
+            self.roles.denied(identity, asked_at, time.monotonic())
             if self.self_reported_primary == identity:
                 self.self_reported_primary = ""
             return
-        self.denying_members.discard(identity)
-        if identity not in (self.primary, self.self_reported_primary):
+        was_accepted = self.is_accepted_primary(identity)
+        if not self.roles.claimed(identity, asked_at):
+            return
+        is_news = identity not in (self.primary, self.self_reported_primary)
+        if is_news:
             self.self_reported_primary = identity
+        if is_news or was_accepted != self.is_accepted_primary(identity):
             await self._wake_waiters()
 
     def is_accepted_primary(self, identity: str) -> bool:
         """Tell whether a member is the recorded primary and has not denied that it is."""
-        is_recorded = identity == self.primary and identity not in self.denying_members
+        is_recorded = identity == self.primary and not self.roles.denies(identity)
         return is_recorded and not self._primary_has_restarted()
 
     def has_unreachable_primary(self) -> bool:
@@ -150,7 +162,7 @@
     def lacks_primary(self, now: float) -> bool:
         """Tell whether there is no known primary that answers."""
         pool = self.primary_pool()
-        if pool is None or pool.observed.record.identity in self.denying_members:
+        if pool is None or self.roles.denies(pool.observed.record.identity):
             return True
         return pool.observed.health is MemberHealth.UNREACHABLE or pool.observed.seems_silent(now)
 
@@ -187,13 +199,20 @@
     def is_surely_primary(self, identity: str) -> bool:
         """Tell whether a member is the recorded primary under a lease that is still valid.
 
-        A statement that is sent now runs a little later, so the lease must last until then.
+        The member itself must have confirmed it to this proxy, as the record may have been made
+        before it leads. A statement that is sent now runs a little later, so the lease must last
+        until then.
         """
-        is_recorded = identity == self.primary and not self._primary_has_restarted()
-        return is_recorded and self.primary_lease_left_s() > 0.0
+        is_confirmed = self.roles.is_confirmed(identity) and not self._primary_has_restarted()
+        return is_confirmed and self.primary_lease_left_s() > 0.0
+
+    def awaits_confirmation(self) -> bool:
+        """Tell whether a primary is recorded under a valid lease that has yet to say it leads."""
+        is_accepted = self.is_accepted_primary(self.primary) and self.primary_lease_left_s() > 0.0
+        return bool(self.primary) and is_accepted and not self.roles.is_confirmed(self.primary)
 
     def has_sure_primary(self) -> bool:
-        """Tell whether a primary is recorded, under a lease that is still valid."""
+        """Tell whether a primary is recorded and confirmed, under a lease that is still valid."""
         return bool(self.primary) and self.is_surely_primary(self.primary)
 
     @property
@@ -235,7 +254,7 @@
                 continue
             if pool is not None:
                 await pool.drain()
-            self.denying_members.discard(identity)
+            self.roles.forget(identity)
             self.pools[identity] = self._make_pool(ObservedMember(record))
             self.pools[identity].on_answer = self._wake_waiters
             self.pools[identity].observed.leads = identity == self.primary
@@ -249,7 +268,7 @@
         self.fence = primary.fence if primary is not None else 0
         if (identity, term) == (self.primary, self.term):
             return
-        self.replaced_primary = "" if identity else self.primary
+        self.replaced_primary = "" if identity else self._replaced_by(primary)
         self._acknowledgement.primary_recorded(
             Office(identity, term), self._lease_ends_at(), time.monotonic()
         )
@@ -260,10 +279,19 @@
         for name, pool in self.pools.items():
             pool.observed.note_primary_change(name == identity)
         self.positions.clear()
+        self.acknowledged = FIRST_POSITION
         self.self_reported_primary = ""
-        self.denying_members.clear()
+        self.roles.primary_recorded(identity, time.monotonic())
         await self._wake_waiters()
 
+    def _replaced_by(self, granted: GroupPrimary | None) -> str:
+        """Return the primary that a grant replaces, also if another grant came before it.
+
+        Controllers of an earlier version do not record it.
+        """
+        recorded = granted.replaced if granted is not None else ""
+        return recorded or self.primary or self.replaced_primary
+
     async def wait_for_primary(self, until: float) -> bool:
         """Wait briefly for a primary that changes, or answers again.
 
@@ -348,6 +376,15 @@
         if proven or self.is_surely_primary(identity):
             self.positions.add(asked_at, position)
 
+    def note_acknowledged(self, identity: str, asked_at: float, position: LogPosition) -> None:
+        """Record the position of a commit that a member acknowledged, if it is the primary.
+
+        :param asked_at: when the commit was sent; one from before the record changed may have been
+            rolled back since
+        """
+        if self.is_accepted_primary(identity) and asked_at >= self.roles.changed_at:
+            self.acknowledged = max(self.acknowledged, position)
+
     async def drain(self) -> None:
         """Close all pools because the group is no longer declared."""
         for pool in self.pools.values():
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -199,40 +199,42 @@
     async def _watch_group(self, group: StatementGroup, now: float) -> None:
         if group.is_synchronous:
             await self._positions.check_held(group, now)
-        for identity, pool in list(group.pools.items()):
+        for pool in list(group.pools.values()):
             observed = pool.observed
             await pool.check_waiting(now)
             await pool.serve_waiting()
             pool.judgement.look(group.name, observed, now)
-            is_primary = identity == group.primary
-            if self._should_probe(observed, is_primary, now):
+            if self._should_probe(group, observed, now):
                 observed.probed_at = now
-                await curio.spawn(self._probe, pool, daemon=True)
+                await curio.spawn(self._probe, group, pool, daemon=True)
             await self._report(group, observed)
 
-    def _should_probe(self, observed: ObservedMember, is_primary: bool, now: float) -> bool:
+    def _should_probe(self, group: StatementGroup, observed: ObservedMember, now: float) -> bool:
         """Tell whether to probe a member.
 
-        A silent primary is probed, and so is any member that is unreachable or seems to hang, as it
-        gets no statements until it answers again.
+        A silent primary is probed, and one that has yet to confirm its role, and so is any member
+        that is unreachable or seems to hang, as it gets no statements until it answers again.
         """
         if now - observed.probed_at < self._settings.probe_timeout_ms / 1_000:
             return False
         if observed.health is MemberHealth.UNREACHABLE or observed.seems_silent(now):
             return True
+        identity = observed.record.identity
+        if identity != group.primary:
+            return False
         interval_s = self._settings.probe_interval_ms / 1_000
         if observed.outstanding:
             interval_s *= BUSY_PROBE_SHARE
-        return is_primary and now - observed.contact_at > interval_s
+        return not group.roles.is_confirmed(identity) or now - observed.contact_at > interval_s
 
-    async def _probe(self, pool: MemberPool) -> None:
-        """Probe a member and update its observed state."""
+    async def _probe(self, group: StatementGroup, pool: MemberPool) -> None:
+        """Probe a member and update its observed state and role."""
         limit_s = max(self._settings.probe_timeout_ms / 1_000, pool.observed.longest_sign_s)
         is_lost = pool.observed.health is MemberHealth.UNREACHABLE
         if is_lost or pool.observed.seems_silent(time.monotonic()):
             await self._runner.queries.diagnose_silence(pool, limit_s)
         elif pool.has_room:
-            await self._runner.queries.ask_status(pool, limit_s)
+            await self._runner.queries.ask_role(group, pool, limit_s)
         else:
             await pool.connector.check_address(limit_s)
 
--- a/limedyke/proxy/statements/hedged_read.py
+++ b/limedyke/proxy/statements/hedged_read.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import curio
 
+from limedyke.event_log import EventLog
 from limedyke.messages.statements import NOT_RUN, AnswerKind, MemberAnswer
 from limedyke.messages.work import LogPosition
 from limedyke.proxy.statements.attempt import Attempt
@@ -14,13 +16,14 @@
 from limedyke.proxy.statements.members.member_pool import MemberPool
 from limedyke.proxy.statements.members.pinned_connection import PinnedConnection
 
+EVENTS = EventLog("reads")
 MINIMUM_HEDGE_DELAY_S = 0.1
 """Minimum delay, in seconds, before a read is sent to a second member: a healthy machine pauses for
 up to 0.1 s when its CPU quota is used up."""
 UNANSWERED_KINDS = frozenset({AnswerKind.LOST, AnswerKind.TIMED_OUT})
-RETRYABLE_READ_ANSWERS = UNANSWERED_KINDS | {AnswerKind.FAILED}
+RETRYABLE_READ_ANSWERS = UNANSWERED_KINDS | {AnswerKind.FAILED, AnswerKind.OUTDATED}
 """Answers after which a read is tried at another member although it may have run: a faulty member
-fails reads that others serve."""
+fails reads that others serve, and a member that was replaced lacks commits that others have."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,11 +136,32 @@
 
     async def _ask(self, pinned: PinnedConnection, after: LogPosition | None) -> SentRead:
         attempt = self._attempt
+        acknowledged = attempt.group.acknowledged
         answer = await self._exchange.run(pinned, attempt, after, attempt.time_left())
+        if after is None and _is_outdated(answer, acknowledged):
+            answer = await self._reject(pinned, answer)
         sent = SentRead(pinned, answer)
         self._answered.append(sent)
         return sent
 
+    async def _reject(self, pinned: PinnedConnection, answer: MemberAnswer) -> MemberAnswer:
+        """Return the answer to deliver in place of one that shows that the member was replaced."""
+        group = self._attempt.group
+        position = f"{answer.position.term}.{answer.position.position}"
+        EVENTS.warning("read-outdated", group=group.name, member=pinned.identity, position=position)
+        await group.record_reported_role(pinned.identity, False, time.monotonic())
+        detail = f"the log of {pinned.identity} at {position} lacks an acknowledged commit"
+        return replace(answer, kind=AnswerKind.OUTDATED, rows=(), detail=detail)
+
+
+def _is_outdated(answer: MemberAnswer, acknowledged: LogPosition) -> bool:
+    """Tell whether a read of the primary ran on a log that lacks an acknowledged commit.
+
+    :param acknowledged: position of a commit that was acknowledged before the read was sent
+    """
+    has_position = answer.kind is AnswerKind.DONE and answer.position is not None
+    return has_position and answer.position < acknowledged
+
 
 def _hedge_delay_s(pinned: PinnedConnection) -> float:
     return max(MINIMUM_HEDGE_DELAY_S, pinned.pool.observed.answer.longest_s)
--- a/limedyke/proxy/statements/members/member_exchange.py
+++ b/limedyke/proxy/statements/members/member_exchange.py
@@ -130,6 +130,7 @@
         if answer.kind in NOT_RUN:
             attempt.session.tries_under_way -= 1
         self._record_answer(pinned, attempt, answer, started_at, was_primary)
+        await _record_role(pinned, attempt, answer, started_at)
         if not was_primary:
             _record_lag(observed, attempt, answer, after)
         if pinned.connection.status is not TransactionStatus.IDLE:
@@ -167,7 +168,7 @@
             observed.concurrency.answered(_work_kind(attempt), seconds, under_way, now)
             if not is_replica:
                 attempt.group.outage.ended()
-            is_commit = attempt.run.writes and answer.status is TransactionStatus.IDLE
+            is_commit = _is_commit(attempt, answer)
             if is_commit or was_primary:
                 group = attempt.group
                 group.learn_position(pinned.identity, started_at, answer.position, is_commit)
@@ -178,6 +179,25 @@
             observed.concurrency.turned_away(now - started_at, now)
 
 
+def _is_commit(attempt: Attempt, answer: MemberAnswer) -> bool:
+    """Tell whether an answer acknowledges a commit that writes."""
+    is_done = answer.kind is AnswerKind.DONE
+    return is_done and attempt.run.writes and answer.status is TransactionStatus.IDLE
+
+
+async def _record_role(
+    pinned: PinnedConnection, attempt: Attempt, answer: MemberAnswer, asked_at: float
+) -> None:
+    """Record what an answer shows of the member's role: only the primary commits writes."""
+    group = attempt.group
+    if answer.kind is AnswerKind.NOT_PRIMARY:
+        await group.record_reported_role(pinned.identity, False, asked_at)
+    elif _is_commit(attempt, answer):
+        await group.record_reported_role(pinned.identity, True, asked_at)
+        if answer.position is not None:
+            group.note_acknowledged(pinned.identity, asked_at, answer.position)
+
+
 def _record_lag(
     observed: ObservedMember, attempt: Attempt, answer: MemberAnswer, after: LogPosition | None
 ) -> None:
--- a/limedyke/proxy/statements/members/member_queries.py
+++ b/limedyke/proxy/statements/members/member_queries.py
@@ -37,21 +37,39 @@
         """Query the presumed primary for its position; None when it is not proven to be primary."""
         pool = group.primary_pool()
         if pool is None:
+            await self.search_primary(group)
             return None
         asked_at = time.monotonic()
         if not pool.observed.takes_work(asked_at) or pool.observed.seems_silent(asked_at):
             await self.search_primary(group)
             return None
-        status = await self.ask_status(pool, min(limit_s, 1.0))
+        status = await self.ask_role(group, pool, min(limit_s, 1.0))
         if status is None:
             return None
-        await group.record_reported_role(pool.observed.record.identity, status.is_primary)
         if not status.is_primary:
             await self.search_primary(group)
             return None
-        group.learn_position(pool.observed.record.identity, asked_at, status.position, proven=True)
         return status.position
 
+    async def confirm_primary(self, group: StatementGroup, limit_s: float) -> None:
+        """Ask the recorded primary whether it leads; wait for the answer if it was asked already.
+
+        After a change of primary many reads need the same answer, and each query takes a slot of
+        the member.
+        """
+        pool = group.pools.get(group.primary)
+        if pool is None:
+            return
+        if group.confirmation is not None:
+            await curio.ignore_after(limit_s, group.confirmation.wait)
+            return
+        group.confirmation = ended = curio.Event()
+        try:
+            await self.ask_role(group, pool, min(limit_s, STATUS_QUERY_TIMEOUT_S))
+        finally:
+            group.confirmation = None
+            await ended.set()
+
     async def learn_position(self, group: StatementGroup) -> None:
         """Query the presumed primary's position in the background, one query at a time."""
         pool = group.primary_pool()
@@ -61,14 +79,10 @@
         await curio.spawn(self._learn_position, group, pool, daemon=True)
 
     async def _learn_position(self, group: StatementGroup, pool: MemberPool) -> None:
-        asked_at = time.monotonic()
         try:
-            status = await self.ask_status(pool, STATUS_QUERY_TIMEOUT_S)
+            await self.ask_role(group, pool, STATUS_QUERY_TIMEOUT_S)
         finally:
             group.is_position_query_running = False
-        if status is not None and status.is_primary:
-            identity = pool.observed.record.identity
-            group.learn_position(identity, asked_at, status.position, proven=True)
 
     async def search_primary(self, group: StatementGroup) -> None:
         """Query the members' roles in the background, at a limited rate."""
@@ -78,17 +92,24 @@
         group.next_primary_search_at = now + SEARCH_INTERVAL_S
         for pool in list(group.pools.values()):
             if pool.observed.is_ready and pool.limit > 0:
-                await curio.spawn(self._ask_role, group, pool, daemon=True)
+                await curio.spawn(self.ask_role, group, pool, STATUS_QUERY_TIMEOUT_S, daemon=True)
+
+    async def ask_role(
+        self, group: StatementGroup, pool: MemberPool, limit_s: float
+    ) -> MemberStatus | None:
+        """Query a member's status and record its role, and its position if it leads.
 
-    async def _ask_role(self, group: StatementGroup, pool: MemberPool) -> None:
+        :returns: None when it doesn't answer
+        """
         asked_at = time.monotonic()
-        status = await self.ask_status(pool, STATUS_QUERY_TIMEOUT_S)
+        status = await self.ask_status(pool, limit_s)
         if status is None:
-            return
+            return None
         identity = pool.observed.record.identity
         if status.is_primary:
             group.learn_position(identity, asked_at, status.position, proven=True)
-        await group.record_reported_role(identity, status.is_primary)
+        await group.record_reported_role(identity, status.is_primary, asked_at)
+        return status
 
     async def ask_status(self, pool: MemberPool, limit_s: float) -> MemberStatus | None:
         """Return a member's status; None when it doesn't answer.
--- a/limedyke/proxy/statements/read_runner.py
+++ b/limedyke/proxy/statements/read_runner.py
@@ -12,6 +12,7 @@
 from limedyke.messages.databases import Consistency
 from limedyke.messages.work import LogPosition
 from limedyke.proxy.statements.attempt import MINIMUM_ATTEMPT_S, MS_PER_S, Attempt
+from limedyke.proxy.statements.group import StatementGroup
 from limedyke.proxy.statements.hedged_read import RETRYABLE_READ_ANSWERS, HedgedRead, HedgeTarget
 from limedyke.proxy.statements.members.member_exchange import MemberExchange
 from limedyke.proxy.statements.members.member_pool import MemberPool
@@ -50,7 +51,7 @@
             if required is None and not group.is_surely_primary(group.primary):
                 attempt.record_failure(NotSentReason.POSITION_UNPROVEN)
                 if not await attempt.pause():
-                    return StatementOutcome(attempt.final_refusal(ResultCode.FRESHNESS_UNPROVEN))
+                    return StatementOutcome(attempt.final_refusal(_unproven_code(group)))
                 continue
             eligible = self._eligible_members(attempt, required)
             if not eligible:
@@ -175,6 +176,8 @@
         group = attempt.group
         session = attempt.session
         if session.database.consistency is Consistency.PRIMARY:
+            if group.awaits_confirmation():
+                await self._queries.confirm_primary(group, attempt.time_left())
             if group.is_surely_primary(group.primary):
                 return None
             return await self._queries.prove_position(group, attempt.time_left())
@@ -194,6 +197,10 @@
             position = group.positions.not_older_than(_oldest_allowed(attempt))
             if position is not None:
                 return position
+            if group.awaits_confirmation():
+                await self._queries.confirm_primary(group, attempt.time_left())
+                if group.positions.not_older_than(_oldest_allowed(attempt)) is not None:
+                    continue
             if not group.is_surely_primary(group.primary):
                 return await self._queries.prove_position(group, attempt.time_left())
             pool = group.primary_pool()
@@ -204,6 +211,16 @@
                 return None
 
 
+def _unproven_code(group: StatementGroup) -> ResultCode:
+    """Return the refusal of a read for which nothing proves who leads.
+
+    A recorded primary that has not confirmed its role had no room for the question.
+    """
+    if group.awaits_confirmation():
+        return ResultCode.NO_MEMBER
+    return ResultCode.FRESHNESS_UNPROVEN
+
+
 def _oldest_allowed(attempt: Attempt) -> float:
     """Return the earliest time at which the primary may have held a usable position."""
     staleness_s = attempt.session.database.max_staleness_ms / MS_PER_S
--- a/limedyke/proxy/statements/runner.py
+++ b/limedyke/proxy/statements/runner.py
@@ -153,7 +153,6 @@
             attempt.record_failure(answer.kind, pinned.identity)
             await pinned.release()
             if answer.kind is AnswerKind.NOT_PRIMARY:
-                await group.record_reported_role(pinned.identity, is_primary=False)
                 await self.queries.search_primary(group)
             until = attempt.deadline if answer.kind is AnswerKind.BUSY else attempt.held_until()
             if not await attempt.pause(until):
