Record a promoted member once it says that it leads, after its call

Cause: the target of a call was recorded as the primary as soon as its record in the log said that it is one. That record is its last announcement, whose age nobody knows: a member that was replaced while it could not reach the controllers had never taken it back. Only the member replaced just now was guarded against. An announcement that arrives after the call proves no more, as the network may have held it; and while a call for another member may still be carried out, even a true claim is about to end. The record of a member that does not lead was then denied by the proxies and replaced by the other one, which is why the two took turns.

Change: PrimaryQuery has every live home proxy ask the target itself, every 0.05 s; PrimaryClaim reports its answer. It counts in the round of the call alone, from the incarnation that was called, and not for a term below one that another member's log is in. A round begins once no call for another member is outstanding: an unanswered one may be carried out until a later one is accepted, an accepted one for 1 s. A leader that finds a group without a primary assumes that a call is outstanding. Proxies of the version before are not asked; where a group has no others, an announcement from after the call counts. What a new leader has not heard itself no longer ranks candidates or replaces a primary.

The stand-in platform carries calls out late and refuses overtaken ones, its members announce late or not at all, as the protocol allows.

--- /dev/null
+++ b/features/primary_queries.feature
@@ -0,0 +1,39 @@
+Feature: A proxy asks a member that is being promoted whether it leads
+  A proxy's parts before stand-in members on loopback. docs/design/promotion-claims.md describes the rules.
+
+  # The controllers ask who leads; the answer has to be from after the question, and must change nothing at the member.
+  Scenario: primary queries: a member's claim is reported once it leads, and no sooner
+    Given confirmation: a primary database on primary a and replicas b and c, which lag by 0 ms
+    When confirmation: 1 terms are granted one after the other
+    And confirmation: b is held
+    And primary queries: the controllers ask for 1000 ms whether b leads
+    And confirmation: 300 ms pass
+    Then primary queries: no claim is reported
+    And confirmation: b is still held
+    When confirmation: b leads
+    Then primary queries: one claim of b with its term is reported within 300 ms
+
+  # The member began to lead between two questions, and was recorded half a second later.
+  Scenario: primary queries: a repeated question goes on without a pause
+    Given confirmation: a primary database on primary a and replicas b and c, which lag by 0 ms
+    When confirmation: 1 terms are granted one after the other
+    And primary queries: the controllers ask for 300 ms whether b leads
+    And confirmation: 200 ms pass
+    And primary queries: the controllers ask for 300 ms whether b leads
+    And confirmation: 200 ms pass
+    And confirmation: b leads
+    Then primary queries: one claim of b with its term is reported within 90 ms
+
+  Scenario Outline: primary queries: a question is given up when <reason>
+    Given confirmation: a primary database on primary a and replicas b and c, which lag by 0 ms
+    When confirmation: 1 terms are granted one after the other
+    And primary queries: the controllers ask for 400 ms whether b leads
+    And confirmation: <reason>
+    And confirmation: b leads
+    And confirmation: 300 ms pass
+    Then primary queries: no claim is reported
+
+    Examples:
+      | reason                                     |
+      | 1 terms are granted one after the other    |
+      | 600 ms pass                                |
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -192,7 +192,7 @@
         tuple(violations),
         sum(len(record.served) for record in all_records),
         sum(len(record.writes) for record in all_records),
-        len(deployment.promotions),
+        len(deployment.authority.promotions),
         folder,
     )
 
--- a/features/steps/failure_explanation_steps.py
+++ b/features/steps/failure_explanation_steps.py
@@ -36,7 +36,7 @@
 
 @when("explained: the primary hangs, and the authority is down")
 def step_hangs(context):
-    context.deployment.authority_is_down = True
+    context.deployment.authority.is_down = True
     context.deployment.group.primary.faults.silent = True
 
 
--- a/features/steps/platform_processes_steps.py
+++ b/features/steps/platform_processes_steps.py
@@ -118,8 +118,8 @@
 
 @then("platform: one member was promoted")
 def step_promoted(context):
-    promoted = {identity for identity, _ in context.deployment.promotions}
-    assert promoted and "a" not in promoted, context.deployment.promotions
+    promoted = {identity for identity, _ in context.deployment.authority.promotions}
+    assert promoted and "a" not in promoted, context.deployment.authority.promotions
     assert context.deployment.group.primary.identity in promoted, promoted
 
 
--- a/features/support/announced_world.py
+++ b/features/support/announced_world.py
@@ -4,7 +4,7 @@
 
 import random
 from collections.abc import Iterable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from features.support.control_builders import StateUnderTest
 from limedyke.core.control.events import (
@@ -13,6 +13,7 @@
     HeartbeatReceived,
     LogDecision,
     MemberReported,
+    PrimaryClaimed,
     Propose,
     ProxyConnected,
     RequestPromotion,
@@ -25,6 +26,8 @@
 from limedyke.messages.control import (
     MemberHealth,
     MemberReport,
+    PrimaryClaim,
+    PrimaryQuery,
     ProxyHeartbeat,
     ProxyHello,
     ProxyState,
@@ -37,6 +40,18 @@
 STEP_S = 0.05
 INTERVAL_S = 1.0
 PROXIES = ("p", "q", "r")
+MS_PER_S = 1_000
+FIRST_CLAIMED_TERM = 9
+"""Above the terms that the proxies' reports name."""
+
+
+@dataclass(frozen=True, slots=True)
+class _OpenQuery:
+    """A query for the primary that a proxy repeats at its member until a moment."""
+
+    proxy: str
+    query: PrimaryQuery
+    until: float
 
 
 def a_member(identity: str, role: str) -> AnnouncedMember:
@@ -51,10 +66,18 @@
 
     :param started_at_ms: start time of all members; 0 if they do not report it
     :param synchronous_replicas: replicas for which the group's commits wait
+    :param reports_claims: whether proxies that connect ask members who leads
+    :ivar true_roles: whether a member leads, where that is not what it announced last
+    :ivar claimed_term: term that a member says that it leads
+    :ivar claims: claims that proxies reported, with the time of the report
     """
 
     def __init__(
-        self, members: dict[str, str], started_at_ms: int = 0, synchronous_replicas: int = 0
+        self,
+        members: dict[str, str],
+        started_at_ms: int = 0,
+        synchronous_replicas: int = 0,
+        reports_claims: bool = True,
     ) -> None:
         self.now = 100.0
         self.test = StateUnderTest()
@@ -73,6 +96,11 @@
         self.heartbeats = 0
         self.proxies = list(PROXIES)
         self.timing = ControlTiming(lease_s=30.0)
+        self.reports_claims = reports_claims
+        self.true_roles: dict[str, bool] = {}
+        self.claimed_term = FIRST_CLAIMED_TERM
+        self.claims: list[tuple[float, PrimaryClaim]] = []
+        self._open_queries: list[_OpenQuery] = []
         self.lead()
 
     def _declaration(self, synchronous_replicas: int) -> DeclareVersion:
@@ -95,16 +123,19 @@
         self.apply(self._declaration(synchronous_replicas))
         self.post()
 
-    def lead(self, found_by: Iterable[str] | None = None) -> None:
+    def lead(
+        self, found_by: Iterable[str] | None = None, heard: Iterable[str] | None = None
+    ) -> None:
         """Start a new leader.
 
         :param found_by: the proxies that connect to it; None for all
+        :param heard: the members that announce themselves to it; None for all
         """
         random_generator = random.Random(1)
         self.leader = LeaderDecisions(self.test.state, self.timing, 3, random_generator, self.now)
         for name in self.proxies if found_by is None else found_by:
             self._connect(name)
-        for name in self.members:
+        for name in list(self.members) if heard is None else heard:
             self.announce(name)
 
     def add_proxies(self, names: Iterable[str]) -> None:
@@ -114,8 +145,18 @@
             self._connect(name)
 
     def _connect(self, name: str) -> None:
+        """Connect a proxy, or connect it again."""
         address = f"127.1.0.{len(name)}:{ord(name[-1])}"
-        hello = ProxyHello(name, 1, address, "z", 0, 0, reports_positions=True)
+        hello = ProxyHello(
+            name,
+            1,
+            address,
+            "z",
+            0,
+            0,
+            reports_positions=True,
+            reports_claims=self.reports_claims,
+        )
         self.post(ProxyConnected(hello))
         self.beat(name, first=True)
 
@@ -139,7 +180,30 @@
                     self.decisions.append(command.text)
 
     def deliver(self, proxy: str, message: object) -> None:
-        """Deliver a message to a proxy, which ignores it here."""
+        """Deliver a message to a proxy, which only handles queries for the primary."""
+        if isinstance(message, PrimaryQuery):
+            until = self.now + message.timeout_ms / MS_PER_S
+            self._open_queries.append(_OpenQuery(proxy, message, until))
+            self.answer_queries()
+
+    def answer_queries(self) -> None:
+        """Let proxies report the members that say that they lead, in answer to open queries."""
+        self._open_queries = [found for found in self._open_queries if self.now <= found.until]
+        for found in list(self._open_queries):
+            if found in self._open_queries and self.tells_lead(found.proxy, found.query.member):
+                self._open_queries.remove(found)
+                self._claim(found.proxy, found.query)
+
+    def tells_lead(self, proxy: str, member: str) -> bool:
+        """Tell whether a member answers a proxy now that it leads."""
+        known = self.members.get(member)
+        return known is not None and self.true_roles.get(member, known.is_primary)
+
+    def _claim(self, proxy: str, query: PrimaryQuery) -> None:
+        started_at_ms = self.members[query.member].started_at_ms
+        claim = PrimaryClaim(GROUP, query.round_id, query.member, started_at_ms, self.claimed_term)
+        self.claims.append((self.now, claim))
+        self.post(PrimaryClaimed(proxy, claim))
 
     def apply(self, entry: object) -> None:
         """Apply an entry, and notify the leader."""
@@ -165,6 +229,7 @@
         if entry is not None:
             self.apply(entry)
         self.post()
+        self.answer_queries()
 
     def start_again(self, name: str, role: str, later_ms: int = 1_000) -> None:
         """Restart a member under its identity; it announces itself."""
@@ -230,6 +295,7 @@
                     if name not in self.silent:
                         self.announce(name)
             self.post(TimePassed())
+            self.answer_queries()
 
     @property
     def primary(self) -> str:
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -12,10 +12,11 @@
 
 import curio
 
+from features.support.line_platform.authority import StandInAuthority
 from features.support.line_platform.group import StandInGroup, StandInMember
 from features.support.platform_path import PLATFORM_FOLDER
 from limedyke.transport.http_client import HttpCall, call_http
-from limedyke.transport.http_server import HttpAnswer, HttpLimits, HttpRequest, HttpServer
+from limedyke.transport.http_server import HttpLimits, HttpServer
 from limedyke.transport.link import listen
 
 NETWORK = os.environ.get("LIMEDYKE_TEST_NETWORK", "127.31")
@@ -28,7 +29,6 @@
 FIRST_INTERNAL_PORT = 28_440
 CLOUD_ADDRESS = f"{NETWORK}.9.1:{CLOUD_PORT}"
 HEARTBEAT_S = 0.3
-PROMOTE_S = 0.2
 CALL_TIMEOUT_S = 3.0
 GROUP = "g1"
 USUAL_PRIORITY = 1
@@ -42,6 +42,8 @@
     :param synchronous_replicas: replicas that must have received a commit before it is answered
     :ivar seeds: the controllers listed in node files
     :ivar priorities: priority by database, where it differs from ``USUAL_PRIORITY``
+    :ivar route_type: which members the clients' reads may use
+    :ivar authority: promotes members
     """
 
     def __init__(
@@ -55,17 +57,17 @@
         self.tenants: list[dict] | None = None
         self.priorities: dict[str, int] = {}
         self.group = StandInGroup(GROUP, ("a", "b", "c"), synchronous_replicas=synchronous_replicas)
-        self.promotions: list[tuple[str, int]] = []
+        self.authority = StandInAuthority(self.group, self._announce)
+        self.route_type = "direct"
         self.version = 0
         self.statement_timeout_ms = 1_000
-        self.authority_is_down = False
         self._born_ms = int(time.time() * 1_000)
 
     async def start(self) -> None:
         """Start the fakes and all processes."""
         await self.group.start()
         listener = listen(CLOUD_ADDRESS).unwrap()
-        server = HttpServer(self._promote, HttpLimits(64 * 1024))
+        server = HttpServer(self.authority.answer, HttpLimits(64 * 1024))
         await curio.spawn(server.run, listener, daemon=True)
         for ip in CONTROLLERS:
             self.start_process(ip, "run_controller.py", bootstrap=True)
@@ -182,7 +184,7 @@
                 "name": f"r-{name}",
                 "hostname": name,
                 "pathPrefix": "/",
-                "routeType": "direct",
+                "routeType": self.route_type,
                 "timeoutMs": self.statement_timeout_ms,
                 "targetLatencyMs": 1_000,
                 "priority": self.priorities.get(name, USUAL_PRIORITY),
@@ -205,23 +207,6 @@
         call = HttpCall("GET", "/config", b"")
         return await call_http(f"{ip}:{CONTROL_PORT}", call, CALL_TIMEOUT_S)
 
-    async def _promote(self, request: HttpRequest) -> HttpAnswer:
-        """Accept a promotion request and promote the member after a short delay."""
-        if self.authority_is_down:
-            return HttpAnswer(503)
-        identity = json.loads(request.body)["id"]
-        member = self.group.members[identity]
-        if member.task.terminated:
-            return HttpAnswer(409)
-        self.promotions.append((identity, len(self.promotions)))
-        await curio.spawn(self._promote_later, identity, daemon=True)
-        return HttpAnswer(200)
-
-    async def _promote_later(self, identity: str) -> None:
-        await curio.sleep(PROMOTE_S)
-        self.group.promote(identity)
-        await self._announce(self.group.members[identity])
-
     async def _send_heartbeats(self) -> None:
         while True:
             for member in self.group.members.values():
@@ -234,10 +219,18 @@
         return member.address
 
     async def _announce(self, member: StandInMember) -> None:
-        """Announce a member; try the controllers in order until one acknowledges."""
+        """Announce a member, now or once its announcements have travelled."""
+        body = json.dumps(self._announcement(member)).encode()
         if not member.announces_itself:
             return
-        body = {
+        if not member.announcements_travel_s:
+            await self._deliver_announcement(member, body)
+            return
+        await curio.spawn(self._deliver_late, member, body, daemon=True)
+
+    def _announcement(self, member: StandInMember) -> dict:
+        """Return what a member says of itself now."""
+        return {
             "service": GROUP,
             "address": self.address_of(member),
             "zone": "z1",
@@ -249,7 +242,14 @@
             "callSeq": int(time.monotonic() * 1_000),
             "born": self._born_ms + member.incarnation,
         }
-        call = HttpCall("PUT", f"/instances/{member.identity}", json.dumps(body).encode())
+
+    async def _deliver_late(self, member: StandInMember, body: bytes) -> None:
+        await curio.sleep(member.announcements_travel_s)
+        await self._deliver_announcement(member, body)
+
+    async def _deliver_announcement(self, member: StandInMember, body: bytes) -> None:
+        """Send an announcement to the controllers in order until one acknowledges it."""
+        call = HttpCall("PUT", f"/instances/{member.identity}", body)
         for ip in CONTROLLERS:
             if await call_http(f"{ip}:{CONTROL_PORT}", call, 1.0) == 200:
                 return
--- a/features/support/line_platform/group.py
+++ b/features/support/line_platform/group.py
@@ -51,6 +51,7 @@
     :ivar knows_hold: whether it knows PAUSE, RESUME and STEPDOWN; otherwise it calls them malformed
     :ivar announced_state: what its heartbeats say, ``ready`` or ``draining``
     :ivar announces_itself: whether its heartbeats reach the controllers
+    :ivar announcements_travel_s: how long its heartbeats travel, in seconds
     :ivar held_term: term of the PAUSE that keeps it from receiving; 0 for none
     """
 
@@ -68,6 +69,7 @@
     held_term: int = 0
     announced_state: str = "ready"
     announces_itself: bool = True
+    announcements_travel_s: float = 0.0
     incarnation: int = 1
     listener: socket.socket | None = None
     sessions: set[MemberSession] = field(default_factory=set)
--- a/features/support/scripted_controller.py
+++ b/features/support/scripted_controller.py
@@ -21,6 +21,7 @@
     MemberReport,
     NotLeader,
     PositionQuery,
+    PrimaryQuery,
     PromoteOrder,
     PromoteResult,
     ProxyHeartbeat,
@@ -177,6 +178,7 @@
     views: list[ControlView] = field(default_factory=list)
     leases: list[tuple[ConnectionLease, ...]] = field(default_factory=list)
     queries: list[PositionQuery] = field(default_factory=list)
+    primary_queries: list[PrimaryQuery] = field(default_factory=list)
 
     async def control_changed(self, view: ControlView) -> None:
         """Record a view."""
@@ -195,6 +197,10 @@
         """Record a position query."""
         self.queries.append(query)
 
+    async def query_primary(self, query: PrimaryQuery) -> None:
+        """Record a primary query."""
+        self.primary_queries.append(query)
+
 
 def client_settings(folder: Path, addresses: tuple[str, ...], silence_ms: int) -> ProxySettings:
     """Return a proxy's settings with short intervals and timeouts."""
--- a/features/support/synchronous_world.py
+++ b/features/support/synchronous_world.py
@@ -123,6 +123,7 @@
     def deliver(self, proxy: str, message: object) -> None:
         """Answer a position query for each member that the proxy reaches."""
         if not isinstance(message, PositionQuery):
+            super().deliver(proxy, message)
             return
         self.queries.append(message)
         for name in message.members:
@@ -140,6 +141,13 @@
             self.reports.append((proxy, report))
             self.post(PositionReported(proxy, report))
 
+    def tells_lead(self, proxy: str, member: str) -> bool:
+        """Tell whether a member answers a proxy now that it leads."""
+        model = self.models.get(member)
+        if model is None or model.is_down or proxy in model.unreached_by:
+            return False
+        return model.is_primary and proxy not in self.unconfirming
+
     def release(self, name: str) -> None:
         """Let a held member receive again."""
         model = self.models[name]
--- a/limedyke/controller/leading/proxy_sessions.py
+++ b/limedyke/controller/leading/proxy_sessions.py
@@ -15,6 +15,7 @@
     MemberReported,
     OperationsRequested,
     PositionReported,
+    PrimaryClaimed,
     PromotionAnswered,
     ProxyConnected,
     ProxyDisconnected,
@@ -31,6 +32,7 @@
     MemberReport,
     NotLeader,
     PositionReport,
+    PrimaryClaim,
     PromoteResult,
     ProxyHeartbeat,
     ProxyHello,
@@ -223,6 +225,8 @@
             return PromotionAnswered(proxy, message.group, message.term, message.primary)
         case PositionReport():
             return PositionReported(proxy, message)
+        case PrimaryClaim():
+            return PrimaryClaimed(proxy, message)
         case WritesPaused():
             return WritesPausedReported(proxy, message.group, message.term)
         case ProxyLeaving():
--- a/limedyke/core/control/announcements.py
+++ b/limedyke/core/control/announcements.py
@@ -72,6 +72,14 @@
         last = self._last_announcements.get(identity)
         return last.at if last is not None else self._started_at
 
+    def announced_since(self, identity: str, moment: float) -> bool:
+        """Return whether a member announced itself to this leader after a moment.
+
+        The announcement may have been sent before that moment, as the network can hold it.
+        """
+        last = self._last_announcements.get(identity)
+        return last is not None and last.at > moment
+
     def announced(self, member: AnnouncedMember, sequence: int, now: float) -> RecordMembers | None:
         """Process an announcement; return the entry that records it, or None if nothing changed.
 
--- a/limedyke/core/control/events.py
+++ b/limedyke/core/control/events.py
@@ -10,6 +10,7 @@
     ControlUpdate,
     MemberReport,
     PositionReport,
+    PrimaryClaim,
     ProxyHeartbeat,
     ProxyHello,
 )
@@ -91,6 +92,14 @@
     report: PositionReport
 
 
+@dataclass(frozen=True, slots=True)
+class PrimaryClaimed:
+    """A home proxy was told by a member that it is the primary."""
+
+    proxy: str
+    claim: PrimaryClaim
+
+
 @dataclass(frozen=True, slots=True)
 class ProxyLeft:
     """A proxy drains; ``done`` once it holds no leases."""
@@ -150,6 +159,7 @@
     | PromotionAnswered
     | WritesPausedReported
     | PositionReported
+    | PrimaryClaimed
     | ProxyLeft
     | UpdateApplied
     | PlatformListed
--- a/limedyke/core/control/leader.py
+++ b/limedyke/core/control/leader.py
@@ -22,6 +22,7 @@
     OperationsRequested,
     PlatformListed,
     PositionReported,
+    PrimaryClaimed,
     PromotionAnswered,
     Propose,
     ProxyConnected,
@@ -139,6 +140,8 @@
                 self.authority.report(event.proxy, event.report, now)
             case PositionReported():
                 self.authority.position_reported(event.report, now)
+            case PrimaryClaimed():
+                self.authority.primary_claimed(event.claim, now)
             case OperationsRequested():
                 granted = self.limits.wanted(event.proxy, event.request, now)
                 self._commands.append(SendToProxy(event.proxy, granted))
--- a/limedyke/core/control/membership.py
+++ b/limedyke/core/control/membership.py
@@ -47,6 +47,7 @@
     :param heard_at: when its last message arrived; the leader's start time if none has
     :param record: the record that the log should hold; None before the proxy's hello
     :param reports_positions: see ``ProxyHello``
+    :param reports_claims: see ``ProxyHello``
     """
 
     heard_at: float
@@ -56,6 +57,7 @@
     control_index: int = 0
     clients: int = 0
     reports_positions: bool = False
+    reports_claims: bool = False
 
 
 class ProxyMembership:
@@ -109,6 +111,7 @@
             revision=hello.revision,
             control_index=hello.control_index,
             reports_positions=hello.reports_positions,
+            reports_claims=hello.reports_claims,
         )
         self._pending_removals.pop(hello.name, None)
         self._schedule_record(record)
--- a/limedyke/core/control/primaries/authority_failover.py
+++ b/limedyke/core/control/primaries/authority_failover.py
@@ -6,6 +6,10 @@
 authority with the grant's fencing number.  If the outcome of a call is unknown, a new grant with a
 higher fencing number follows.
 
+The called member is recorded as the primary once it has said so to a home proxy that asked it after
+the call.  While a call for another member may still be carried out nobody is recorded: that member
+would take the lead from the recorded one.
+
 Where commits wait for replicas, the leader calls the authority only once the members' log positions
 show who holds every acknowledged commit.
 """
@@ -31,6 +35,7 @@
     AuthorityStep,
     is_from_earlier_incarnation,
 )
+from limedyke.core.control.primaries.claim_round import ClaimQueries
 from limedyke.core.control.primaries.primary_evaluator import PrimaryEvaluator
 from limedyke.core.control.primaries.synchronous_promotion import SynchronousPromotion
 from limedyke.core.control.proposal_batch import ProposalBatch
@@ -40,6 +45,7 @@
     GroupPrimary,
     MemberReport,
     PositionReport,
+    PrimaryClaim,
     ProxyRecord,
     ProxyState,
 )
@@ -65,7 +71,7 @@
     :param announcements: tells when members last announced themselves
     :param membership: tells when proxies last sent a message, and the index they have confirmed
     :param homes: the home proxies of each group; only they connect to members and report on them
-    :param generator: source of the ids of position queries
+    :param generator: source of the ids of queries
     :param now: when this controller became the leader
     """
 
@@ -87,6 +93,7 @@
         self._synchronous = SynchronousPromotion(
             self._evaluator.members_of, membership, homes, generator
         )
+        self._claims = ClaimQueries(membership, homes, generator)
         self._primaries = primaries
         self._members = members
         self._proxies = proxies
@@ -97,7 +104,7 @@
         self._started_at = now
         self._group_states: dict[str, AuthorityGroupState] = {}
         self._proposals = ProposalBatch()
-        self._commands: list[RequestPromotion | LogDecision] = []
+        self._commands: list[RequestPromotion | SendToProxy | LogDecision] = []
 
     def step_of(self, group: str) -> AuthorityStep | None:
         """Return the current step of a group."""
@@ -118,6 +125,7 @@
         recorded = self._recorded(group.name)
         if recorded.term > 0 and not recorded.primary:
             state.replaced = recorded.replaced
+            state.calls.sent_by_earlier_leader()
             state.enter(AuthorityStep.BACKING_OFF, now)
 
     def remove_group(self, group: str) -> None:
@@ -141,6 +149,22 @@
         self._synchronous.report(report)
         self._evaluate_group(report.group, state, now)
 
+    def primary_claimed(self, claim: PrimaryClaim, now: float) -> None:
+        """Record the target of a call as the primary, as it says that it leads.
+
+        A claim to lead an earlier term than another member's log is in is a mistake of the member,
+        which has not noticed that it was replaced.
+        """
+        state = self._group_states.get(claim.group)
+        if state is None or not state.awaits_claim(claim):
+            return
+        newest = state.reports.newest_term()
+        if claim.term < newest:
+            text = f"{claim.member} says that it leads term {claim.term}, but {newest} has begun"
+            self._log_decision(claim.group, text)
+            return
+        self._record_target(claim.group, state, now)
+
     def proxy_disconnected(self, proxy: str) -> None:
         """Drop the reports of a disconnected proxy."""
         for state in self._group_states.values():
@@ -154,11 +178,14 @@
         if primary.primary:
             self._synchronous.end_round(primary.group)
             state.target_position = FIRST_POSITION
+            state.calls.primary_recorded()
             state.failures = 0
             state.recorded_at = now
             state.reports.forget_member(primary.primary)
             state.enter(AuthorityStep.WATCHED)
             return
+        state.target = ""
+        state.claim_round = None
         state.enter(AuthorityStep.FENCING)
         self._evaluate_group(primary.group, state, now)
 
@@ -185,19 +212,24 @@
     def authority_answered(
         self, group: str, fence: int, outcome: AuthorityOutcome, now: float
     ) -> None:
-        """Handle the outcome of a call to the authority; outcomes of earlier calls are ignored."""
+        """Handle the outcome of a call to the authority.
+
+        Outcomes of earlier calls only show which calls may still be carried out.
+        """
         state = self._group_states.get(group)
-        recorded = self._recorded(group)
-        is_awaited = (
-            state is not None and state.step is AuthorityStep.CALLING and recorded.fence == fence
-        )
-        if not is_awaited:
+        if state is None:
+            return
+        if outcome is AuthorityOutcome.PROMOTED:
+            state.calls.accepted(fence, now + self._timing.promotion_effect_s)
+        elif outcome is AuthorityOutcome.REFUSED:
+            state.calls.refused(fence)
+        if state.step is not AuthorityStep.CALLING or self._recorded(group).fence != fence:
             return
         if outcome is AuthorityOutcome.PROMOTED:
-            # The member starts to lead some time later and announces it then. Until that moment a
-            # read there could miss writes that the replaced primary acknowledged.
-            state.promoted_at = now
-            state.enter(AuthorityStep.PROMOTING, now + self._timing.promotion_wait_s)
+            # The member starts to lead some time later. Until that moment a read there could miss
+            # writes that the replaced primary acknowledged.
+            others_end_at = max(now, state.calls.others_end_at(state.target))
+            state.enter(AuthorityStep.PROMOTING, others_end_at + self._timing.promotion_wait_s)
             self._evaluate_group(group, state, now)
             return
         if outcome is AuthorityOutcome.REFUSED:
@@ -279,7 +311,7 @@
         members = [
             m
             for m in self._evaluator.members_of(group)
-            if self._announcements.last_announced_at(m.identity) > since
+            if self._announcements.announced_since(m.identity, since)
         ]
         own = next((m for m in members if m.identity == recorded.primary), None)
         others = [m for m in members if m.is_primary and m.identity != recorded.primary]
@@ -360,9 +392,9 @@
         state.target = target.identity
         state.target_started_at_ms = target.started_at_ms
         state.target_position = self._synchronous.position_of(group, target.identity)
-        state.promoted_at = NEVER
         self._synchronous.end_round(group)
         fence = self._recorded(group).fence
+        state.calls.sent(state.target, fence)
         self._commands.append(RequestPromotion(group, state.target, fence))
         state.enter(AuthorityStep.CALLING, now + self._timing.authority_timeout_s)
 
@@ -392,19 +424,36 @@
         return next((m for m in (*ready, *last) if m.identity in holders), None)
 
     def _follow_promoted(self, group: str, state: AuthorityGroupState, now: float) -> None:
-        """Record the target of a call as the primary once it announces that it leads."""
-        target = self._members.get(state.target)
-        if target is None or not target.is_primary:
-            return
-        if target.started_at_ms != state.target_started_at_ms:
+        """Have home proxies ask the target of the call whether it leads.
+
+        The first question is sent once no call for another member is outstanding.
+        """
+        if not state.target or now < state.calls.others_end_at(state.target):
             return
-        # The replaced primary may not know yet that it was replaced. Its claim counts only if it
-        # was itself promoted again, as the only remaining member, and announced itself since.
-        is_replaced = state.target == state.replaced
-        if (
-            not is_replaced
-            or self._announcements.last_announced_at(state.target) >= state.promoted_at
-        ):
+        if state.claim_round is None:
+            state.claim_round = self._claims.new_round(now)
+        fence = self._recorded(group).fence
+        self._commands += self._claims.due(state.claim_round, group, fence, state.target, now)
+        if self._claims.only_earlier_versions(group, now):
+            self._follow_announcement(group, state, now)
+
+    def _follow_announcement(self, group: str, state: AuthorityGroupState, now: float) -> None:
+        """Record a target that has announced that it leads, for want of proxies that can ask it."""
+        target = self._members.get(state.target)
+        has_announced = self._announcements.announced_since(
+            state.target, state.claim_round.began_at
+        )
+        if target is not None and target.is_primary and has_announced:
+            self._record_target(group, state, now)
+
+    def _is_called_incarnation(self, state: AuthorityGroupState) -> bool:
+        """Return whether the target is recorded in the incarnation that was called."""
+        target = self._members.get(state.target)
+        return target is not None and target.started_at_ms == state.target_started_at_ms
+
+    def _record_target(self, group: str, state: AuthorityGroupState, now: float) -> None:
+        """Record the target of the call, unless it has restarted since and lost its log."""
+        if self._is_called_incarnation(state):
             self._record(group, state, self._recorded(group).term, state.target, now)
 
     def _record(
--- a/limedyke/core/control/primaries/authority_group_state.py
+++ b/limedyke/core/control/primaries/authority_group_state.py
@@ -6,12 +6,12 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
-from limedyke.messages.control import MemberHealth, MemberReport
+from limedyke.core.control.primaries.claim_round import ClaimRound
+from limedyke.core.control.primaries.promotion_calls import NEVER, PromotionCalls
+from limedyke.messages.control import MemberHealth, MemberReport, PrimaryClaim
 from limedyke.messages.databases import AnnouncedMember
 from limedyke.messages.work import FIRST_POSITION, LogPosition
 
-NEVER = float("inf")
-
 
 class AuthorityStep(enum.StrEnum):
     """The step of a group in the change of its primary.
@@ -30,6 +30,10 @@
     BACKING_OFF = "backing-off"
 
 
+CLAIM_STEPS = frozenset({AuthorityStep.CALLING, AuthorityStep.PROMOTING, AuthorityStep.BACKING_OFF})
+"""The steps in which the target of a call may lead and is asked about it."""
+
+
 class SuspicionReason(enum.StrEnum):
     """The reason to suspect a primary."""
 
@@ -137,7 +141,8 @@
     :param target: the member to promote
     :param target_started_at_ms: start time of the target's incarnation at the call
     :param target_position: log position of the target, where commits wait for replicas
-    :param promoted_at: when the authority answered that it had promoted the target
+    :param calls: the calls to the authority that may still be carried out
+    :param claim_round: the queries whether the target leads; None before they may begin
     :param recorded_at: when the log entry of the current primary was applied
     """
 
@@ -150,11 +155,18 @@
     target: str = ""
     target_started_at_ms: int = 0
     target_position: LogPosition = FIRST_POSITION
-    promoted_at: float = NEVER
+    calls: PromotionCalls = field(default_factory=PromotionCalls)
+    claim_round: ClaimRound | None = None
     failures: int = 0
     added_at: float = 0.0
     recorded_at: float = float("-inf")
 
+    def awaits_claim(self, claim: PrimaryClaim) -> bool:
+        """Return whether a claim answers a question about the target that is still open."""
+        is_current = self.claim_round is not None and self.claim_round.round_id == claim.round_id
+        is_target = (claim.member, claim.started_at_ms) == (self.target, self.target_started_at_ms)
+        return self.step in CLAIM_STEPS and is_current and is_target
+
     def took_over_recently(self, now: float, calm_s: float) -> bool:
         """Return whether the current primary replaced another one within ``calm_s``."""
         return bool(self.replaced) and now - self.recorded_at < calm_s
--- a/limedyke/core/control/primaries/primary_evaluator.py
+++ b/limedyke/core/control/primaries/primary_evaluator.py
@@ -177,7 +177,7 @@
         seen = state.reports.log_of(name)
         log = seen or LogPosition()
         heard_at = self._announcements.last_announced_at(name)
-        leads = member.is_primary and heard_at > state.recorded_at
+        leads = member.is_primary and self._announcements.announced_since(name, state.recorded_at)
         return (
             name in state.reports.emptied and log.position == 0,
             now - heard_at > self._timing.member_silence_s,
--- a/limedyke/core/control/timing.py
+++ b/limedyke/core/control/timing.py
@@ -38,6 +38,8 @@
     :param authority_timeout_s: timeout of a call to the promotion authority
     :param promotion_wait_s: how long after the authority's answer a promoted member may take to
         lead, before another promotion begins
+    :param promotion_effect_s: how long after the authority has accepted a call its member may begin
+        to lead; ``promotion_wait_s`` is longer, as a home proxy has to reach the member as well
     :param member_silence_s: silence after which an announced member is suspected
     :param member_forgotten_s: silence after which an announced member is removed
     """
@@ -62,5 +64,6 @@
     primary_lease_s: float = 1.5
     authority_timeout_s: float = 3.0
     promotion_wait_s: float = 3.0
+    promotion_effect_s: float = 1.0
     member_silence_s: float = 5.0
     member_forgotten_s: float = 30.0
--- a/limedyke/messages/control.py
+++ b/limedyke/messages/control.py
@@ -110,6 +110,7 @@
         incarnation on the same folder has ended and holds no leases.  Without a folder, the id is
         derived from the process's listening address, which is equally exclusive
     :param reports_positions: whether it answers ``PositionQuery``; earlier versions close the link
+    :param reports_claims: whether it answers ``PrimaryQuery``; earlier versions close the link
     """
 
     name: str
@@ -121,6 +122,7 @@
     folder_id: str = ""
     region: str = ""
     reports_positions: bool = False
+    reports_claims: bool = False
 
 
 @message(23)
@@ -342,6 +344,46 @@
     position: LogPosition
 
 
+@message(41)
+@dataclass(frozen=True, slots=True)
+class PrimaryQuery:
+    """Asks a home proxy to find out whether a member that is being promoted leads.
+
+    The proxy repeats the question at the member until it says that it is the primary, or the time
+    is over.  Nothing is held or released at the member.
+
+    :param round_id: identifies the question; unique over all leaders
+    :param fence: see ``GroupPrimary``; a proxy that knows another one ignores the query
+    :param timeout_ms: how long to repeat the question
+    """
+
+    group: str
+    round_id: int
+    fence: int
+    member: str
+    timeout_ms: int
+
+
+@message(42)
+@dataclass(frozen=True, slots=True)
+class PrimaryClaim:
+    """A member's own statement that it is the primary, in answer to ``PrimaryQuery``.
+
+    The member was asked after the query had arrived, so the statement is from after the query was
+    sent.
+
+    :param round_id: of the query
+    :param started_at_ms: start time of the queried incarnation; 0 if members do not report it
+    :param term: term of the log that the member leads
+    """
+
+    group: str
+    round_id: int
+    member: str
+    started_at_ms: int
+    term: int
+
+
 @message(32)
 @dataclass(frozen=True, slots=True)
 class PromoteOrder:
--- a/limedyke/proxy/control/bridge.py
+++ b/limedyke/proxy/control/bridge.py
@@ -11,6 +11,7 @@
     ConnectionLease,
     MemberReport,
     PositionQuery,
+    PrimaryQuery,
     PromoteOrder,
     PromoteResult,
 )
@@ -57,6 +58,10 @@
         """Ignore the query: members with an authority are not served here."""
         EVENTS.warning("positions-not-queried", group=query.group, reason="no announced members")
 
+    async def query_primary(self, query: PrimaryQuery) -> None:
+        """Ignore the query: members with an authority are not served here."""
+        EVENTS.warning("primary-not-queried", group=query.group, reason="no announced members")
+
     async def promotion_done(self, result: PromoteResult) -> None:
         """Pass the result of a promotion to the waiting ``promote`` call."""
         waiting = self._results.get((result.group, result.term))
--- a/limedyke/proxy/control/client.py
+++ b/limedyke/proxy/control/client.py
@@ -28,6 +28,8 @@
     NotLeader,
     PositionQuery,
     PositionReport,
+    PrimaryClaim,
+    PrimaryQuery,
     PromoteOrder,
     ProxyHello,
     QuorumStamp,
@@ -198,6 +200,10 @@
         """Report the log position of a member; the leader queries again if it is lost."""
         await self._send(report)
 
+    async def report_claim(self, claim: PrimaryClaim) -> None:
+        """Report that a member says that it leads; the leader queries again if it is lost."""
+        await self._send(claim)
+
     async def _request_answer(self) -> None:
         """Send a heartbeat for the leader to answer, unless an answer is already awaited."""
         link = self._link
@@ -357,6 +363,7 @@
             LeaseUpdate: self._leases.apply_update,
             PromoteOrder: self._handle_order,
             PositionQuery: self._handler.query_positions,
+            PrimaryQuery: self._handler.query_primary,
             NotLeader: self._handle_not_leader,
             OperationsGranted: self.limits.granted,
         }
--- a/limedyke/proxy/control/handler.py
+++ b/limedyke/proxy/control/handler.py
@@ -4,7 +4,13 @@
 
 from typing import Protocol
 
-from limedyke.messages.control import ConnectionLease, PositionQuery, PromoteOrder, PromoteResult
+from limedyke.messages.control import (
+    ConnectionLease,
+    PositionQuery,
+    PrimaryQuery,
+    PromoteOrder,
+    PromoteResult,
+)
 from limedyke.proxy.control.view import ControlView
 
 
@@ -26,3 +32,6 @@
 
     async def query_positions(self, query: PositionQuery) -> None:
         """Begin to query members for their log positions."""
+
+    async def query_primary(self, query: PrimaryQuery) -> None:
+        """Begin to ask a member whether it leads."""
--- a/limedyke/proxy/control/status_messages.py
+++ b/limedyke/proxy/control/status_messages.py
@@ -42,6 +42,7 @@
             folder_id=stored.folder_id,
             region=self._settings.region,
             reports_positions=True,
+            reports_claims=True,
         )
 
     def next_heartbeat(
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -25,6 +25,8 @@
     MemberReport,
     PositionQuery,
     PositionReport,
+    PrimaryClaim,
+    PrimaryQuery,
     PromoteOrder,
     PromoteResult,
     member_of_budget,
@@ -36,6 +38,7 @@
 from limedyke.proxy.statements.members.member_pool import MemberPool
 from limedyke.proxy.statements.members.member_traffic import MemberTraffic
 from limedyke.proxy.statements.position_queries import PositionQueries
+from limedyke.proxy.statements.primary_queries import PrimaryQueries
 from limedyke.proxy.statements.runner import StatementRunner
 from limedyke.proxy.statements.settings import StatementProxySettings
 from limedyke.transport.traffic import NO_METER, Distance, Place, TrafficMeter
@@ -73,6 +76,9 @@
     async def report_position(self, report: PositionReport) -> None:
         """Report the log position of a member, in answer to a query."""
 
+    async def report_claim(self, claim: PrimaryClaim) -> None:
+        """Report that a member says that it leads, in answer to a query."""
+
     async def return_leases(self, leases: tuple[ConnectionLease, ...]) -> None:
         """Report that no more than these connections are open."""
 
@@ -112,6 +118,7 @@
         self._reported: dict[tuple[str, str], _ReportedState] = {}
         self._unusable: set[str] = set()
         self._positions = PositionQueries(runner.queries, self._report_position)
+        self._primary_queries = PrimaryQueries(runner.queries, self._report_claim)
 
     async def control_changed(self, view: ControlView) -> None:
         """Apply a newer control view."""
@@ -175,6 +182,18 @@
         if self.reporter is not None:
             await self.reporter.report_position(report)
 
+    async def query_primary(self, query: PrimaryQuery) -> None:
+        """Ask a member whether it leads."""
+        group = self.groups.get(query.group)
+        if group is None or group.limit == 0:
+            EVENTS.info("primary-not-queried", group=query.group, reason="no lease")
+            return
+        await self._primary_queries.start(group, query)
+
+    async def _report_claim(self, claim: PrimaryClaim) -> None:
+        if self.reporter is not None:
+            await self.reporter.report_claim(claim)
+
     async def wait_for_view(self, limit_s: float) -> ControlView | None:
         """Return the current view; wait for the first one for a limited time."""
         if self.view is None:
--- a/limedyke/proxy/statements/position_queries.py
+++ b/limedyke/proxy/statements/position_queries.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -15,13 +14,14 @@
 from limedyke.proxy.statements.members.member_connection import MemberConnection
 from limedyke.proxy.statements.members.member_pool import MemberPool
 from limedyke.proxy.statements.members.member_queries import MemberQueries
+from limedyke.proxy.statements.members.polling import (
+    ATTEMPT_TIMEOUT_S,
+    poll_member,
+    polling_end,
+)
 
-ATTEMPT_TIMEOUT_S = 0.2
-"""Time limit of one attempt; after it another connection is used, as this one may be dead."""
-RETRY_PAUSE_S = 0.05
 HELD_CHECK_INTERVAL_S = 2.0
 """Interval at which each replica is checked for a hold that was carried out late."""
-MS_PER_S = 1_000
 EVENTS = EventLog("positions")
 Report = Callable[[PositionReport], Awaitable[None]]
 
@@ -77,14 +77,15 @@
         key: tuple[int, str],
     ) -> None:
         """Query one member until it answers, the time is over or the group has moved on."""
-        until = time.monotonic() + query.timeout_ms / MS_PER_S
+
+        async def ask() -> MemberStatus | None:
+            return await self._ask(group, pool, query)
+
+        ends_at = polling_end(query.timeout_ms)
         try:
-            while group.fence == query.fence and time.monotonic() < until:
-                status = await self._ask(group, pool, query)
-                if status is not None:
-                    await self._send_report(group, pool, query, status)
-                    return
-                await curio.sleep(RETRY_PAUSE_S)
+            status = await poll_member(group, query.fence, lambda: ends_at, ask)
+            if status is not None:
+                await self._send_report(group, pool, query, status)
         finally:
             self._running.discard(key)
 
