Doubt no primary for its silence from before it was recorded

What callers saw: a member that can reach no controller but serves its proxies was replaced the moment it was recorded, and the group was without a primary again; the next one met the same.

Cause: a primary counts as silent by the time since its last announcement, and as unreached until a proxy has reported on it. The reports on a member are dropped when it is recorded, so both held for a member that was silent before.

Change: the silence is counted from the record at the earliest, which rests on what a home proxy was told by the member itself.

--- a/features/primary_claims.feature
+++ b/features/primary_claims.feature
@@ -39,6 +39,15 @@
       | q       |
       | r       |
 
+  # It was replaced the moment it was recorded, for its silence before, as no proxy had reported on it since.
+  Scenario: claims: a member that no controller has heard for long is not doubted as it is recorded
+    Given claims: a group whose member b cannot reach the controllers
+    When claims: 8000 ms pass
+    And claims: c withdraws, and a crashes
+    And claims: b is called, and the call is answered
+    And claims: b leads
+    Then claims: b is recorded as the primary within 100 ms, and stays so for 10 s
+
   # The call for the other member was carried out after its successor had been recorded: it took the lead.
   Scenario Outline: claims: a member that leads is not recorded while a call for another one may be carried out: <before>
     Given claims: a group whose primary a crashes
--- a/features/steps/primary_claims_steps.py
+++ b/features/steps/primary_claims_steps.py
@@ -26,6 +26,12 @@
     world.run(SETTLED_S)
 
 
+@given("claims: a group whose member b cannot reach the controllers")
+def step_unheard_member(context):
+    context.world = ClaimsWorld()
+    context.world.silent.add("b")
+
+
 @given("claims: a group whose primary a crashes")
 def step_crashed(context):
     context.world = ClaimsWorld()
@@ -160,6 +166,8 @@
             world.lead_truly(name)
         case [name, "cannot", "reach", "the", "controllers"]:
             world.silent.add(name)
+        case ["a", "crashes"]:
+            _crash_primary(world)
         case [name, "withdraws"]:
             world.withdraw(name)
             world.members.pop(name)
--- a/limedyke/core/control/primaries/primary_evaluator.py
+++ b/limedyke/core/control/primaries/primary_evaluator.py
@@ -111,8 +111,12 @@
         unreached: set[str],
         now: float,
     ) -> Suspicion | None:
-        """Return the suspicion that follows from a primary's silence, without a majority's vote."""
-        silent_s = now - self._announcements.last_announced_at(primary)
+        """Return the suspicion that follows from a primary's silence, without a majority's vote.
+
+        A primary that cannot reach the controllers was recorded because a proxy reaches it.
+        """
+        heard_at = max(self._announcements.last_announced_at(primary), state.recorded_at)
+        silent_s = now - heard_at
         if silent_s <= self._timing.member_silence_s:
             return None
         if unreached:
