Log why a promoted member is or is not recorded, and keep few calls

What operators saw: the log told when a call was answered and when a primary was recorded, and nothing of what the record rested on, nor why a member that leads was not recorded yet.

Change: the leader logs what a member said, that it announced itself to a group of earlier proxies, and for how long nobody is asked as another call may still be carried out. Of the calls for one member two are kept, as a group that finds no primary for hours would collect them.

--- a/features/primary_claims.feature
+++ b/features/primary_claims.feature
@@ -131,3 +131,28 @@
     When claims: the called replica leads
     Then claims: it is recorded as the primary within 100 ms, and stays so for 4 s
     And claims: no replica is held
+
+  # A group that finds no primary for long calls again and again.
+  Scenario Outline: claims: outstanding calls after <calls>
+    Given claims: no call was made
+    When claims, calls: <calls>
+    Then claims: calls for others than <member> end at <end>
+
+    Examples: each call with its member and fencing number; accepted ones may be carried out until second 5
+      | calls                                       | member | end   |
+      | nothing                                     | a      | 0     |
+      | a 1                                         | a      | 0     |
+      | a 1                                         | b      | never |
+      | a 1, 1 refused                              | b      | 0     |
+      | a 1, 1 accepted                             | b      | 5     |
+      | a 1, b 2                                    | b      | never |
+      | a 1, b 2, 2 accepted                        | b      | 5     |
+      | a 1, b 2, 1 accepted                        | b      | 5     |
+      | a 1, b 2, 1 accepted                        | a      | never |
+      | a 1, a 2, 2 refused                         | b      | never |
+      | a 1, a 2, a 3, a 4, 4 refused               | b      | never |
+      | a 1, 1 refused, b 2                         | b      | 0     |
+      | a 1, b 2, 2 refused                         | b      | never |
+      | a 1, b 2, 2 accepted, a primary is recorded | c      | 0     |
+      | another leader, a 1                         | a      | never |
+      | another leader, a 1, 1 accepted             | a      | 5     |
--- a/features/steps/primary_claims_steps.py
+++ b/features/steps/primary_claims_steps.py
@@ -8,12 +8,13 @@
 from features.support.claims_world import EARLIER_TERM, STARTED_AT_MS, ClaimsWorld
 from features.support.synchronous_world import SynchronousWorld
 from limedyke.core.control.events import AuthorityOutcome, PrimaryClaimed
+from limedyke.core.control.primaries.promotion_calls import NEVER, PromotionCalls
 from limedyke.messages.control import MemberHealth, PrimaryClaim
 
 SETTLED_S = 1.0
-REPLACED_LONG_AGO_S = 25.0
 CALL_LIMIT_S = 10.0
 EARLIER_ROUND = 1
+EFFECT_ENDS_AT = 5.0
 
 
 @given("claims: a group whose primary a was replaced by b while it could not reach the controllers")
@@ -132,6 +133,38 @@
     assert len(world.calls) == calls, world.calls[calls:]
 
 
+@given("claims: no call was made")
+def step_no_call(context):
+    context.promotion_calls = PromotionCalls()
+
+
+@when("claims, calls: {calls}")
+def step_calls(context, calls):
+    known = context.promotion_calls
+    for call in calls.split(", "):
+        match call.split(" "):
+            case ["nothing"]:
+                continue
+            case ["another", "leader"]:
+                known.sent_by_earlier_leader()
+            case ["a", "primary", "is", "recorded"]:
+                known.primary_recorded()
+            case [fence, "accepted"]:
+                known.accepted(int(fence), EFFECT_ENDS_AT)
+            case [fence, "refused"]:
+                known.refused(int(fence))
+            case [member, fence]:
+                known.sent(member, int(fence))
+            case _:
+                raise AssertionError(f"unknown call {call!r}")
+
+
+@then("claims: calls for others than {member:w} end at {end:w}")
+def step_calls_end(context, member, end):
+    expected = NEVER if end == "never" else float(end)
+    assert context.promotion_calls.others_end_at(member) == expected
+
+
 @step("claims: {events}")
 def step_events(context, events):
     for event in events.split(", and "):
--- a/limedyke/core/control/primaries/authority_failover.py
+++ b/limedyke/core/control/primaries/authority_failover.py
@@ -163,7 +163,9 @@
             text = f"{claim.member} says that it leads term {claim.term}, but {newest} has begun"
             self._log_decision(claim.group, text)
             return
-        self._record_target(claim.group, state, now)
+        if self._is_called_incarnation(state):
+            self._log_decision(claim.group, f"{claim.member} says that it leads term {claim.term}")
+            self._record_target(claim.group, state, now)
 
     def proxy_disconnected(self, proxy: str) -> None:
         """Drop the reports of a disconnected proxy."""
@@ -226,16 +228,25 @@
         if state.step is not AuthorityStep.CALLING or self._recorded(group).fence != fence:
             return
         if outcome is AuthorityOutcome.PROMOTED:
-            # The member starts to lead some time later. Until that moment a read there could miss
-            # writes that the replaced primary acknowledged.
-            others_end_at = max(now, state.calls.others_end_at(state.target))
-            state.enter(AuthorityStep.PROMOTING, others_end_at + self._timing.promotion_wait_s)
-            self._evaluate_group(group, state, now)
+            self._promoted(group, state, now)
             return
         if outcome is AuthorityOutcome.REFUSED:
             state.excluded[state.target] = now + REFUSED_EXCLUSION_S
         self._back_off(state, now)
 
+    def _promoted(self, group: str, state: AuthorityGroupState, now: float) -> None:
+        """Wait until the target leads, which it begins to do some time after the answer.
+
+        Until that moment a read there could miss writes that the replaced primary acknowledged.
+        """
+        others_end_at = max(now, state.calls.others_end_at(state.target))
+        if others_end_at > now:
+            wait_s = others_end_at - now
+            text = f"{state.target} is asked in {wait_s:.1f} s, as another call may be carried out"
+            self._log_decision(group, text)
+        state.enter(AuthorityStep.PROMOTING, others_end_at + self._timing.promotion_wait_s)
+        self._evaluate_group(group, state, now)
+
     def tick(self, now: float) -> None:
         """Evaluate all groups and handle expired deadlines; called several times a second."""
         for group, state in self._group_states.items():
@@ -439,22 +450,22 @@
 
     def _follow_announcement(self, group: str, state: AuthorityGroupState, now: float) -> None:
         """Record a target that has announced that it leads, for want of proxies that can ask it."""
+        since = state.claim_round.began_at
         target = self._members.get(state.target)
-        has_announced = self._announcements.announced_since(
-            state.target, state.claim_round.began_at
-        )
-        if target is not None and target.is_primary and has_announced:
+        if target is None or not target.is_primary or not self._is_called_incarnation(state):
+            return
+        if self._announcements.announced_since(state.target, since):
+            self._log_decision(group, f"{state.target} has announced that it leads")
             self._record_target(group, state, now)
 
     def _is_called_incarnation(self, state: AuthorityGroupState) -> bool:
-        """Return whether the target is recorded in the incarnation that was called."""
+        """Return whether the target has not restarted since the call, and so kept its log."""
         target = self._members.get(state.target)
         return target is not None and target.started_at_ms == state.target_started_at_ms
 
     def _record_target(self, group: str, state: AuthorityGroupState, now: float) -> None:
-        """Record the target of the call, unless it has restarted since and lost its log."""
-        if self._is_called_incarnation(state):
-            self._record(group, state, self._recorded(group).term, state.target, now)
+        """Record the target of the call as the primary of the granted term."""
+        self._record(group, state, self._recorded(group).term, state.target, now)
 
     def _record(
         self, group: str, state: AuthorityGroupState, term: int, primary: str, now: float
--- a/limedyke/core/control/primaries/promotion_calls.py
+++ b/limedyke/core/control/primaries/promotion_calls.py
@@ -38,8 +38,14 @@
         self._calls.append(OutstandingCall(UNKNOWN_MEMBER, 0))
 
     def sent(self, member: str, fence: int) -> None:
-        """Add a call that is sent now."""
-        self._calls.append(OutstandingCall(member, fence))
+        """Add a call that is sent now.
+
+        Of the earlier calls for the same member the newest stands for all: it is outstanding for as
+        long as any of them.
+        """
+        others = [call for call in self._calls if call.member != member]
+        newest = [call for call in self._calls if call.member == member][-1:]
+        self._calls = [*others, *newest, OutstandingCall(member, fence)]
 
     def accepted(self, fence: int, until: float) -> None:
         """Process an answer that accepts a call: lower fencing numbers are refused from now on.
