Play late announcements and late promotion calls in the soak

The stand-ins announced every change at once and carried every call out at once, so neither a test nor a seed could show that a member is taken for the primary before it leads.

The other kinds draw the same faults as before for a seed.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -18,6 +18,7 @@
       | an acknowledged write was rolled back where commits wait for a replica    | an acknowledged commit survives a change of primary    |
       | a session read a value older than its last acknowledged write             | a session sees its own work                            |
       | a new session missed a write acknowledged to its client 3 s earlier       | a session sees its own work                            |
+      | a read of the primary missed a write acknowledged to its client 10 ms earlier | a session sees its own work                        |
       | a client was not served at the end                                        | service comes back                                     |
       | a stopping proxy ran a statement and did not answer                       | a statement that is taken is answered whole            |
       | a stopping proxy held a statement and did not answer                      | a statement that is taken is answered whole            |
@@ -59,6 +60,7 @@
     Then soak: seed 7 draws the same faults twice, and seed 8 others
     And soak: seed 7 draws the same series of stops twice, and seed 8 others
     And soak: seed 7 draws the same waves twice, and seed 8 others
+    And soak: seed 7 draws the same lateness twice, and seed 8 others
 
   Scenario: soak: real processes under the faults of a fixed seed
     When soak: seed 1 is played for 8 s
@@ -84,3 +86,9 @@
   Scenario: soak: real processes whose commits wait for a replica, by a fixed seed
     When soak: seed 5, whose commits wait for a replica, is played for 10 s
     Then soak: it broke no promise, and served 100 statements
+
+  # The soak's members announced every change at once and its calls were carried out at once, so it could not show that a
+  # member is taken for the primary before it leads.
+  Scenario: soak: real processes whose announcements and calls are late, by a fixed seed
+    When soak: seed 6, whose announcements and calls are late, is played for 10 s
+    Then soak: it broke no promise, and served 300 statements
--- a/features/soak/fault_injection.py
+++ b/features/soak/fault_injection.py
@@ -23,6 +23,7 @@
 POLL_INTERVAL_S = 0.05
 BUSY_ANSWERS, LOST_ANSWERS = 40, 3
 LAG_S, DELAY_S = 0.6, 0.15
+LATE_ANNOUNCEMENT_S = 1.5
 EMPTY_SHARE, LEADING_SHARE = 0.7, 0.5
 """With empty restarts: share of the crashed members that restart without their logs, and share of
 the former primaries among these that start as primary."""
@@ -243,6 +244,16 @@
             case FaultKind.BUSY_PRIMARY:
                 if group.primary is not None:
                     group.primary.faults.busy = BUSY_ANSWERS
+            case FaultKind.SILENT_MEMBER:
+                member.announces_itself = False
+                await curio.sleep(fault.for_s)
+                member.announces_itself = True
+            case FaultKind.LATE_ANNOUNCEMENTS:
+                member.announcements_travel_s = LATE_ANNOUNCEMENT_S
+                await curio.sleep(fault.for_s)
+                member.announcements_travel_s = 0.0
+            case FaultKind.LATE_CALL:
+                self._deployment.authority.late_calls += 1
             case FaultKind.LAG:
                 member.faults.lag_s = LAG_S
                 await curio.sleep(fault.for_s)
--- a/features/soak/load.py
+++ b/features/soak/load.py
@@ -101,7 +101,10 @@
 
 @dataclass(slots=True)
 class ClientRecord:
-    """Everything that one client sent and received."""
+    """Everything that one client sent and received.
+
+    :param staleness_s: its reads in other sessions may lack writes of this last time; 0 for none
+    """
 
     name: str
     tenant: SoakTenant
@@ -111,6 +114,7 @@
     reads: list[ReadResult] = field(default_factory=list)
     served: list[float] = field(default_factory=list)
     database: str = DATABASE
+    staleness_s: float = STALENESS_S
 
     def allowed_values(self, session: str, now: float) -> frozenset[str]:
         """Return the values that a read sent now may return.
@@ -123,7 +127,7 @@
         """
         allowed = {"-"}
         for write in self.writes:
-            is_seen = write.request_id.startswith(session) or now - write.at > STALENESS_S
+            is_seen = write.request_id.startswith(session) or now - write.at > self.staleness_s
             if write.word == "done" and is_seen:
                 allowed = {write.value}
             elif write.word not in NOT_APPLIED_WORDS:
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -8,6 +8,7 @@
 
 MIN_GAP_S, MAX_GAP_S = 0.4, 1.8
 MIN_DEAF_S, MAX_DEAF_S = 0.5, 3.0
+MIN_LATE_S, MAX_LATE_S = 1.0, 5.0
 WIPE_SPACING_S = 8.0
 """Least seconds between two wipes: the controllers tolerate one lost disk at a time, and that
 controller has to recover before the next loss."""
@@ -39,9 +40,24 @@
     """Silences the connections that are open at this time for good; new connections work."""
     DEAF_REPLICA = "deaf-replica"
     """A replica receives nothing; drawn only by ``draw_deafness``."""
-
-
-_USUAL_KINDS = [kind for kind in FaultKind if kind is not FaultKind.DEAF_REPLICA]
+    SILENT_MEMBER = "silent-member"
+    """No announcement of a member arrives; drawn only by ``draw_lateness``, as the next two."""
+    LATE_ANNOUNCEMENTS = "late-announcements"
+    """What a member announces arrives later, also after its role has changed."""
+    LATE_CALL = "late-call"
+    """The next promotion call gets no answer and is carried out late."""
+
+
+_LATE_KINDS = (
+    FaultKind.SILENT_MEMBER,
+    FaultKind.LATE_ANNOUNCEMENTS,
+    FaultKind.LATE_CALL,
+    FaultKind.SILENCE_LINK,
+    FaultKind.CRASH_PRIMARY,
+    FaultKind.LAG,
+)
+_NOT_USUAL = (FaultKind.DEAF_REPLICA, *_LATE_KINDS[:3])
+_USUAL_KINDS = [kind for kind in FaultKind if kind not in _NOT_USUAL]
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,3 +107,16 @@
         faults.append(Fault(FaultKind.DEAF_REPLICA, at_s, for_s, generator.randrange(6)))
         at_s += generator.uniform(MIN_GAP_S, MAX_GAP_S)
     return tuple(faults)
+
+
+def draw_lateness(seed: int, seconds: float) -> tuple[Fault, ...]:
+    """Return faults that make announcements and calls late while primaries change."""
+    generator = random.Random(f"lateness {seed}")
+    faults: list[Fault] = []
+    at_s = generator.uniform(MIN_GAP_S, MAX_GAP_S)
+    while at_s < seconds:
+        kind = generator.choice(_LATE_KINDS)
+        for_s = generator.uniform(MIN_LATE_S, MAX_LATE_S)
+        faults.append(Fault(kind, at_s, for_s, generator.randrange(6)))
+        at_s += generator.uniform(MIN_GAP_S, MAX_GAP_S)
+    return tuple(faults)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -1,11 +1,12 @@
 """Runs the soak: ``python -m features.soak.run SEEDS [SECONDS]``; ``--help`` lists the options.
 
 SEEDS is one seed or a range such as ``1-5``.  The shape is ``faults``, ``stops`` (overlapping
-series of planned maintenance) or ``both``.  ``--waves`` adds bursts of clients; with ``--empties``
-most members that crash restart with empty logs; with ``--synchronous`` commits wait for a replica,
-and replicas receive nothing at times.  Each seed prints one line.  A seed that breaks a
-promise also prints its schedule, the broken promises and the folder of its logs, and the exit
-status is 1.
+series of planned maintenance), ``both`` or ``none``.  ``--waves`` adds bursts of clients; with
+``--empties`` most members that crash restart with empty logs; with ``--synchronous`` commits wait
+for a replica, and replicas receive nothing at times; with ``--late`` announcements and promotion
+calls are late while primaries change, and all reads want the primary.  Each seed prints one line.
+A seed that breaks a promise also prints its schedule, the broken promises and the folder of its
+logs, and the exit status is 1.
 """
 
 from __future__ import annotations
@@ -37,7 +38,7 @@
     TENANTS,
     SoakClient,
 )
-from features.soak.plan import Fault, draw_deafness, draw_plan
+from features.soak.plan import Fault, draw_deafness, draw_lateness, draw_plan
 from features.soak.stops import Series, draw_answer_time_s, draw_series
 from features.soak.waves import ANSWER_TIME_S, Wave, WaveLoad, draw_waves
 from features.support.line_platform.deployment import CONTROLLERS, PROXIES, ZONES
@@ -64,6 +65,7 @@
     :param has_empty_restarts: most members that crash restart without their logs
     :param has_waves: bursts of clients run beside the modest tenant
     :param is_synchronous: commits wait for a replica, and replicas receive nothing at times
+    :param has_lateness: announcements and promotion calls are late; reads want the primary
     """
 
     has_faults: bool = True
@@ -73,6 +75,7 @@
     has_empty_restarts: bool = False
     has_waves: bool = False
     is_synchronous: bool = False
+    has_lateness: bool = False
 
     def machines(self) -> tuple[str, ...]:
         """Return the addresses of the proxies' machines; those added are spread over the zones."""
@@ -146,11 +149,16 @@
     wave_load = WaveLoad(deployment.proxies, seed)
     faults = draw_plan(seed, seconds) if shape.has_faults else ()
     deafness = draw_deafness(seed, seconds) if shape.is_synchronous else ()
+    lateness = draw_lateness(seed, seconds) if shape.has_lateness else ()
     series = draw_series(seed, seconds) if shape.has_stops else ()
     if shape.has_stops:
         deployment.set_answer_time(draw_answer_time_s(seed))
     elif shape.has_waves:
         deployment.set_answer_time(ANSWER_TIME_S)
+    if shape.has_lateness:
+        deployment.route_type = "primary"
+        for client in clients:
+            client.record.staleness_s = 0.0
     operator = Operator(deployment)
     try:
         await deployment.start()
@@ -166,6 +174,7 @@
             injector = FaultInjector(deployment, seed, shape.has_empty_restarts)
             await work.spawn(injector.run, faults)
             await work.spawn(injector.run, deafness)
+            await work.spawn(injector.run, lateness)
             await work.spawn(MaintenanceRunner(deployment).run, series)
             await work.spawn(wave_load.run, waves)
         await curio.sleep(RECOVERY_S)
@@ -188,7 +197,7 @@
     ]
     return SoakResult(
         seed,
-        (*faults, *deafness, *series, *waves),
+        (*faults, *deafness, *lateness, *series, *waves),
         tuple(violations),
         sum(len(record.served) for record in all_records),
         sum(len(record.writes) for record in all_records),
@@ -232,11 +241,19 @@
     empties: bool = False,
     waves: bool = False,
     synchronous: bool = False,
+    late: bool = False,
 ) -> None:
     """Run the soak for SEEDS; exit with 1 when a promise was broken."""
     first, _, last = str(seeds).partition("-")
     soak_shape = SoakShape(
-        shape != "stops", shape != "faults", proxies, clients, empties, waves, synchronous
+        shape in ("faults", "both"),
+        shape in ("stops", "both"),
+        proxies,
+        clients,
+        empties,
+        waves,
+        synchronous,
+        late,
     )
     has_violations = False
     for seed in range(int(first), int(last or first) + 1):
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -19,7 +19,7 @@
     StatementResult,
     WriteResult,
 )
-from features.soak.plan import draw_plan
+from features.soak.plan import draw_lateness, draw_plan
 from features.soak.process_history import ProcessHistory, ProcessRecord, handles_signal
 from features.soak.run import SoakShape, report, run_soak
 from features.soak.stops import draw_series
@@ -262,6 +262,11 @@
     assert draw_series(one, PLAN_S) == draw_series(one, PLAN_S) != draw_series(other, PLAN_S)
 
 
+@then("soak: seed {one:d} draws the same lateness twice, and seed {other:d} others")
+def step_same_lateness(context, one, other):
+    assert draw_lateness(one, PLAN_S) == draw_lateness(one, PLAN_S) != draw_lateness(other, PLAN_S)
+
+
 @then("soak: seed {one:d} draws the same waves twice, and seed {other:d} others")
 def step_same_waves(context, one, other):
     assert draw_waves(one, PLAN_S) == draw_waves(one, PLAN_S) != draw_waves(other, PLAN_S)
@@ -288,6 +293,20 @@
     context.result = run_soak(seed, seconds, SoakShape(is_synchronous=True))
 
 
+@when("soak: seed {seed:d}, whose announcements and calls are late, is played for {seconds:d} s")
+def step_late_played(context, seed, seconds):
+    context.result = run_soak(seed, seconds, SoakShape(has_faults=False, has_lateness=True))
+
+
+@when("soak: a read of the primary missed a write acknowledged to its client {ms:d} ms earlier")
+def step_missed_at_primary(context, ms):
+    context.record.staleness_s = 0.0
+    context.record.writes.append(WriteResult("w4", "v4", "done", 4.0))
+    for member in context.group.members.values():
+        member.log.commits.append(_commit(4, "w4"))
+    _read(context, "v2", "x", 4.0 + ms / 1_000)
+
+
 @when("soak: an acknowledged write was rolled back where commits wait for a replica")
 def step_rolled_back(context):
     context.group.synchronous_replicas = 1
