--- a/features/replaced_primaries.feature
+++ b/features/replaced_primaries.feature
@@ -5,7 +5,7 @@
 
   # A member that was replaced while it could reach no controller was recorded as the primary as soon as it was to be
   # promoted again. Until it led, reads of the primary ran on its old log, and the two members replaced each other.
-  Scenario Outline: replaced primaries: <trouble>
+  Scenario Outline: replaced primaries: a member that leads again is not read as the primary before: <trouble>
     Given replaced primaries: a group of three members, and clients that write and read
     When replaced primaries: the primary crashes, and a second member leads
     And replaced primaries: the second member is cut off until the third one leads
