Let two members take turns as primaries in the soak's lateness

The first draw showed nothing on the code before the change: a third member was always at hand, replicas lagged too little for the second that it takes to replace a silent primary, and members led 0.2 s after their call.

Now the first primary is gone for the whole time, primaries are cut off from the proxies and for a second longer from the controllers, replicas lag by 3 s and members lead 0.6 s after their call.

--- a/features/soak/fault_injection.py
+++ b/features/soak/fault_injection.py
@@ -24,6 +24,7 @@
 BUSY_ANSWERS, LOST_ANSWERS = 40, 3
 LAG_S, DELAY_S = 0.6, 0.15
 LATE_ANNOUNCEMENT_S = 1.5
+SILENT_FOR_LONGER_S = 1.0
 EMPTY_SHARE, LEADING_SHARE = 0.7, 0.5
 """With empty restarts: share of the crashed members that restart without their logs, and share of
 the former primaries among these that start as primary."""
@@ -244,6 +245,8 @@
             case FaultKind.BUSY_PRIMARY:
                 if group.primary is not None:
                     group.primary.faults.busy = BUSY_ANSWERS
+            case FaultKind.CUT_PRIMARY:
+                await self._cut_off(group.primary, fault.for_s)
             case FaultKind.SILENT_MEMBER:
                 member.announces_itself = False
                 await curio.sleep(fault.for_s)
@@ -261,6 +264,18 @@
             case _:
                 await self._inject_link_fault(fault, self._deployment.relays[member.identity])
 
+    async def _cut_off(self, member: StandInMember | None, seconds: float) -> None:
+        """Cut a member off from the proxies, and for longer from the controllers."""
+        if member is None:
+            return
+        faults = self._deployment.relays[member.identity].faults
+        member.announces_itself = False
+        faults.cut_to_member = faults.cut_from_member = True
+        await curio.sleep(seconds)
+        faults.cut_to_member = faults.cut_from_member = False
+        await curio.sleep(SILENT_FOR_LONGER_S)
+        member.announces_itself = True
+
     async def _crash(self, member: StandInMember | None, seconds: float) -> None:
         if member is None or member.task.terminated:
             return
--- a/features/soak/plan.py
+++ b/features/soak/plan.py
@@ -40,23 +40,25 @@
     """Silences the connections that are open at this time for good; new connections work."""
     DEAF_REPLICA = "deaf-replica"
     """A replica receives nothing; drawn only by ``draw_deafness``."""
+    CUT_PRIMARY = "cut-primary"
+    """Proxies do not reach the primary, and its announcements do not arrive for a second longer;
+    drawn only by ``draw_lateness``, as the next three."""
     SILENT_MEMBER = "silent-member"
-    """No announcement of a member arrives; drawn only by ``draw_lateness``, as the next two."""
+    """No announcement of a member arrives."""
     LATE_ANNOUNCEMENTS = "late-announcements"
     """What a member announces arrives later, also after its role has changed."""
     LATE_CALL = "late-call"
     """The next promotion call gets no answer and is carried out late."""
 
 
-_LATE_KINDS = (
+_ONLY_LATE = (
+    FaultKind.CUT_PRIMARY,
     FaultKind.SILENT_MEMBER,
     FaultKind.LATE_ANNOUNCEMENTS,
     FaultKind.LATE_CALL,
-    FaultKind.SILENCE_LINK,
-    FaultKind.CRASH_PRIMARY,
-    FaultKind.LAG,
 )
-_NOT_USUAL = (FaultKind.DEAF_REPLICA, *_LATE_KINDS[:3])
+_LATE_KINDS = (*_ONLY_LATE, FaultKind.CUT_PRIMARY, FaultKind.CUT_PRIMARY, FaultKind.CRASH_PRIMARY)
+_NOT_USUAL = (FaultKind.DEAF_REPLICA, *_ONLY_LATE)
 _USUAL_KINDS = [kind for kind in FaultKind if kind not in _NOT_USUAL]
 
 
@@ -110,9 +112,12 @@
 
 
 def draw_lateness(seed: int, seconds: float) -> tuple[Fault, ...]:
-    """Return faults that make announcements and calls late while primaries change."""
+    """Return faults that make announcements and calls late while primaries change.
+
+    The first primary is gone for the whole time, so that the other two members take turns.
+    """
     generator = random.Random(f"lateness {seed}")
-    faults: list[Fault] = []
+    faults = [Fault(FaultKind.CRASH_PRIMARY, 0.0, seconds, 0)]
     at_s = generator.uniform(MIN_GAP_S, MAX_GAP_S)
     while at_s < seconds:
         kind = generator.choice(_LATE_KINDS)
--- a/features/soak/run.py
+++ b/features/soak/run.py
@@ -54,6 +54,10 @@
 CHANGE_INTERVAL_S = 2.5
 CHANGE_TIMEOUT_S = 12.0
 HTTP_OK = 200
+LATE_PROMOTE_S = 0.6
+LATE_LAG_S = 3.0
+"""Longer than it takes to replace a silent primary, so that a read at its successor shows whether
+that had begun to lead."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +161,8 @@
         deployment.set_answer_time(ANSWER_TIME_S)
     if shape.has_lateness:
         deployment.route_type = "primary"
+        deployment.group.lag_s = LATE_LAG_S
+        deployment.authority.promote_s = LATE_PROMOTE_S
         for client in clients:
             client.record.staleness_s = 0.0
     operator = Operator(deployment)
