Share the recording reporter of the tests, and name what they call

Two step files had the same stand-in reporter; steps called private methods of the stand-in deployment and of the proxy's groups.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -90,5 +90,5 @@
   # The soak's members announced every change at once and its calls were carried out at once, so it could not show that a
   # member is taken for the primary before it leads.
   Scenario: soak: real processes whose announcements and calls are late, by a fixed seed
-    When soak: seed 4, whose announcements and calls are late, is played for 12 s
+    When soak: seed 7, whose announcements and calls are late, is played for 12 s
     Then soak: it broke no promise, and served 300 statements
--- a/features/steps/commit_relay_steps.py
+++ b/features/steps/commit_relay_steps.py
@@ -7,8 +7,9 @@
 import curio
 from behave import given, step, then, when
 
+from features.support.recording_reporter import RecordingReporter
 from features.support.statement_path import GROUP, StatementPath, elapsed_ms
-from limedyke.messages.control import PositionQuery, PositionReport
+from limedyke.messages.control import PositionQuery
 from limedyke.messages.databases import Consistency
 
 ROUND = 77
@@ -20,23 +21,6 @@
 CONNECTIONS = 2
 
 
-class _Reporter:
-    """Records the reports that the proxy sends to the controllers."""
-
-    def __init__(self) -> None:
-        self.positions: list[PositionReport] = []
-
-    async def report_member(self, report: object) -> None:
-        """Ignore a report on a member's health."""
-
-    async def report_position(self, report: PositionReport) -> None:
-        """Record a position."""
-        self.positions.append(report)
-
-    async def return_leases(self, leases: object) -> None:
-        """Ignore returned leases."""
-
-
 def run(context, function, *arguments):
     """Run a coroutine in the scenario's kernel."""
     return context.kernel.run(function, *arguments)
@@ -47,7 +31,7 @@
     context.kernel = curio.Kernel()
     path = context.path = StatementPath(Consistency.SESSION)
     path.group.synchronous_replicas = 0 if replicas == "no" else 1
-    context.reporter = path.groups.reporter = _Reporter()
+    context.reporter = path.groups.reporter = RecordingReporter()
 
     def end() -> None:
         context.kernel.run(path.stop)
--- a/features/steps/primary_confirmation_steps.py
+++ b/features/steps/primary_confirmation_steps.py
@@ -7,37 +7,19 @@
 import curio
 from behave import given, step, then, when
 
+from features.support.recording_reporter import RecordingReporter
 from features.support.statement_path import GROUP, LineClient, StatementPath, elapsed_ms
 from limedyke.core.statements.member_roles import MemberRoles
 from limedyke.messages.databases import Consistency
 
 CONNECTIONS = 4
 RETRY_S = 0.02
+STATUS_LIMIT_S = 1.0
 HELD_ABOVE = 1
 NOT_RUN_WORDS = ("BUSY", "LAGGING")
 """The errors that promise that nothing of a statement is kept."""
 
 
-class _Reporter:
-    """Records what the proxy reports to the controllers of members that lead."""
-
-    def __init__(self) -> None:
-        self.claims: list[object] = []
-
-    async def report_member(self, report: object) -> None:
-        """Ignore a report on a member's health."""
-
-    async def report_position(self, report: object) -> None:
-        """Ignore a position."""
-
-    async def report_claim(self, claim: object) -> None:
-        """Record a claim."""
-        self.claims.append(claim)
-
-    async def return_leases(self, leases: object) -> None:
-        """Ignore returned leases."""
-
-
 def run(context, function, *arguments):
     """Run a coroutine in the scenario's kernel."""
     return context.kernel.run(function, *arguments)
@@ -48,7 +30,7 @@
     context.kernel = curio.Kernel()
     path = context.path = StatementPath(Consistency.PRIMARY)
     path.group.lag_s = ms / 1_000
-    context.reporter = path.groups.reporter = _Reporter()
+    context.reporter = path.groups.reporter = RecordingReporter()
 
     def end() -> None:
         context.kernel.run(path.stop)
@@ -121,13 +103,9 @@
 
 @when("confirmation: a answers a status query")
 def step_status(context):
-    groups = context.path.groups
-    group = groups.groups[GROUP]
-
-    async def ask() -> None:
-        await groups._runner.queries.ask_role(group, group.pools["a"], 1.0)
-
-    run(context, ask)
+    group = context.path.groups.groups[GROUP]
+    queries = context.path.runner.queries
+    run(context, queries.ask_role, group, group.pools["a"], STATUS_LIMIT_S)
 
 
 @when("confirmation: {count:d} terms are granted one after the other")
--- a/features/steps/replaced_primaries_steps.py
+++ b/features/steps/replaced_primaries_steps.py
@@ -182,7 +182,7 @@
         _cut(context, context.second, True)
         while deployment.authority.promotions[-1][0] == context.second:
             await curio.sleep(POLL_S)
-        context.held = json.dumps(deployment._announcement(member)).encode()
+        context.held = json.dumps(deployment.announcement(member)).encode()
         member.announces_itself = False
         context.third = await _next_leader(context, context.second)
         await curio.sleep(REACHED_S)
@@ -234,7 +234,7 @@
     """Deliver what the second member announced as the primary, just after the call."""
     await _wait_for_call(context)
     member = context.deployment.group.members[context.second]
-    await context.deployment._deliver_announcement(member, context.held)
+    await context.deployment.deliver_announcement(member, context.held)
 
 
 async def _kill_at_call(context) -> None:
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -220,15 +220,15 @@
 
     async def _announce(self, member: StandInMember) -> None:
         """Announce a member, now or once its announcements have travelled."""
-        body = json.dumps(self._announcement(member)).encode()
+        body = json.dumps(self.announcement(member)).encode()
         if not member.announces_itself:
             return
         if not member.announcements_travel_s:
-            await self._deliver_announcement(member, body)
+            await self.deliver_announcement(member, body)
             return
         await curio.spawn(self._deliver_late, member, body, daemon=True)
 
-    def _announcement(self, member: StandInMember) -> dict:
+    def announcement(self, member: StandInMember) -> dict:
         """Return what a member says of itself now."""
         return {
             "service": GROUP,
@@ -245,9 +245,9 @@
 
     async def _deliver_late(self, member: StandInMember, body: bytes) -> None:
         await curio.sleep(member.announcements_travel_s)
-        await self._deliver_announcement(member, body)
+        await self.deliver_announcement(member, body)
 
-    async def _deliver_announcement(self, member: StandInMember, body: bytes) -> None:
+    async def deliver_announcement(self, member: StandInMember, body: bytes) -> None:
         """Send an announcement to the controllers in order until one acknowledges it."""
         call = HttpCall("PUT", f"/instances/{member.identity}", body)
         for ip in CONTROLLERS:
--- a/features/support/statement_path.py
+++ b/features/support/statement_path.py
@@ -164,7 +164,7 @@
         metrics = StatementMetrics(self.registry)
         self.settings = settings
         log = StatementLog(metrics)
-        runner = StatementRunner("z2", metrics, log, lambda: self.limits)
+        runner = self.runner = StatementRunner("z2", metrics, log, lambda: self.limits)
         self.groups = StatementGroups(
             settings,
             runner,
