Give slow members the time that they take to answer who leads

Cause: a question whether a member leads was given up after 0.2 s, whatever the member usually takes, and its connection was closed; the next one met the same. Queries for positions had the same limit for three round trips.

"a member that takes 300 ms for an answer" and "a slow primary is confirmed" fail with the limits of before.

The status queries of reads and probes of the primary follow the usual answers too.

--- a/features/primary_queries.feature
+++ b/features/primary_queries.feature
@@ -24,6 +24,28 @@
     And confirmation: b leads
     Then primary queries: one claim of b with its term is reported within 90 ms
 
+  # Each question was given up before a slow member could answer: it was never recorded, and replaced again and again.
+  Scenario Outline: primary queries: a member that takes <ms> ms for an answer, <known>
+    Given confirmation: a primary database on primary a and replicas b and c, which lag by 0 ms
+    And confirmation: members answer after <ms> ms, <known>
+    When confirmation: 1 terms are granted one after the other
+    And confirmation: b leads
+    And primary queries: the controllers ask for 1000 ms whether b leads
+    Then primary queries: one claim of b with its term is reported within <limit> ms
+
+    Examples: a connection is opened first, which takes as long; a known member needs no shorter attempts before
+      | ms  | known                      | limit |
+      | 300 | which the proxy knows      | 800   |
+      | 300 | which the proxy learns now | 1500  |
+      | 700 | which the proxy knows      | 1600  |
+
+  # Reads of the primary would never have gone there without a position.
+  Scenario: primary queries: a slow primary is confirmed
+    Given confirmation: a primary database on primary a and replicas b and c, which lag by 0 ms
+    And confirmation: members answer after 700 ms, which the proxy knows
+    When confirmation: 3000 ms pass
+    Then primary queries: a is confirmed as the primary
+
   Scenario Outline: primary queries: a question is given up when <reason>
     Given confirmation: a primary database on primary a and replicas b and c, which lag by 0 ms
     When confirmation: 1 terms are granted one after the other
--- a/features/steps/primary_confirmation_steps.py
+++ b/features/steps/primary_confirmation_steps.py
@@ -10,11 +10,13 @@
 from features.support.recording_reporter import RecordingReporter
 from features.support.statement_path import GROUP, LineClient, StatementPath, elapsed_ms
 from limedyke.core.statements.member_roles import MemberRoles
+from limedyke.core.statements.time_estimate import TimeEstimate
 from limedyke.messages.databases import Consistency
 
 CONNECTIONS = 4
 RETRY_S = 0.02
 STATUS_LIMIT_S = 1.0
+SLOW_SPREAD_S = 0.02
 HELD_ABOVE = 1
 NOT_RUN_WORDS = ("BUSY", "LAGGING")
 """The errors that promise that nothing of a statement is kept."""
@@ -45,6 +47,16 @@
     run(context, start)
 
 
+@given("confirmation: members answer after {ms:d} ms, which the proxy {knows}")
+def step_slow(context, ms, knows):
+    for member in context.path.group.members.values():
+        member.faults.answers_travel_s = ms / 1_000
+    if knows == "knows":
+        for observed in context.path.groups.groups[GROUP].observed_members:
+            observed.answer = TimeEstimate(ms / 1_000, SLOW_SPREAD_S, True)
+            observed.opening = TimeEstimate(ms / 1_000, SLOW_SPREAD_S, True)
+
+
 @given("confirmation: commits wait for a replica")
 def step_synchronous(context):
     context.path.group.synchronous_replicas = 1
--- a/features/steps/primary_queries_steps.py
+++ b/features/steps/primary_queries_steps.py
@@ -28,3 +28,8 @@
     run(context, curio.sleep, ms / 1_000)
     expected = PrimaryClaim(GROUP, ROUND, "b", 0, context.path.group.term)
     assert context.reporter.claims == [expected], context.reporter.claims
+
+
+@then("primary queries: a is confirmed as the primary")
+def step_confirmed(context):
+    assert context.path.groups.groups[GROUP].roles.is_confirmed("a")
--- a/limedyke/proxy/statements/members/member_queries.py
+++ b/limedyke/proxy/statements/members/member_queries.py
@@ -65,7 +65,7 @@
             return
         group.confirmation = ended = curio.Event()
         try:
-            await self.ask_role(group, pool, min(limit_s, STATUS_QUERY_TIMEOUT_S))
+            await self.ask_role(group, pool, min(limit_s, _status_limit_s(pool)))
         finally:
             group.confirmation = None
             await ended.set()
@@ -80,7 +80,7 @@
 
     async def _learn_position(self, group: StatementGroup, pool: MemberPool) -> None:
         try:
-            await self.ask_role(group, pool, STATUS_QUERY_TIMEOUT_S)
+            await self.ask_role(group, pool, _status_limit_s(pool))
         finally:
             group.is_position_query_running = False
 
@@ -92,7 +92,7 @@
         group.next_primary_search_at = now + SEARCH_INTERVAL_S
         for pool in list(group.pools.values()):
             if pool.observed.is_ready and pool.limit > 0:
-                await curio.spawn(self.ask_role, group, pool, STATUS_QUERY_TIMEOUT_S, daemon=True)
+                await curio.spawn(self.ask_role, group, pool, _status_limit_s(pool), daemon=True)
 
     async def ask_role(
         self, group: StatementGroup, pool: MemberPool, limit_s: float
@@ -246,3 +246,8 @@
             observed.ended(is_answered, asked_at)
             await pool.putconn(connection)
         return status
+
+
+def _status_limit_s(pool: MemberPool) -> float:
+    """Return the time limit of a status query, by the member's usual answer times."""
+    return max(STATUS_QUERY_TIMEOUT_S, pool.observed.longest_sign_s)
--- a/limedyke/proxy/statements/position_queries.py
+++ b/limedyke/proxy/statements/position_queries.py
@@ -15,13 +15,15 @@
 from limedyke.proxy.statements.members.member_pool import MemberPool
 from limedyke.proxy.statements.members.member_queries import MemberQueries
 from limedyke.proxy.statements.members.polling import (
-    ATTEMPT_TIMEOUT_S,
+    attempt_limit_s,
     poll_member,
     polling_end,
 )
 
 HELD_CHECK_INTERVAL_S = 2.0
 """Interval at which each replica is checked for a hold that was carried out late."""
+ROUND_TRIPS = 3
+"""A status, a hold or release, and a status again."""
 EVENTS = EventLog("positions")
 Report = Callable[[PositionReport], Awaitable[None]]
 
@@ -78,12 +80,13 @@
     ) -> None:
         """Query one member until it answers, the time is over or the group has moved on."""
 
-        async def ask() -> MemberStatus | None:
-            return await self._ask(group, pool, query)
+        async def ask(limit_s: float) -> MemberStatus | None:
+            return await self._ask(group, pool, query, limit_s)
 
         ends_at = polling_end(query.timeout_ms)
+        limit_s = attempt_limit_s(pool, ROUND_TRIPS)
         try:
-            status = await poll_member(group, query.fence, lambda: ends_at, ask)
+            status = await poll_member(group, query.fence, lambda: ends_at, limit_s, ask)
             if status is not None:
                 await self._send_report(group, pool, query, status)
         finally:
@@ -113,7 +116,7 @@
         )
 
     async def _ask(
-        self, group: StatementGroup, pool: MemberPool, query: PositionQuery
+        self, group: StatementGroup, pool: MemberPool, query: PositionQuery, limit_s: float
     ) -> MemberStatus | None:
         """Return the status of a member, held or released first as the query wants it."""
 
@@ -128,7 +131,7 @@
                 return None
             return await _hold(group, pool, connection, status)
 
-        return await self._queries.ask_anew(pool, ATTEMPT_TIMEOUT_S, exchange)
+        return await self._queries.ask_anew(pool, limit_s, exchange)
 
     async def _release_if_held(self, group: StatementGroup, pool: MemberPool) -> None:
         """Release a replica if it is held and no later term can have begun."""
@@ -147,7 +150,7 @@
             )
             return status
 
-        await self._queries.ask(pool, ATTEMPT_TIMEOUT_S, exchange)
+        await self._queries.ask(pool, attempt_limit_s(pool, ROUND_TRIPS), exchange)
 
 
 async def _hold(
--- a/limedyke/proxy/statements/primary_queries.py
+++ b/limedyke/proxy/statements/primary_queries.py
@@ -13,7 +13,7 @@
 from limedyke.proxy.statements.members.member_pool import MemberPool
 from limedyke.proxy.statements.members.member_queries import MemberQueries
 from limedyke.proxy.statements.members.polling import (
-    ATTEMPT_TIMEOUT_S,
+    attempt_limit_s,
     poll_member,
     polling_end,
 )
@@ -47,14 +47,16 @@
     async def _run(self, group: StatementGroup, pool: MemberPool, query: PrimaryQuery) -> None:
         """Ask the member until it says that it leads, and report that."""
 
-        async def ask() -> MemberStatus | None:
-            status = await self._queries.ask_role(group, pool, ATTEMPT_TIMEOUT_S)
+        async def ask(limit_s: float) -> MemberStatus | None:
+            status = await self._queries.ask_role(group, pool, limit_s)
             return status if status is not None and status.is_primary else None
 
+        def ends_at() -> float:
+            return self._ends_at[query.round_id]
+
         try:
-            status = await poll_member(
-                group, query.fence, lambda: self._ends_at[query.round_id], ask
-            )
+            limit_s = attempt_limit_s(pool)
+            status = await poll_member(group, query.fence, ends_at, limit_s, ask)
             if status is not None:
                 await self._send_claim(group, pool, query, status)
         finally:
