Close the pools before a proxy's process ends

Cause: at the end all tasks are cancelled. A status query returns its connection then, and the pool opened another one for a request that waited, in a new task, which the end does not allow.

Change: when the process ends its pools are closed before the tasks are cancelled, and a closed pool opens nothing.

--- a/features/primary_queries.feature
+++ b/features/primary_queries.feature
@@ -59,3 +59,16 @@
       | reason                                     |
       | 1 terms are granted one after the other    |
       | 600 ms pass                                |
+
+  # A status query that was cancelled returned its connection, and another one was opened for a request that waited: the
+  # process ended with 1.
+  Scenario Outline: primary queries: a process that ends while members are asked ends without an error, after <ms> ms
+    Then primary queries: a process that ends <ms> ms after a question to a slow member ends without an error
+
+    Examples:
+      | ms  |
+      | 290 |
+      | 410 |
+      | 490 |
+      | 570 |
+      | 650 |
--- a/limedyke/proxy/statements/groups.py
+++ b/limedyke/proxy/statements/groups.py
@@ -166,6 +166,15 @@
             await group.set_limit(*self._limits_of(name))
         await self._return_leases()
 
+    async def close(self) -> None:
+        """Close all pools before the process ends.
+
+        A task that is cancelled then returns its connection, and must not open another one for a
+        request that waits: the process would end with an error.
+        """
+        for group in self.groups.values():
+            await group.drain()
+
     async def promote(self, order: PromoteOrder) -> PromoteResult:
         """Refuse the order: an external authority promotes the members of these groups."""
         return PromoteResult(order.group, order.term, "", "an external authority promotes")
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -141,6 +141,7 @@
                 serve_links, links.ok_value, identity, self._link_key, self._serve_link
             )
             stopping = await tasks.spawn(self._serve_until_stopped, listeners[0].ok_value, stop)
+        await self._groups.close()
         finished = tasks.completed
         if finished is stopping and finished.exception is None:
             return 0
