--- a/features/support/announced_world.py
+++ b/features/support/announced_world.py
@@ -69,7 +69,6 @@
     :param reports_claims: whether proxies that connect ask members who leads
     :ivar true_roles: whether a member leads, where that is not what it announced last
     :ivar claimed_term: term that a member says that it leads
-    :ivar claims: claims that proxies reported, with the time of the report
     """
 
     def __init__(
@@ -99,7 +98,6 @@
         self.reports_claims = reports_claims
         self.true_roles: dict[str, bool] = {}
         self.claimed_term = FIRST_CLAIMED_TERM
-        self.claims: list[tuple[float, PrimaryClaim]] = []
         self._open_queries: list[_OpenQuery] = []
         self.lead()
 
@@ -202,7 +200,6 @@
     def _claim(self, proxy: str, query: PrimaryQuery) -> None:
         started_at_ms = self.members[query.member].started_at_ms
         claim = PrimaryClaim(GROUP, query.round_id, query.member, started_at_ms, self.claimed_term)
-        self.claims.append((self.now, claim))
         self.post(PrimaryClaimed(proxy, claim))
 
     def apply(self, entry: object) -> None:
