Take a member without a commit for empty, whatever term it names

Cause: a replica that had come back with an empty log, and received nothing yet, stated position 0 of the newest term, 6.0. Positions are compared by term first, so it seemed to hold more than 5.20, with which the primary of that term had been promoted. The rule that the longest log holds everything took it for one.

Change: a stated position without a commit counts as the lowest one, in rounds and in proofs of departures.

--- a/features/steps/synchronous_promotion_steps.py
+++ b/features/steps/synchronous_promotion_steps.py
@@ -37,6 +37,14 @@
     context.world.models[name].is_deaf = True
 
 
+@given("positions: {name:w} has an empty log, receives nothing and names term {term:d}")
+def step_empty(context, name, term):
+    model = context.world.models[name]
+    model.is_deaf = True
+    model.log = []
+    model.empty_term = term
+
+
 @given("positions: {count:d} commits are acknowledged")
 def step_commits(context, count):
     for _ in range(count):
--- a/features/support/synchronous_world.py
+++ b/features/support/synchronous_world.py
@@ -28,6 +28,7 @@
     :ivar is_draining: it announces that it will leave, until it restarts
     :ivar is_down: it answers nobody and announces nothing
     :ivar unreached_by: proxies that do not reach it
+    :ivar empty_term: term that it names with an empty log
     """
 
     identity: str
@@ -38,11 +39,12 @@
     is_draining: bool = False
     is_down: bool = False
     unreached_by: set[str] = field(default_factory=set)
+    empty_term: int = FIRST_TERM
 
     @property
     def position(self) -> LogPosition:
         """The last position received."""
-        return self.log[-1] if self.log else LogPosition(FIRST_TERM, 0)
+        return self.log[-1] if self.log else LogPosition(self.empty_term, 0)
 
 
 @dataclass(slots=True)
--- a/features/synchronous_promotion.feature
+++ b/features/synchronous_promotion.feature
@@ -285,3 +285,19 @@
       | kind    | first | last | end                                |
       | any     | 1     | 25   | members were promoted              |
       | orderly | 101   | 125  | every group has a primary          |
+
+  # A replica with an empty log named the newest term, seemed to hold the most and was promoted: acknowledged commits were lost.
+  Scenario Outline: positions: a member without a commit holds nothing, whatever term it names: <term>
+    Given positions: primary a, replicas b and c, commits wait for 1 replica
+    And positions: c has an empty log, receives nothing and names term <term>
+    And positions: 3 commits are acknowledged
+    When positions event: a crashes
+    And positions event: 2000 ms pass
+    Then positions: promotion is requested of b
+    And positions: no acknowledged commit is lost by it
+
+    Examples:
+      | term |
+      | 1    |
+      | 3    |
+      | 9    |
--- a/limedyke/core/control/primaries/synchronous_promotion.py
+++ b/limedyke/core/control/primaries/synchronous_promotion.py
@@ -10,7 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from limedyke.core.control.events import LogDecision, Propose, SendToProxy
@@ -138,6 +138,7 @@
         group = self._groups.get(report.group)
         if group is None:
             return
+        report = _without_term_of_empty_log(report)
         if group.round is not None:
             group.round.record(report)
         if group.proof is not None:
@@ -245,3 +246,14 @@
         group.shortage = shortage
         text = f"no promotion without {shortage}" if shortage else "a promotion lacks nothing more"
         self._commands.append(LogDecision(name, text))
+
+
+def _without_term_of_empty_log(report: PositionReport) -> PositionReport:
+    """Return the report with the lowest position if its member holds no commit.
+
+    An empty member may name the newest term with it, and would seem to hold more than a member that
+    holds all commits of the term before.
+    """
+    if report.position.position > FIRST_POSITION.position:
+        return report
+    return replace(report, position=FIRST_POSITION)
