Leave out work and a check that change nothing

A primary that has been confirmed and acknowledges another commit told nothing new, and yet its role was worked out three times a commit. A closed pool was guarded against opening connections, which closing it prevents already: without the guard the five ends of "a process that ends while members are asked" pass, without the close one of them fails. An event's docstring is reworded.

--- a/limedyke/core/control/events.py
+++ b/limedyke/core/control/events.py
@@ -94,7 +94,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PrimaryClaimed:
-    """A home proxy was told by a member that it is the primary."""
+    """A member told a home proxy that it leads."""
 
     proxy: str
     claim: PrimaryClaim
--- a/limedyke/proxy/statements/group.py
+++ b/limedyke/proxy/statements/group.py
@@ -140,6 +140,8 @@
             if self.self_reported_primary == identity:
                 self.self_reported_primary = ""
             return
+        if self.roles.is_confirmed(identity):
+            return
         was_accepted = self.is_accepted_primary(identity)
         if not self.roles.claimed(identity, asked_at):
             return
--- a/limedyke/proxy/statements/members/member_pool.py
+++ b/limedyke/proxy/statements/members/member_pool.py
@@ -568,8 +568,6 @@
 
     async def _start_opening(self, tenant: str | None) -> None:
         """Open a connection in the background; the caller has checked that there is room."""
-        if self.is_closed:
-            return
         opener = NO_TENANT if tenant is ANY_TENANT else tenant
         self._opening[opener] += 1
         self.opened += 1
