Test the present primary beside an outstanding call, and slow searches

Two rules had no test of their own: a call for the present primary, which gets no new term, while a call for another member is under way; and the search for a primary among members whose answers take longer than 0.5 s, which the change of the limits covers without evidence so far.

The start of a path and its watch, which two step files had, is one piece in support now.

--- a/features/primary_claims.feature
+++ b/features/primary_claims.feature
@@ -90,6 +90,18 @@
     And claims: b is called, and the call is answered
     Then claims: b is recorded as the primary within 100 ms, and stays so for 4 s
 
+  # The present primary's claim was true, and a call for another member was about to end its lead.
+  Scenario: claims: the present primary is not recorded again while a call for another one may be carried out
+    Given claims: a group whose primary a was replaced by b while it could not reach the controllers
+    When claims: c withdraws
+    And claims: no proxy reaches b, and a is called
+    And claims: the call is not answered, and the proxies reach b again
+    And claims: a drains
+    And claims: b is called, and the call is answered
+    And claims: 900 ms pass
+    Then claims: no primary is recorded
+    And claims: b is recorded as the primary within 300 ms, and stays so for 4 s
+
   # The lead ended while the answer to the question was under way.
   Scenario: claims: an answer that arrives after the next grant is not used
     Given claims: a group whose primary a crashes
--- a/features/primary_queries.feature
+++ b/features/primary_queries.feature
@@ -39,6 +39,15 @@
       | 300 | which the proxy learns now | 1500  |
       | 700 | which the proxy knows      | 1600  |
 
+  # Its answer came after the question had been given up: writes waited for the record.
+  Scenario: primary queries: a slow member that leads is found before it is recorded
+    Given confirmation: a primary database on primary a and replicas b and c, which lag by 0 ms
+    And confirmation: members answer after 700 ms, which the proxy knows
+    When confirmation: 1 terms are granted one after the other
+    And confirmation: b leads
+    And primary queries: the proxy looks for a primary
+    Then primary queries: b is taken for the primary within 1700 ms
+
   # Reads of the primary would never have gone there without a position.
   Scenario: primary queries: a slow primary is confirmed
     Given confirmation: a primary database on primary a and replicas b and c, which lag by 0 ms
--- a/features/steps/commit_relay_steps.py
+++ b/features/steps/commit_relay_steps.py
@@ -7,7 +7,7 @@
 import curio
 from behave import given, step, then, when
 
-from features.support.recording_reporter import RecordingReporter
+from features.support.path_scenario import begin, run
 from features.support.statement_path import GROUP, StatementPath, elapsed_ms
 from limedyke.messages.control import PositionQuery
 from limedyke.messages.databases import Consistency
@@ -21,40 +21,23 @@
 CONNECTIONS = 2
 
 
-def run(context, function, *arguments):
-    """Run a coroutine in the scenario's kernel."""
-    return context.kernel.run(function, *arguments)
-
-
 @given("commit relay: a proxy of a group whose commits wait for {replicas} replica")
 def step_path(context, replicas):
-    context.kernel = curio.Kernel()
-    path = context.path = StatementPath(Consistency.SESSION)
+    path = StatementPath(Consistency.SESSION)
     path.group.synchronous_replicas = 0 if replicas == "no" else 1
-    context.reporter = path.groups.reporter = RecordingReporter()
-
-    def end() -> None:
-        context.kernel.run(path.stop)
-        context.kernel.run(shutdown=True)
-
-    async def start() -> None:
-        await path.start(CONNECTIONS)
-        await curio.spawn(path.groups.watch, daemon=True)
-
-    context.add_cleanup(end)
-    run(context, start)
+    begin(context, path, CONNECTIONS)
 
 
 @given("commit relay: a client that {begins}")
 def step_client(context, begins):
-    async def begin() -> None:
+    async def prepare() -> None:
         context.client, _ = await context.path.connect()
         assert await context.client.ask("WRITE w 0") == "done I"
         if begins == "wrote in a transaction":
             assert await context.client.ask("BEGIN") == "done T"
             assert await context.client.ask("WRITE x 1") == "done T"
 
-    run(context, begin)
+    run(context, prepare)
 
 
 @when('commit relay: it sends "{statement}", and members answer after {ms:d} ms')
--- a/features/steps/primary_claims_steps.py
+++ b/features/steps/primary_claims_steps.py
@@ -201,6 +201,8 @@
             world.silent.add(name)
         case ["a", "crashes"]:
             _crash_primary(world)
+        case [name, "drains"]:
+            world.announce(name, "draining replica")
         case [name, "withdraws"]:
             world.withdraw(name)
             world.members.pop(name)
--- a/features/steps/primary_confirmation_steps.py
+++ b/features/steps/primary_confirmation_steps.py
@@ -7,7 +7,7 @@
 import curio
 from behave import given, step, then, when
 
-from features.support.recording_reporter import RecordingReporter
+from features.support.path_scenario import begin, run
 from features.support.statement_path import GROUP, LineClient, StatementPath, elapsed_ms
 from limedyke.core.statements.member_roles import MemberRoles
 from limedyke.core.statements.time_estimate import TimeEstimate
@@ -22,29 +22,12 @@
 """The errors that promise that nothing of a statement is kept."""
 
 
-def run(context, function, *arguments):
-    """Run a coroutine in the scenario's kernel."""
-    return context.kernel.run(function, *arguments)
-
-
 @given("confirmation: a primary database on primary a and replicas b and c, which lag by {ms:d} ms")
 def step_path(context, ms):
-    context.kernel = curio.Kernel()
-    path = context.path = StatementPath(Consistency.PRIMARY)
+    path = StatementPath(Consistency.PRIMARY)
     path.group.lag_s = ms / 1_000
-    context.reporter = path.groups.reporter = RecordingReporter()
-
-    def end() -> None:
-        context.kernel.run(path.stop)
-        context.kernel.run(shutdown=True)
-
-    async def start() -> None:
-        await path.start(CONNECTIONS)
-        await curio.spawn(path.groups.watch, daemon=True)
-        context.client, _ = await path.connect()
-
-    context.add_cleanup(end)
-    run(context, start)
+    begin(context, path, CONNECTIONS)
+    context.client, _ = run(context, path.connect)
 
 
 @given("confirmation: members answer after {ms:d} ms, which the proxy {knows}")
--- a/features/steps/primary_queries_steps.py
+++ b/features/steps/primary_queries_steps.py
@@ -5,7 +5,7 @@
 import curio
 from behave import then, when
 
-from features.steps.primary_confirmation_steps import run
+from features.support.path_scenario import run
 from features.support.statement_path import GROUP, StatementPath
 from limedyke.messages.control import PrimaryClaim, PrimaryQuery
 from limedyke.messages.databases import Consistency
@@ -33,6 +33,18 @@
     assert context.reporter.claims == [expected], context.reporter.claims
 
 
+@when("primary queries: the proxy looks for a primary")
+def step_search(context):
+    path = context.path
+    run(context, path.runner.queries.search_primary, path.groups.groups[GROUP])
+
+
+@then("primary queries: b is taken for the primary within {ms:d} ms")
+def step_found(context, ms):
+    run(context, curio.sleep, ms / 1_000)
+    assert context.path.groups.groups[GROUP].self_reported_primary == "b"
+
+
 @then("primary queries: a is confirmed as the primary")
 def step_confirmed(context):
     assert context.path.groups.groups[GROUP].roles.is_confirmed("a")
