--- a/features/mutants/claims_safeguards.py
+++ b/features/mutants/claims_safeguards.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from contextlib import ExitStack
 from unittest import mock
 
 import curio
 
-from features.mutants.mutant import Mutant
+from features.mutants.mutant import Mutant, is_caught
 from features.support.announced_world import GROUP, STEP_S
 from features.support.claims_world import EARLIER_TERM, STARTED_AT_MS, ClaimsWorld
 from features.support.statement_path import StatementPath
@@ -208,17 +207,8 @@
     return self.primary
 
 
-def _is_caught(violates: Callable[[], bool], *patches: object) -> bool:
-    if violates():
-        raise AssertionError("the violation shows with the safeguard in place")
-    with ExitStack() as stack:
-        for patch in patches:
-            stack.enter_context(patch)
-        return violates()
-
-
 def _mutant(name: str, safeguard: str, violates: Callable[[], bool], *patches: object) -> Mutant:
-    return Mutant(name, safeguard, "a history of its own", lambda: _is_caught(violates, *patches))
+    return Mutant(name, safeguard, "a history of its own", lambda: is_caught(violates, *patches))
 
 
 _BY_ANNOUNCEMENT = mock.patch.object(ClaimQueries, "only_earlier_versions", lambda *_: True)
--- a/features/mutants/mutant.py
+++ b/features/mutants/mutant.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import AbstractContextManager, ExitStack
 from dataclasses import dataclass
 
 
@@ -29,3 +30,16 @@
     def check(self) -> bool:
         """Tell whether the mutant is caught."""
         return self.run()
+
+
+def is_caught(violates: Callable[[], bool], *patches: AbstractContextManager) -> bool:
+    """Return whether a violation shows once the patches are applied.
+
+    :raises AssertionError: if it shows without them too
+    """
+    if violates():
+        raise AssertionError("the violation shows with the safeguard in place")
+    with ExitStack() as stack:
+        for patch in patches:
+            stack.enter_context(patch)
+        return violates()
--- a/features/mutants/positions_safeguards.py
+++ b/features/mutants/positions_safeguards.py
@@ -7,10 +7,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from contextlib import ExitStack
 from unittest import mock
 
-from features.mutants.mutant import Mutant
+from features.mutants.mutant import Mutant, is_caught
 from features.support.announced_world import PROXIES
 from features.support.synchronous_history import SynchronousHistory
 from features.support.synchronous_world import SynchronousWorld
@@ -152,19 +151,10 @@
         return
 
 
-def _is_caught(violates: Callable[[], bool], *patches: object) -> bool:
-    if violates():
-        raise AssertionError("the violation shows with the safeguard in place")
-    with ExitStack() as stack:
-        for patch in patches:
-            stack.enter_context(patch)
-        return violates()
-
-
 def _mutant(
     name: str, safeguard: str, caught_by: str, violates: Callable[[], bool], *patches: object
 ) -> Mutant:
-    return Mutant(name, safeguard, caught_by, lambda: _is_caught(violates, *patches))
+    return Mutant(name, safeguard, caught_by, lambda: is_caught(violates, *patches))
 
 
 HISTORIES = "random histories: no acknowledged commit is lost"
