--- a/review/standins2/__init__.py
+++ b/review/standins2/__init__.py
@@ -1,1 +1,1 @@
-"""Stand-ins of the second review: members, platform, clients and operator, standard library only."""
+"""Stand-ins of the second review: members, platform, clients and operator."""
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -32,7 +32,9 @@
     :ivar events: when a process was killed, signalled or started, or ended by itself
     """
 
-    def __init__(self, folder: Path, record: Record, controllers: int = 5, proxies: int = 3) -> None:
+    def __init__(
+        self, folder: Path, record: Record, controllers: int = 5, proxies: int = 3
+    ) -> None:
         self._folder = folder
         self._record = record
         self._network = f"127.{random.randrange(64, 200)}.{random.randrange(1, 200)}"
--- a/review/standins2/group.py
+++ b/review/standins2/group.py
@@ -126,11 +126,14 @@
         leader = self.members[self.primary]
         if leader.is_running and not leader.is_dark:
             for member in self.members.values():
-                if member is not leader and member.is_running and member.receives:
-                    if not member.held_term:
-                        member.log += leader.log[len(member.log) :]
+                if member is not leader and self._receives(member):
+                    member.log += leader.log[len(member.log) :]
         self._changed.set()
 
+    @staticmethod
+    def _receives(member: Member) -> bool:
+        return member.is_running and member.receives and not member.held_term
+
     def promote(self, identity: str) -> None:
         """Make a member the primary of the next term with the log that it has."""
         self.term += 1
--- a/review/standins2/platform_api.py
+++ b/review/standins2/platform_api.py
@@ -29,9 +29,7 @@
         holder = message.headers.get("limedyke-duty-holder", "")
         fence = int(message.headers.get("limedyke-fencing-token", "-1"))
         status = self._decide(body["service"], body["id"], fence)
-        self._record.write(
-            "promote-call", id=body["id"], holder=holder, fence=fence, status=status
-        )
+        self._record.write("promote-call", id=body["id"], holder=holder, fence=fence, status=status)
         return HttpReply(status)
 
     def _decide(self, service: str, identity: str, fence: int) -> int:
