--- a/review/standins2/clients.py
+++ b/review/standins2/clients.py
@@ -52,6 +52,13 @@
         self.close()
         return line or "closed"
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the session is open, as far as the connection shows."""
+        if self._writer is None or self._reader.exception() is not None:
+            return False
+        return not self._reader.at_eof()
+
     def close(self) -> None:
         """End the session."""
         if self._writer is not None:
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import tomllib
+from collections import Counter
 from pathlib import Path
 
 from review.standins2.http_calls import call
@@ -30,6 +31,7 @@
 
     :param folder: a temporary folder for settings, data and logs
     :ivar events: when a process was killed, signalled or started, or ended by itself
+    :ivar ends: how often the process of each machine has ended
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         self._supervisors: dict[str, asyncio.Task] = {}
         self._is_first_start = True
         self.events: list[float] = []
+        self.ends: Counter[str] = Counter()
         self.heartbeat_interval_ms = 1_200
         self.machines_tolerated = 2
         self.open_files = 4_300
@@ -131,6 +134,7 @@
         process = self._processes[ip]
         while process.poll() is None:
             await asyncio.sleep(0.02)
+        self.ends[ip] += 1
         self._note("process-ends", ip=ip, status=process.returncode)
         await asyncio.sleep(RESTART_S)
         self.start_process(ip)
--- a/review/standins2/group.py
+++ b/review/standins2/group.py
@@ -54,6 +54,7 @@
     """The service: who leads which term, and how commits reach the replicas.
 
     :param synchronous: how many replicas have received a commit before it is answered: 0 or 1
+    :ivar work_s: time that a statement takes a slot; 0 for the usual one
     :ivar runs: when a member ran a client's statement, and its identity
     """
 
@@ -64,6 +65,7 @@
         self.primary = ""
         self.term = 1
         self.record = record
+        self.work_s = 0.0
         self.runs: list[tuple[float, str]] = []
         self._changed = asyncio.Event()
 
--- a/review/standins2/member_server.py
+++ b/review/standins2/member_server.py
@@ -11,6 +11,7 @@
 from review.standins2.http_calls import HttpReply, call
 
 WORK_S = 0.005
+"""Time that a statement takes a slot, unless the group says otherwise."""
 HANDSHAKE_S = 0.005
 NEXT_NODE_PAUSE_S = 0.1
 HEARTBEAT_TIMEOUT_S = 1.0
@@ -150,7 +151,7 @@
                 return
             self._member.busy += 1
             try:
-                await asyncio.sleep(WORK_S)
+                await asyncio.sleep(self._group.work_s or WORK_S)
                 await self._run(request_id, word, rest)
             finally:
                 self._member.busy -= 1
@@ -257,6 +258,7 @@
     :param nodes: the control addresses that it knows
     :param interval_s: time between two heartbeats
     :ivar url: the address that the last answer named; empty for none
+    :ivar born_ms: its start in Unix milliseconds, told as ``born``; 0 if it tells none
     """
 
     def __init__(
@@ -271,12 +273,15 @@
         self._task: asyncio.Task | None = None
         self._role = ""
         self.url = ""
+        self.born_ms = 0
 
     def body(self, state: str = "ready") -> dict:
         """Return the next heartbeat."""
         member = self._member
         self._role = "primary" if self._group.leads(member) else "replica"
+        born = {"born": self.born_ms} if self.born_ms else {}
         return {
+            **born,
             "service": self._group.name,
             "address": member.address,
             "zone": member.zone,
--- a/review/standins2/scenario.py
+++ b/review/standins2/scenario.py
@@ -6,6 +6,7 @@
 import os
 import sys
 import tempfile
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -32,11 +33,13 @@
     :param synchronous: ``syncReplicas`` of the service
     :param routes: the type of each database's route, by its name
     :ivar has_trouble: False where the run is to leave out the disruption
+    :ivar tells_start: True where members tell ``born`` in their heartbeats
     """
 
     def __init__(self, folder: Path, record: Record, synchronous: int, routes: dict[str, str]):
         self.record = record
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
+        self.tells_start = os.environ.get("BORN") == "1"
         self.deployment = Deployment(folder, record)
         self.group = Group(SERVICE, synchronous, record)
         self.servers: dict[str, MemberServer] = {}
@@ -56,6 +59,8 @@
         interval_s = deployment.heartbeat_interval_ms / 1_000
         nodes = deployment.control_addresses
         beats = self.heartbeats[identity] = Heartbeats(self.group, member, nodes, interval_s)
+        if self.tells_start:
+            beats.born_ms = int(time.time() * 1_000)
         if announces:
             beats.start()
         return member
