--- a/review/standins2/scenario.py
+++ b/review/standins2/scenario.py
@@ -129,16 +129,17 @@
 
 
 def main(
-    case_folder: Path,
+    record_file: Path,
     synchronous: int,
     routes: dict[str, str],
     case: Callable[[Scenario], Awaitable[bool]],
 ) -> None:
     """Run a case and exit with its status.
 
+    :param record_file: receives what was sent, answered and run
     :param case: returns whether the rule held
     """
-    record = Record(case_folder / "record.txt")
+    record = Record(record_file)
     with tempfile.TemporaryDirectory(prefix="review-") as folder:
         status = asyncio.run(_run(Path(folder), record, synchronous, routes, case))
         keep = os.environ.get("KEEP_LOGS")
