Set up on machines without a wheel of hdrhistogram

What developers saw: on arm64 'make setup' ended with 'No matching distribution found for hdrhistogram==0.10.8', and with it every check.

Cause: there is no arm64 wheel, so the source is built without isolation; its version comes from pbr, which the lock names but which was not installed yet, so the build called itself 0.0.0 and was refused.

The lock's build requirements, setuptools and pbr, are now installed before the rest. Where a wheel exists the order changes nothing.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 VENV := .venv
 RUN := $(VENV)/bin/python
 INSTALLED := $(VENV)/installed
+# What a library without a wheel for this machine needs while it is built without isolation.
+BUILD_REQUIREMENTS = $$(grep -E '^(setuptools|pbr)==' requirements.lock)
 SEEDS ?= 1-200
 SECONDS ?= 20
 
@@ -13,7 +15,7 @@
 
 $(INSTALLED): requirements.lock pyproject.toml
 	test -x $(RUN) || $(PYTHON) -m venv $(VENV)
-	$(RUN) -m pip install --quiet --disable-pip-version-check $$(grep '^setuptools==' requirements.lock)
+	$(RUN) -m pip install --quiet --disable-pip-version-check $(BUILD_REQUIREMENTS)
 	$(RUN) -m pip install --quiet --disable-pip-version-check --no-build-isolation -r requirements.lock
 	$(RUN) -m pip install --quiet --disable-pip-version-check --no-build-isolation --no-deps -e .
 	touch $(INSTALLED)
