Play configuration changes against real processes whose disks are lost

The soak had three controllers, one operator whose changes were only waited for, and no check of what proxies and controllers make of a change, so it could not show any of the users' cases.

--- /dev/null
+++ b/features/soak/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""A soak of configuration changes while processes and disks fail."""
--- a/features/soak/fault_injection.py
+++ b/features/soak/fault_injection.py
@@ -33,15 +33,25 @@
 
 
 class SoakDeployment(Deployment):
-    """Puts a relay in front of each member, and restarts exited processes as the platform does."""
+    """Puts a relay in front of each member, and restarts exited processes as the platform does.
+
+    :ivar held_down: machines whose process is not restarted for now
+    :ivar is_stopping: whether the run is over, so that no process is started any more
+    """
 
     def __init__(
-        self, folder: Path, proxies: tuple[str, ...] = PROXIES, synchronous_replicas: int = 0
+        self,
+        folder: Path,
+        proxies: tuple[str, ...] = PROXIES,
+        synchronous_replicas: int = 0,
+        controllers: tuple[str, ...] = CONTROLLERS,
+        tolerated_losses: int = 1,
     ) -> None:
-        super().__init__(folder, proxies, synchronous_replicas)
+        super().__init__(folder, proxies, synchronous_replicas, controllers, tolerated_losses)
         self.history = ProcessHistory()
         self.relays: dict[str, MemberRelay] = {}
-        self._is_stopping = False
+        self.held_down: set[str] = set()
+        self.is_stopping = False
 
     async def start(self) -> None:
         """Start the relays, the deployment and its supervision."""
@@ -57,7 +67,7 @@
 
     async def stop(self) -> None:
         """Stop the supervision and everything that was started."""
-        self._is_stopping = True
+        self.is_stopping = True
         await super().stop()
 
     def start_process(self, ip: str, program: str, bootstrap: bool = False) -> None:
@@ -84,8 +94,8 @@
         process.send_signal(number)
 
     async def _supervise(self) -> None:
-        while not self._is_stopping:
-            for ip in (*CONTROLLERS, *self.proxies):
+        while not self.is_stopping:
+            for ip in self.started_machines():
                 status = self.process(ip).poll()
                 if status is not None:
                     self.history.record_exit(ip, status)
@@ -93,8 +103,9 @@
             await curio.sleep(RESTART_INTERVAL_S)
 
     async def _restart(self, ip: str) -> None:
-        if self.process(ip).poll() is not None and not self._is_stopping:
-            program = CONTROLLER_PROGRAM if ip in CONTROLLERS else PROXY_PROGRAM
+        is_wanted = not self.is_stopping and ip not in self.held_down
+        if self.process(ip).poll() is not None and is_wanted:
+            program = CONTROLLER_PROGRAM if ip in self.controllers else PROXY_PROGRAM
             self.start_process(ip, program)
 
 
--- a/features/support/line_platform/deployment.py
+++ b/features/support/line_platform/deployment.py
@@ -24,6 +24,7 @@
 CONTROLLERS = tuple(f"{NETWORK}.{zone}.1" for zone in (1, 2, 3))
 PROXIES = tuple(f"{NETWORK}.{zone}.2" for zone in (1, 2))
 ZONES = {f"{NETWORK}.{zone}": f"z{zone}" for zone in (1, 2, 3)}
+SEED_COUNT = 3
 MAX_STALENESS_MS = 2_000
 CONTROL_PORT, FRONT_PORT, READY_PORT, CLOUD_PORT = 28_782, 28_784, 28_785, 28_783
 FIRST_INTERNAL_PORT = 28_440
@@ -35,11 +36,13 @@
 
 
 class Deployment:
-    """Three controllers, two or more proxies, and one group of members.
+    """Controllers, two or more proxies, and one group of members.
 
     :param folder: holds data, node files and logs
     :param proxies: IP addresses of the proxies' machines
     :param synchronous_replicas: replicas that must have received a commit before it is answered
+    :param controllers: IP addresses of the controllers' machines; the first three are seeds
+    :param tolerated_losses: controllers that may be lost at once, as the node files state
     :ivar seeds: the controllers listed in node files
     :ivar priorities: priority by database, where it differs from ``USUAL_PRIORITY``
     :ivar route_type: which members the clients' reads may use
@@ -47,11 +50,18 @@
     """
 
     def __init__(
-        self, folder: Path, proxies: tuple[str, ...] = PROXIES, synchronous_replicas: int = 0
+        self,
+        folder: Path,
+        proxies: tuple[str, ...] = PROXIES,
+        synchronous_replicas: int = 0,
+        controllers: tuple[str, ...] = CONTROLLERS,
+        tolerated_losses: int = 1,
     ) -> None:
         self._folder = folder
         self.proxies = proxies
-        self.seeds = CONTROLLERS
+        self.controllers = controllers
+        self.tolerated_losses = tolerated_losses
+        self.seeds = controllers[:SEED_COUNT]
         self._processes: dict[str, subprocess.Popen] = {}
         self._extra_controllers: set[str] = set()
         self.tenants: list[dict] | None = None
@@ -69,12 +79,16 @@
         listener = listen(CLOUD_ADDRESS).unwrap()
         server = HttpServer(self.authority.answer, HttpLimits(64 * 1024))
         await curio.spawn(server.run, listener, daemon=True)
-        for ip in CONTROLLERS:
-            self.start_process(ip, "run_controller.py", bootstrap=True)
+        for ip in self.controllers:
+            await self.start_machine(ip, "run_controller.py")
         for ip in self.proxies:
-            self.start_process(ip, "run_proxy.py", bootstrap=True)
+            await self.start_machine(ip, "run_proxy.py")
         await curio.spawn(self._send_heartbeats, daemon=True)
 
+    async def start_machine(self, ip: str, program: str) -> None:
+        """Start the first process of a machine."""
+        self.start_process(ip, program, bootstrap=True)
+
     def start_controller(self, ip: str) -> None:
         """Start a controller that is not a seed."""
         self._extra_controllers.add(ip)
@@ -112,7 +126,7 @@
         return path
 
     def _node_file(self, ip: str, bootstrap: bool) -> dict:
-        is_controller = ip in CONTROLLERS or ip in self._extra_controllers
+        is_controller = ip in self.controllers or ip in self._extra_controllers
         front = {"front": f"{ip}:{FRONT_PORT}", "readiness": f"{ip}:{READY_PORT}"}
         return {
             "nodeName": ip,
@@ -124,7 +138,7 @@
             "bootstrap": bootstrap,
             "dataDir": str(self.data_folder(ip)) if is_controller else None,
             "heartbeatIntervalMs": int(HEARTBEAT_S * 1_000),
-            "faultTolerance": {"machines": 1},
+            "faultTolerance": {"machines": self.tolerated_losses},
             "cloudApi": {"address": CLOUD_ADDRESS},
         }
 
@@ -132,6 +146,10 @@
         """Return the most recently started process of a machine."""
         return self._processes[ip]
 
+    def started_machines(self) -> tuple[str, ...]:
+        """Return the machines of controllers and proxies that have been started."""
+        return tuple(ip for ip in (*self.controllers, *self.proxies) if ip in self._processes)
+
     def kill(self, ip: str) -> None:
         """Kill a machine's process and wait for its end."""
         self._processes[ip].kill()
@@ -250,6 +268,6 @@
     async def deliver_announcement(self, member: StandInMember, body: bytes) -> None:
         """Send an announcement to the controllers in order until one acknowledges it."""
         call = HttpCall("PUT", f"/instances/{member.identity}", body)
-        for ip in CONTROLLERS:
+        for ip in self.controllers:
             if await call_http(f"{ip}:{CONTROL_PORT}", call, 1.0) == 200:
                 return
