Show which voters held a confirmed change, and which proxy is behind

What operators could not see: whether a confirmed change was held by as many controllers as the losses to bear need, that the voters had become fewer, which version a proxy applies and why not a newer one, and why a change was not taken. None of the incident's hypotheses could be told from another by logs or metrics.

Gauges: limedyke_controller_voters by state, and revision, link and lag of each statement proxy.

Nothing else changes.

--- a/limedyke/controller/leading/leader_calls.py
+++ b/limedyke/controller/leading/leader_calls.py
@@ -97,18 +97,35 @@
     async def _declare(self, call: DeclareCall, service: LeaderService) -> CallAnswer:
         if not self._has_enough_voters(service):
             detail = "Too few controllers hold the log yet."
-            return failure_answer(Failure(ResultCode.NOT_LEADER, detail, 200))
+            return self._not_confirmed(call, Failure(ResultCode.NOT_LEADER, detail, 200))
         entry = DeclareVersion(call.version, call.document, call.declaration)
         result = await self._replica.propose(entry)
         if isinstance(result, Err):
-            return failure_answer(result.err_value)
+            return self._not_confirmed(call, result.err_value)
         if not isinstance(result.ok_value, DeclaredVersion):
-            return failure_answer(
-                Failure(ResultCode.CONTROL_OUTCOME_UNKNOWN, "The leadership was lost.")
-            )
-        in_force = result.ok_value.version
-        EVENTS.info("declaration", version=call.version, in_force=in_force)
-        return CallAnswer(version=in_force, leader=self._advertise)
+            lost = Failure(ResultCode.CONTROL_OUTCOME_UNKNOWN, "The leadership was lost.")
+            return self._not_confirmed(call, lost)
+        self._log_confirmation(call.version, result.ok_value.version)
+        return CallAnswer(version=result.ok_value.version, leader=self._advertise)
+
+    def _log_confirmation(self, version: int, in_force: int) -> None:
+        """Log which voters hold the confirmed declaration."""
+        agreement = self._replica.agreement
+        state = self._replica.state
+        holders = agreement.holders(agreement.commit_index)
+        EVENTS.info(
+            "declaration",
+            version=version,
+            in_force=in_force,
+            revision=state.revision,
+            control_index=state.control_index,
+            voters=len(agreement.configuration.voters),
+            held_by=",".join(holder.name for holder in holders),
+        )
+
+    def _not_confirmed(self, call: DeclareCall, failure: Failure) -> CallAnswer:
+        EVENTS.warning("declaration-not-confirmed", version=call.version, reason=failure)
+        return failure_answer(failure)
 
     def _has_enough_voters(self, service: LeaderService) -> bool:
         voters = self._replica.agreement.configuration.voters
--- a/limedyke/controller/metrics.py
+++ b/limedyke/controller/metrics.py
@@ -36,6 +36,11 @@
         self.term = self._gauge("term", "Term of the controllers' agreement.")
         self.role_changes = self._counter("role_changes", "Role changes by new role.", "role")
         self.step_downs = self._counter("step_downs", "Leaderships ended, by reason.", "reason")
+        self.voters = self._gauge(
+            "voters",
+            "Voters by state, as the leader counts them; 0 off the leader.",
+            "state",
+        )
         self.commit_index = self._gauge("commit_index", "Last committed entry.")
         self.snapshots = self._counter(
             "snapshots", "Snapshots by kind: saved or installed.", "kind"
--- a/limedyke/controller/server.py
+++ b/limedyke/controller/server.py
@@ -20,6 +20,7 @@
 from limedyke.controller.leading.operator_changes import ControllerChanges
 from limedyke.controller.leading.operator_requests import OperatorRequests
 from limedyke.controller.leading.voter_manager import VoterManager
+from limedyke.controller.leading.voter_watch import VoterWatch
 from limedyke.controller.membership_search import MembershipSearch
 from limedyke.controller.peer_network import PeerMessage, PeerNetwork
 from limedyke.controller.promotion_authority import PromotionAuthority
@@ -247,7 +248,10 @@
         settings = self._settings
         silence_limit_s = settings.voter_silence_limit_ms / 1000
         policy = VoterPolicy(settings.voters_wanted, silence_limit_s)
-        return VoterManager(self._replica, policy, settings.advertise)
+        watch = VoterWatch(
+            self._replica, settings.voters_wanted, silence_limit_s, self._pages.metrics
+        )
+        return VoterManager(self._replica, policy, settings.advertise, watch)
 
     def _initial_state(self) -> StoredState:
         """Return the state found on disk when this process started."""
--- a/limedyke/core/agreement/view.py
+++ b/limedyke/core/agreement/view.py
@@ -86,6 +86,18 @@
             return {}
         return self._leader.replication.progress
 
+    def holders(self, index: int) -> tuple[ControllerIdentity, ...]:
+        """Return, on the leader, the voters known to have an entry on disk."""
+        state = self._state
+        if state.role is not Role.LEADER:
+            return ()
+        synced = {
+            member: progress.match_index
+            for member, progress in self._leader.replication.progress.items()
+        }
+        synced[state.identity] = state.synced_index
+        return tuple(voter for voter in state.configuration.voters if synced.get(voter, 0) >= index)
+
     def learner_lag(self) -> dict[ControllerIdentity, int]:
         """Return, on the leader, how many entries each learner is behind."""
         if self._state.role is not Role.LEADER:
--- a/limedyke/proxy/control/client.py
+++ b/limedyke/proxy/control/client.py
@@ -52,6 +52,7 @@
 from limedyke.proxy.control.successor_search import SuccessorSearch
 from limedyke.proxy.control.view import ControlView
 from limedyke.proxy.control.view_check import ViewFreshnessCheck
+from limedyke.proxy.control.view_lag import ViewLag
 from limedyke.proxy.limits.operation_limiter import OperationLimiter
 from limedyke.settings.secrets import Secrets
 from limedyke.transport.link import Link, LinkClosedError, LinkIdentity
@@ -103,6 +104,7 @@
         self._status_messages = ProxyStatusMessages(settings)
         self._quorum_stamp = QuorumStampTracker()
         self._view_confirmation = ViewFreshnessCheck(self._ask_leader, self._applied_index)
+        self._view_lag = ViewLag()
         self._silence = LeaderSilence()
         self._reports = ControlReports(self._silence)
         self._leases = ControlLeases(
@@ -152,6 +154,11 @@
         is_silent = self._quorum_stamp.silent_s(time.monotonic()) >= self._silence_limit_s
         return self._link is not None and not is_silent
 
+    @property
+    def behind_s(self) -> float:
+        """Seconds for which the applied view has been behind the leader's, as far as is known."""
+        return self._view_lag.seconds(time.monotonic())
+
     @property
     def leases(self) -> tuple[ConnectionLease, ...]:
         """The leases that are valid now."""
@@ -370,18 +377,21 @@
 
     async def _handle_snapshot(self, snapshot: ControlSnapshot) -> None:
         await self._state_receiver.apply_snapshot(snapshot)
-        self._learn_controllers()
-        await self._view_confirmation.view_changed()
+        await self._view_applied()
 
     async def _handle_update(self, update: ControlUpdate) -> None:
         """Apply an update; acknowledge a new primary at once, since a promotion waits for it."""
         await self._state_receiver.apply_update(update)
-        self._learn_controllers()
-        await self._view_confirmation.view_changed()
+        await self._view_applied()
         link = self._link
         if link is not None and any(primary.fence for primary in update.primaries):
             await self._send_heartbeat(link, ())
 
+    async def _view_applied(self) -> None:
+        self._learn_controllers()
+        self._view_lag.applied(self._applied_index(), time.monotonic())
+        await self._view_confirmation.view_changed()
+
     def _learn_controllers(self) -> None:
         view = self._state_receiver.current
         if view is not None and view.controllers:
@@ -405,6 +415,7 @@
             self._controllers.accepted(self._address)
             await self._leases.renew(stamp.sequence, stamp.lease_duration_ms / 1000)
             self._renew_primary_lease(stamp)
+        self._view_lag.leader_at(stamp.control_index, time.monotonic())
         await self._view_confirmation.stamp_received(stamp)
 
     async def _handle_order(self, order: PromoteOrder) -> None:
--- a/limedyke/proxy/control/state_receiver.py
+++ b/limedyke/proxy/control/state_receiver.py
@@ -6,12 +6,15 @@
 
 from result import Err, Result
 
+from limedyke.event_log import EventLog
 from limedyke.messages.control import ControlSnapshot, ControlTarget, ControlUpdate
 from limedyke.proxy.control.store import ControlStore, StoredControl, view_of
 from limedyke.proxy.control.view import ControlView, snapshot_of
 from limedyke.result_codes import Failure
 from limedyke.transport.link import LinkClosedError
 
+EVENTS = EventLog("control_client")
+
 
 class ControlStateReceiver:
     """Persists snapshots and updates, and applies the resulting views.
@@ -108,5 +111,12 @@
         await self._use(view)
 
     async def _use(self, view: ControlView) -> None:
-        self.current = view
+        previous, self.current = self.current, view
         await self._apply_view(view)
+        if previous is None or previous.revision != view.revision:
+            EVENTS.info(
+                "declaration-applied",
+                revision=view.revision,
+                control_index=view.control_index,
+                confirmed=self.confirmed,
+            )
--- a/limedyke/proxy/statements/server.py
+++ b/limedyke/proxy/statements/server.py
@@ -108,9 +108,18 @@
             self._stop,
         )
         self._clients: set[StatementClient] = set()
-        metrics.sessions.set_function(lambda: len(self._clients))
+        self._set_gauges(metrics)
         self._registry.register(MemberGauges(lambda: self._groups.groups.values()))
 
+    def _set_gauges(self, metrics: StatementMetrics) -> None:
+        control = self._control
+        metrics.sessions.set_function(lambda: len(self._clients))
+        metrics.control_revision.set_function(
+            lambda: control.view.revision if control.view is not None else 0
+        )
+        metrics.control_connected.set_function(lambda: int(control.connected))
+        metrics.control_behind.set_function(lambda: control.behind_s)
+
     async def run(self) -> int:
         """Run until a planned stop or a failure; return the exit status."""
         settings = self._settings
--- a/limedyke/proxy/statements/statement_metrics.py
+++ b/limedyke/proxy/statements/statement_metrics.py
@@ -108,6 +108,17 @@
             f"{PREFIX}log_lines_left_out", "Log lines beyond the budget.", registry=registry
         )
         self.sessions = Gauge(f"{PREFIX}sessions", "Open client connections.", registry=registry)
+        self.control_revision = Gauge(
+            f"{PREFIX}control_revision", "Revision of the applied declaration.", registry=registry
+        )
+        self.control_connected = Gauge(
+            f"{PREFIX}control_connected", "1 while linked to the leader.", registry=registry
+        )
+        self.control_behind = Gauge(
+            f"{PREFIX}control_behind_seconds",
+            "For how long the applied view has been behind the leader's.",
+            registry=registry,
+        )
 
     def answered(self, kind: StatementKind, code: str, seconds: float) -> None:
         """Count an answer to a client.
