Show three ways in which a confirmed change is lost

confirmed_changes.feature, on real processes and on code that is not changed: two controllers start 9 s late or stand still for their first 9 s; a voter comes back after another controller took its place; a learner whose address the next leader does not know. The disks are read after everything was killed: for each two that may be lost, whether a controller that holds the change can be elected.

--- a/features/soak/configuration/closing.py
+++ b/features/soak/configuration/closing.py
@@ -10,7 +10,12 @@
 from features.soak.checks import Violation
 from features.soak.configuration.checks import SERVES_AGAIN, SURVIVES
 from features.soak.configuration.deployment import TOLERATED_LOSSES, ConfigurationDeployment
-from features.soak.configuration.disks import ControllerDisk, fatal_losses, read_disk
+from features.soak.configuration.disks import (
+    ControllerDisk,
+    controller_name,
+    fatal_losses,
+    read_disk,
+)
 from features.soak.configuration.documents import COMMON_DATABASE
 from features.soak.configuration.observers import OPENED, ControllerReader, open_session
 
@@ -33,7 +38,7 @@
         """Return what the disks of the present controllers hold, by machine."""
         deployment = self._deployment
         return {
-            ip: read_disk(deployment.data_folder(ip), f"controller-{ip.replace('.', '-')}")
+            ip: read_disk(deployment.data_folder(ip), controller_name(ip))
             for ip in deployment.controllers
         }
 
--- a/features/soak/configuration/disks.py
+++ b/features/soak/configuration/disks.py
@@ -45,6 +45,16 @@
         return tuple(filter(None, (configuration.voters, configuration.previous_voters)))
 
 
+def controller_name(ip: str) -> str:
+    """Return the name of the controller on a machine."""
+    return f"controller-{ip.replace('.', '-')}"
+
+
+def newest_disk(disks: Collection[ControllerDisk | None]) -> ControllerDisk:
+    """Return the disk with the longest log."""
+    return max(filter(None, disks), key=lambda disk: (disk.last_term, disk.last_index))
+
+
 def read_disk(folder: Path, controller: str) -> ControllerDisk | None:
     """Return what the data folder of a controller holds; None if it holds no log.
 
--- /dev/null
+++ b/features/steps/confirmed_changes_steps.py
@@ -0,0 +1,158 @@
+"""Steps for confirmed changes that must survive lost disks, with real processes."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Collection
+
+import curio
+from behave import given, then, when
+
+from features.soak.configuration.checks import check
+from features.soak.configuration.closing import PowerLoss
+from features.soak.configuration.deployment import (
+    FIVE_CONTROLLERS,
+    TOLERATED_LOSSES,
+    ConfigurationDeployment,
+)
+from features.soak.configuration.disks import (
+    LOG_FOLDER,
+    ControllerDisk,
+    controller_name,
+    fatal_losses,
+    newest_disk,
+)
+from features.soak.configuration.operators import Operators
+from features.soak.fault_injection import CONTROLLER_PROGRAM, SoakDeployment
+from features.steps.platform_processes_steps import run
+from features.support.line_platform.deployment import CONTROLLERS, NETWORK
+from limedyke.core.agreement.records import Snapshot
+from limedyke.messages.agreement import ControllerIdentity, MemberConfiguration
+from limedyke.storage.open_log import open_durable_log
+
+PROXIES = 3
+LATE_S = 9.0
+LATE_CONTROLLERS = FIVE_CONTROLLERS[3:]
+LEARNER = f"{NETWORK}.1.4"
+OFF_S, REMOVED_AFTER_S, SUCCESSOR_AFTER_S = 5.0, 1.4, 1.0
+LEADS = "event=serving-as-leader"
+STATES = {
+    "start with the others": ({}, {}),
+    "start 9 s late": (dict.fromkeys(LATE_CONTROLLERS, LATE_S), {}),
+    "stand still for their first 9 s": ({}, dict.fromkeys(LATE_CONTROLLERS, LATE_S)),
+}
+
+
+@given("confirmed changes: five controllers, of which two {state}")
+def step_start(context, state):
+    late, paused = STATES[state]
+    context.kernel = curio.Kernel()
+    context.deployment = ConfigurationDeployment(context.folder, PROXIES, late, paused)
+    deployment = context.deployment
+    context.power_loss = PowerLoss(deployment)
+    context.operators = Operators(lambda: deployment.controllers, deployment.changes, seed=1)
+
+    def end() -> None:
+        context.kernel.run(deployment.stop)
+        context.kernel.run(shutdown=True)
+
+    context.add_cleanup(end)
+    run(context, deployment.start)
+
+
+@then("confirmed changes: a change is confirmed within {limit:d} s")
+def step_confirmed(context, limit):
+    content = run(context, context.operators.change, limit)
+    assert content not in context.deployment.changes.unacknowledged, f"not in {limit} s"
+
+
+@then("confirmed changes: it survives the loss of any two disks")
+def step_survives(context):
+    version = context.deployment.changes.acknowledged_version(time.monotonic())
+    disks = context.power_loss.read_disks()
+    fatal = list(fatal_losses(disks, TOLERATED_LOSSES, version))
+    assert not fatal, (version, fatal, disks)
+
+
+@when("confirmed changes: everything is killed and the two disks are lost that hurt most")
+def step_power_loss(context):
+    run(context, context.deployment.kill_everything)
+    run(context, context.power_loss.restart)
+
+
+@then("confirmed changes: it is read back within 12 s, and every proxy serves it")
+def step_read_back(context):
+    assert not context.power_loss.violations, [str(v) for v in context.power_loss.violations]
+    found = check(context.deployment.changes, context.deployment.controllers)
+    assert not found, [str(violation) for violation in found]
+
+
+@when(
+    "confirmed changes: a follower is off for 5 s, and another is gone for good and has a successor"
+)
+def step_replaced_while_off(context):
+    deployment = context.deployment
+    returning, removed = [ip for ip in deployment.controllers if LEADS not in deployment.log(ip)][
+        -2:
+    ]
+    run(context, _replace_while_off, deployment, returning, removed)
+
+
+async def _replace_while_off(deployment, returning: str, removed: str) -> None:
+    async with curio.TaskGroup() as tasks:
+        await tasks.spawn(deployment.switch_off, returning, OFF_S)
+        await curio.sleep(REMOVED_AFTER_S)
+        await tasks.spawn(deployment.replace_controller, removed, SUCCESSOR_AFTER_S)
+
+
+@then("confirmed changes: the five that run are the voters {limit:d} s after it is back")
+def step_voters(context, limit):
+    run(context, curio.sleep, limit)
+    disks = context.power_loss.read_disks().values()
+    assert all_vote(disks), disks
+
+
+def all_vote(disks: Collection[ControllerDisk | None]) -> bool:
+    """Tell whether the controllers of these disks are all voters, and the only ones."""
+    configuration = newest_disk(disks).configuration
+    running = {disk.identity for disk in disks if disk is not None}
+    return set(configuration.voters) == running and not configuration.previous_voters
+
+
+@given("confirmed changes: two of three voters, and a learner whose address they do not know")
+def step_unknown_learner(context):
+    """Start from logs as such a leader leaves them: the third voter is gone for good."""
+    context.kernel = curio.Kernel()
+    deployment = context.deployment = SoakDeployment(context.folder)
+    context.power_loss = PowerLoss(deployment)
+    gone = CONTROLLERS[-1]
+    identities = {
+        ip: ControllerIdentity(controller_name(ip), f"{number:016x}")
+        for number, ip in enumerate((*CONTROLLERS, LEARNER))
+    }
+    voters = tuple(identities[ip] for ip in CONTROLLERS)
+    configuration = MemberConfiguration("x", voters, (identities[LEARNER],))
+    genesis = Snapshot(1, 1, configuration)
+    deployment.controllers = tuple(ip for ip in (*CONTROLLERS, LEARNER) if ip != gone)
+    for ip in deployment.controllers:
+        log = open_durable_log(deployment.data_folder(ip) / LOG_FOLDER, identities[ip]).unwrap()
+        log.install_snapshot(genesis, keep_entries=False).unwrap()
+        log.close()
+
+    def end() -> None:
+        context.kernel.run(deployment.stop)
+        context.kernel.run(shutdown=True)
+
+    context.add_cleanup(end)
+    for ip in deployment.controllers:
+        deployment.start_process(ip, CONTROLLER_PROGRAM)
+
+
+@then("confirmed changes: the three that run are the voters within {limit:d} s")
+def step_three_voters(context, limit):
+    deployment = context.deployment
+
+    async def are_voters() -> bool:
+        return all_vote(context.power_loss.read_disks().values())
+
+    run(context, deployment.wait_until, are_voters, limit, "three voters")
