Confirm a change only while enough controllers vote to bear the losses

What callers saw: a change was confirmed and gone after two disks were lost as all machines lost power; no controller could be elected any more, and no proxy served. Five controllers, which must bear just that, of which two start 9 s late or stand still from their start.

Cause: the first declaration waited for as many voters as wanted for 6 s only and was then confirmed with three, and after it nothing asked for their number; operators' plans never asked. The class: a promise that is given after a wait as if it had come true.

While fewer than 2 n + 1 controllers vote, in either set during a replacement, a declaration or plan is refused at once as not run (LD4011), with a time to come back. A majority of 2 n + 1 voters holds what is confirmed then; after the loss of n disks a majority is left, of which one at least holds it. Voters that are down count, as their loss is among those to bear, so that nothing stops while a machine restarts.

--- a/features/confirmed_changes.feature
+++ b/features/confirmed_changes.feature
@@ -16,6 +16,14 @@
       | start 9 s late                      |
       | stand still for their first 9 s     |
 
+  # Where the number of voters is never reached, a change was confirmed all the same after 6 s.
+  Scenario: confirmed changes: a deployment that stays below its number of voters confirms nothing, and says so
+    Given confirmed changes: five controllers, of which two start 12 s late
+    Then confirmed changes: for 8 s each change is refused within 1 s, as "3 of 5 voters", with a time to come back
+    And confirmed changes: the leader's log and gauge tell that 3 of 5 voters are configured
+    And confirmed changes: a change is confirmed within 10 s
+    And confirmed changes: it survives the loss of any two disks
+
   # A voter that was replaced while it was down was never taken in again, and one that was gone stayed a voter.
   Scenario: confirmed changes: a voter comes back after another controller took its place
     Given confirmed changes: five controllers, of which two start with the others
--- a/features/soak/configuration/observers.py
+++ b/features/soak/configuration/observers.py
@@ -38,8 +38,8 @@
     async def read(self) -> Read:
         """Read once and record the answer."""
         sent_at = time.monotonic()
-        status, body = await get_configuration(self._ip)
-        document = body if status == HTTP_OK else b""
+        reply = await get_configuration(self._ip)
+        document = reply.body if reply.status == HTTP_OK else b""
         read = Read(self._ip, sent_at, time.monotonic(), document)
         self._history.reads.append(read)
         return read
--- a/features/soak/configuration/operators.py
+++ b/features/soak/configuration/operators.py
@@ -87,8 +87,8 @@
         """Send a configuration to one controller and record the answer."""
         sent_at = time.monotonic()
         self._history.record_begin(content, sent_at)
-        status = await put_configuration(ip, content.body)
-        sending = Sending(content, ip, sent_at, time.monotonic(), status)
+        reply = await put_configuration(ip, content.body)
+        sending = Sending(content, ip, sent_at, time.monotonic(), reply.status)
         self._history.sendings.append(sending)
         if sending.is_acknowledged:
             await self.on_acknowledged(ip)
--- a/features/steps/confirmed_changes_steps.py
+++ b/features/steps/confirmed_changes_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+import urllib.request
 from collections.abc import Collection
 
 import curio
@@ -22,6 +23,8 @@
     fatal_losses,
     newest_disk,
 )
+from features.soak.configuration.documents import build_content
+from features.soak.configuration.http_calls import put_configuration
 from features.soak.configuration.operators import Operators
 from features.soak.fault_injection import CONTROLLER_PROGRAM, SoakDeployment
 from features.steps.platform_processes_steps import run
@@ -31,14 +34,20 @@
 from limedyke.storage.open_log import open_durable_log
 
 PROXIES = 3
-LATE_S = 9.0
+LATE_S, VERY_LATE_S = 9.0, 12.0
 LATE_CONTROLLERS = FIVE_CONTROLLERS[3:]
+TOO_FEW = b"LD4011"
+REFUSED_AFTER_S = 2.5
+"""Until then controllers load, and there is no leader that could refuse."""
+STATUS_PORT = 9464
 LEARNER = f"{NETWORK}.1.4"
+REFUSAL_INTERVAL_S = 0.5
 OFF_S, REMOVED_AFTER_S, SUCCESSOR_AFTER_S = 5.0, 1.4, 1.0
 LEADS = "event=serving-as-leader"
 STATES = {
     "start with the others": ({}, {}),
     "start 9 s late": (dict.fromkeys(LATE_CONTROLLERS, LATE_S), {}),
+    "start 12 s late": (dict.fromkeys(LATE_CONTROLLERS, VERY_LATE_S), {}),
     "stand still for their first 9 s": ({}, dict.fromkeys(LATE_CONTROLLERS, LATE_S)),
 }
 
@@ -66,6 +75,40 @@
     assert content not in context.deployment.changes.unacknowledged, f"not in {limit} s"
 
 
+@then(
+    "confirmed changes: for {seconds:d} s each change is refused within {limit:d} s, as "
+    '"{reason}", with a time to come back'
+)
+def step_refused(context, seconds, limit, reason):
+    run(context, curio.sleep, REFUSED_AFTER_S)
+    until = time.monotonic() + seconds - REFUSED_AFTER_S
+    version = 0
+    while time.monotonic() < until:
+        version += 1
+        content = build_content(version, "r")
+        for ip in FIVE_CONTROLLERS[:3]:
+            sent_at = time.monotonic()
+            reply = run(context, put_configuration, ip, content.body)
+            assert time.monotonic() - sent_at < limit, reply
+            assert reply.status == 503 and int(reply.retry_after) > 0, reply
+            assert TOO_FEW in reply.body and reason.encode() in reply.body, reply
+        run(context, curio.sleep, REFUSAL_INTERVAL_S)
+
+
+@then(
+    "confirmed changes: the leader's log and gauge tell that {configured:d} of {wanted:d} voters "
+    "are configured"
+)
+def step_told(context, configured, wanted):
+    deployment = context.deployment
+    leader = next(ip for ip in FIVE_CONTROLLERS[:3] if LEADS in deployment.log(ip))
+    expected = f"event=too-few-voters wanted={wanted} configured={configured}"
+    assert expected in deployment.log(leader), deployment.log(leader)
+    page = urllib.request.urlopen(f"http://{leader}:{STATUS_PORT}/metrics").read().decode()
+    for state, count in (("configured", configured), ("wanted", wanted)):
+        assert f'limedyke_controller_voters{{state="{state}"}} {count:.1f}' in page, page
+
+
 @then("confirmed changes: it survives the loss of any two disks")
 def step_survives(context):
     version = context.deployment.changes.acknowledged_version(time.monotonic())
--- a/limedyke/controller/leading/leader_calls.py
+++ b/limedyke/controller/leading/leader_calls.py
@@ -9,6 +9,7 @@
 from limedyke.controller.clock import boot_seconds
 from limedyke.controller.leading.call_counts import CallCounts
 from limedyke.controller.leading.leader_service import LeaderService
+from limedyke.controller.leading.voter_requirement import VoterRequirement
 from limedyke.controller.metrics import ControllerMetrics
 from limedyke.controller.replica import Replica
 from limedyke.event_log import EventLog
@@ -24,23 +25,23 @@
 from limedyke.messages.control_entries import ControlEntry, DeclaredVersion, DeclareVersion
 from limedyke.result_codes import Failure, ResultCode
 
-VOTERS_WAIT_S = 6.0
-"""A declaration is acknowledged only once the wanted number of voters is reached. After a
-leadership of this length it is acknowledged by fewer voters, as there seem to be no more
-controllers."""
 EVENTS = EventLog("calls")
 
 
 def failure_answer(failure: Failure) -> CallAnswer:
     """Return a failure as the answer to a call."""
-    return CallAnswer(code=failure.code.value.number, detail=str(failure))
+    return CallAnswer(
+        code=failure.code.value.number,
+        detail=str(failure),
+        retry_after_ms=failure.retry_after_ms or 0,
+    )
 
 
 class LeaderCalls:
     """Answers calls while this controller leads.
 
     :param leader: gives the leader service while this controller leads, else None
-    :param voters_wanted: number of voters required before the first declaration is acknowledged
+    :param requirement: tells whether enough controllers vote for a declaration to be confirmed
     :param advertise: internal address of this controller (``ip:port``)
     :param metrics: counts the calls
     """
@@ -49,14 +50,14 @@
         self,
         replica: Replica,
         leader: Callable[[], LeaderService | None],
-        voters_wanted: int,
+        requirement: VoterRequirement,
         advertise: str,
         metrics: ControllerMetrics,
     ) -> None:
         self._counts = CallCounts(metrics, boot_seconds())
         self._replica = replica
         self._leader = leader
-        self._voters_wanted = voters_wanted
+        self._requirement = requirement
         self._advertise = advertise
 
     async def answer_forwarded(self, call: Call) -> CallAnswer:
@@ -86,7 +87,7 @@
     async def _execute(self, call: Call, service: LeaderService) -> CallAnswer:
         match call:
             case DeclareCall():
-                return await self._declare(call, service)
+                return await self._declare(call)
             case ReadDeclarationCall():
                 return await self._read()
             case AnnounceCall():
@@ -94,10 +95,10 @@
             case WithdrawCall():
                 return await self._withdraw(call, service)
 
-    async def _declare(self, call: DeclareCall, service: LeaderService) -> CallAnswer:
-        if not self._has_enough_voters(service):
-            detail = "Too few controllers hold the log yet."
-            return self._not_confirmed(call, Failure(ResultCode.NOT_LEADER, detail, 200))
+    async def _declare(self, call: DeclareCall) -> CallAnswer:
+        failure = self._requirement.failure()
+        if failure is not None:
+            return self._not_confirmed(call, failure)
         entry = DeclareVersion(call.version, call.document, call.declaration)
         result = await self._replica.propose(entry)
         if isinstance(result, Err):
@@ -127,14 +128,6 @@
         EVENTS.warning("declaration-not-confirmed", version=call.version, reason=failure)
         return failure_answer(failure)
 
-    def _has_enough_voters(self, service: LeaderService) -> bool:
-        voters = self._replica.agreement.configuration.voters
-        if len(voters) >= self._voters_wanted and self._replica.agreement.membership_settled:
-            return True
-        if self._replica.state.version > 0:
-            return True
-        return boot_seconds() - service.started_at > VOTERS_WAIT_S
-
     async def _read(self) -> CallAnswer:
         confirmed = await self._replica.confirm_leadership()
         if isinstance(confirmed, Err):
--- a/limedyke/controller/leading/operator_requests.py
+++ b/limedyke/controller/leading/operator_requests.py
@@ -10,6 +10,7 @@
 from limedyke.controller.leading.leader_service import LeaderService
 from limedyke.controller.leading.operator_changes import ControllerChanges
 from limedyke.controller.leading.refusal import refused
+from limedyke.controller.leading.voter_requirement import VoterRequirement
 from limedyke.controller.metrics import ControllerMetrics
 from limedyke.controller.replica import Replica
 from limedyke.controller.status_report import StatusReport
@@ -42,6 +43,7 @@
 
     :param leader: gives the leader service while this controller leads, else None
     :param leader_address: gives the address of the known leader, or an empty string
+    :param requirement: tells whether enough controllers vote for a plan to be confirmed
     """
 
     def __init__(
@@ -52,8 +54,10 @@
         plan_lifetime_s: int,
         status: StatusReport,
         changes: ControllerChanges,
+        requirement: VoterRequirement,
         metrics: ControllerMetrics,
     ) -> None:
+        self._requirement = requirement
         self._replica = replica
         self._leader = leader
         self._leader_address = leader_address
@@ -133,6 +137,9 @@
     async def _confirm(
         self, operator: str, request: ConfirmRequest, service: LeaderService
     ) -> object:
+        failure = self._requirement.failure()
+        if failure is not None:
+            return refused(request.request_id, failure)
         entry = ConfirmPlan(request.request_id, operator, request.plan_id, int(time.time()))
         return await self._propose(request.request_id, entry)
 
--- a/limedyke/controller/leading/voter_manager.py
+++ b/limedyke/controller/leading/voter_manager.py
@@ -6,7 +6,6 @@
 from result import Err
 
 from limedyke.controller.clock import boot_seconds
-from limedyke.controller.leading.voter_watch import VoterWatch
 from limedyke.controller.replica import Replica
 from limedyke.core.agreement.events import AddLearner, MembershipChange
 from limedyke.core.agreement.voter_policy import VoterPolicy
@@ -21,13 +20,9 @@
     """Executes the changes that the voter policy chooses, one at a time.
 
     :param advertise: where the other controllers reach this one (``ip:port``)
-    :param watch: tells operators about the voters
     """
 
-    def __init__(
-        self, replica: Replica, policy: VoterPolicy, advertise: str, watch: VoterWatch
-    ) -> None:
-        self._watch = watch
+    def __init__(self, replica: Replica, policy: VoterPolicy, advertise: str) -> None:
         self._replica = replica
         self._policy = policy
         self._advertise = advertise
@@ -35,7 +30,6 @@
     async def run(self) -> None:
         """Check the members periodically while this controller leads, until cancelled."""
         while True:
-            self._watch.check(boot_seconds())
             if self._replica.leads and self._replica.agreement.membership_settled:
                 await self._step()
             await curio.sleep(CHECK_INTERVAL_S)
--- a/limedyke/controller/leading/voter_watch.py
+++ b/limedyke/controller/leading/voter_watch.py
@@ -4,11 +4,15 @@
 
 from collections.abc import Collection
 
+import curio
+
+from limedyke.controller.clock import boot_seconds
 from limedyke.controller.metrics import ControllerMetrics
 from limedyke.controller.replica import Replica
 from limedyke.event_log import EventLog
 from limedyke.messages.agreement import ControllerIdentity, MemberConfiguration
 
+CHECK_INTERVAL_S = 0.1
 EVENTS = EventLog("voters")
 
 
@@ -31,6 +35,12 @@
         self._known = MemberConfiguration()
         self._few_since: float | None = None
 
+    async def run(self) -> None:
+        """Check the voters periodically until cancelled."""
+        while True:
+            self.check(boot_seconds())
+            await curio.sleep(CHECK_INTERVAL_S)
+
     def check(self, now: float) -> None:
         """Compare the voters with those of the last check."""
         if not self._replica.leads:
--- a/limedyke/controller/server.py
+++ b/limedyke/controller/server.py
@@ -20,6 +20,7 @@
 from limedyke.controller.leading.operator_changes import ControllerChanges
 from limedyke.controller.leading.operator_requests import OperatorRequests
 from limedyke.controller.leading.voter_manager import VoterManager
+from limedyke.controller.leading.voter_requirement import VoterRequirement
 from limedyke.controller.leading.voter_watch import VoterWatch
 from limedyke.controller.membership_search import MembershipSearch
 from limedyke.controller.peer_network import PeerMessage, PeerNetwork
@@ -205,6 +206,7 @@
             await tasks.spawn(self._follow_leadership)
             if self._settings.voters_wanted:
                 await tasks.spawn(self._voter_manager().run)
+            await tasks.spawn(self._voter_watch().run)
         await self._stop_leading()
         ended = tasks.completed
         if ended is replica and ended.exception is None:
@@ -248,10 +250,14 @@
         settings = self._settings
         silence_limit_s = settings.voter_silence_limit_ms / 1000
         policy = VoterPolicy(settings.voters_wanted, silence_limit_s)
-        watch = VoterWatch(
-            self._replica, settings.voters_wanted, silence_limit_s, self._pages.metrics
-        )
-        return VoterManager(self._replica, policy, settings.advertise, watch)
+        return VoterManager(self._replica, policy, settings.advertise)
+
+    def _voter_watch(self) -> VoterWatch:
+        settings = self._settings
+        required = VoterRequirement(self._replica, settings.lost_disks_tolerated).voters
+        wanted = max(settings.voters_wanted, required)
+        silence_limit_s = settings.voter_silence_limit_ms / 1000
+        return VoterWatch(self._replica, wanted, silence_limit_s, self._pages.metrics)
 
     def _initial_state(self) -> StoredState:
         """Return the state found on disk when this process started."""
@@ -277,6 +283,7 @@
             advertise=self._settings.advertise if self._settings.voters_wanted else "",
         )
         addresses = {self._settings.name: self._settings.advertise, **self._network.addresses}
+        requirement = VoterRequirement(replica, self._settings.lost_disks_tolerated)
         self._requests = OperatorRequests(
             replica=replica,
             leader=lambda: self._leader,
@@ -284,6 +291,7 @@
             plan_lifetime_s=self._settings.plan_lifetime_s,
             status=StatusReport(replica, addresses),
             changes=ControllerChanges(replica),
+            requirement=requirement,
             metrics=self._pages.metrics,
         )
         self._replica = replica
@@ -297,7 +305,7 @@
         self._calls = LeaderCalls(
             replica,
             lambda: self._leader,
-            self._settings.voters_wanted,
+            requirement,
             self._settings.advertise,
             self._pages.metrics,
         )
--- a/limedyke/core/agreement/view.py
+++ b/limedyke/core/agreement/view.py
@@ -55,6 +55,11 @@
         """Whether no membership change is pending, nor the joint phase of a replacement."""
         return self._state.membership_settled
 
+    @property
+    def smallest_voter_set(self) -> int:
+        """Number of voters; the lower one of both sets during the joint phase of a replacement."""
+        return min(len(voters) for voters in self._state.voter_sets)
+
     @property
     def commit_index(self) -> int:
         """Index of the last entry known to be committed."""
--- a/limedyke/messages/calls.py
+++ b/limedyke/messages/calls.py
@@ -79,7 +79,8 @@
     :param document: the declaration, for ``ReadDeclarationCall``
     :param leader: internal address of the leader, as far as the responder knows (``ip:port``)
     :param members: the members of the cluster, for ``AwaitMembershipCall``
-    :param retry_after_ms: delay before the next call, for ``AwaitMembershipCall``
+    :param retry_after_ms: delay before the next call, for ``AwaitMembershipCall`` and refusals; 0
+        if unknown
     """
 
     code: int = 0
--- a/limedyke/result_codes.py
+++ b/limedyke/result_codes.py
@@ -200,6 +200,12 @@
     PEER_UNREACHABLE = CodeEntry(
         4010, "08006", Outcome.DID_NOT_RUN, "A process does not answer, or closed the link at once."
     )
+    TOO_FEW_VOTERS = CodeEntry(
+        4011,
+        "57P03",
+        Outcome.DID_NOT_RUN,
+        "Fewer controllers vote than the losses to bear need; nothing is confirmed.",
+    )
     # 5xxx: the process itself
     SETTINGS_INVALID = CodeEntry(
         5001,
--- a/limedyke/settings/controller.py
+++ b/limedyke/settings/controller.py
@@ -25,8 +25,10 @@
     """Settings of ``limedyke controller``. Times are in milliseconds.
 
     ``voters_wanted`` is the number of voters that the leader maintains automatically; with 0,
-    operators manage the voters.  ``keeps_unsynced_writes`` means that the machine's boot id changes
-    with every loss of power: while it is unchanged, no unsynced write has been lost.
+    operators manage the voters.  A change is confirmed only while there are enough voters to bear
+    the loss of ``lost_disks_tolerated`` disks at once.  ``keeps_unsynced_writes`` means that the
+    machine's boot id changes with every loss of power: while it is unchanged, no unsynced write has
+    been lost.
     """
 
     listen: Address
@@ -34,6 +36,7 @@
     peers: tuple[ControllerPeer, ...]
     join: bool = False
     voters_wanted: int = Field(default=0, ge=0)
+    lost_disks_tolerated: int = Field(default=0, ge=0)
     voter_silence_limit_ms: int = Field(default=3_000, ge=100)
     keeps_unsynced_writes: bool = True
     operators: tuple[OperatorKey, ...] = ()
