Let a controller that hears no leader announce itself, whatever its log says

What callers saw: five controllers run, a change is confirmed, two disks are lost as all machines lose power, and then no controller can be elected: nothing is read back, no proxy serves. Before it a voter was down while another one was gone for good and its successor took a place; or the leader that added a learner lost the lead at once. Operators who manage the voters didn't see such a controller in 'status'.

Cause: a controller judged by its own log alone whether it is a member. A voter that is replaced while it is down finds itself a voter there, stands for election, and as no member it isn't answered; a learner that the next leader has no address for waits for entries. Neither asked anybody, and each left a voter that is gone in its place, so that four of five voters were left. The class: a belief that only its own holder could correct, and who had no reason to doubt it.

Who hears no leader for the longest election timeout now asks two controllers at a time who leads, and announces itself there. The leader adds it as one that waits, or takes its address if it is a member. It stops as soon as a leader contacts it, so that an election in time brings no message more.

Without the change two scenarios of confirmed_changes and former_voters fail (3 of 3 and 1 of 1), with it 6 of 6 and 1 of 1 pass.

--- a/limedyke/controller/membership_search.py
+++ b/limedyke/controller/membership_search.py
@@ -1,4 +1,4 @@
-"""Finds the leader from a controller that is not a member, and waits there to be added.
+"""Finds the leader from a controller that it does not contact, and waits there to be added.
 
 Every waiting controller keeps a single link, to the leader. The leader tells it how often to
 announce itself.
@@ -21,14 +21,14 @@
 MAXIMUM_RETRY_DELAY_S = 0.5
 """Delay between two searches. It starts short because the others may just be starting, and grows
 because a later election takes about a second."""
-MEMBER_CHECK_S = 0.3
+MEMBER_CHECK_S = 0.1
 EVENTS = EventLog("membership")
 
 AskAt = Callable[[str, Call], Awaitable[CallAnswer]]
 
 
 class MembershipSearch:
-    """Runs beside the replica for the life of the process; idle while it is a member.
+    """Runs beside the replica for the life of the process; idle while the leader contacts it.
 
     :param replica: this controller's replica
     :param ask_leader: asks the controller at an address over the persistent link to the leader
@@ -42,6 +42,7 @@
         self._ask = ask
         self._call = AwaitMembershipCall(replica.agreement.identity, advertise)
         self._lost = curio.Event()
+        self._is_seeking = False
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
 
     async def leader_lost(self) -> None:
@@ -52,16 +53,26 @@
         """Run until cancelled."""
         while True:
             self._lost.clear()
-            if self._replica.is_member:
+            self._report_change()
+            if self._is_seeking:
+                delay_s = await self._step()
+            else:
                 self._replica.keep_links()
+                self._replica.forget_leader()
                 delay_s = MEMBER_CHECK_S
-            else:
-                delay_s = await self._step()
             await curio.ignore_after(delay_s, self._lost.wait)
             if self._lost.is_set():
                 self._replica.forget_leader()
                 await curio.sleep(INITIAL_RETRY_DELAY_S)
 
+    def _report_change(self) -> None:
+        """Log when the search begins and ends."""
+        is_seeking = self._replica.seeks_leader
+        if is_seeking != self._is_seeking:
+            self._is_seeking = is_seeking
+            event = "leader-sought" if is_seeking else "leader-found"
+            EVENTS.info(event, is_member=self._replica.is_member, role=self._replica.agreement.role)
+
     async def _step(self) -> float:
         """Announce this controller to the leader, or look for the leader; return the next delay."""
         leader = self._replica.leader_address("")
--- a/limedyke/controller/replica.py
+++ b/limedyke/controller/replica.py
@@ -139,12 +139,14 @@
     def leader_address(self, own_address: str) -> str:
         """Return the address of the known leader, or an empty string.
 
-        A controller that is not a member receives nothing from the leader; it uses the address that
-        another controller gave it.
+        A controller that the leader does not contact uses the address that another controller gave
+        it.
         """
+        if self.seeks_leader:
+            return self._leader_hint
         leader = self.agreement.leader
         if leader is None:
-            return "" if self.is_member else self._leader_hint
+            return ""
         if leader == self.agreement.identity:
             return own_address
         return self._network.addresses.get(leader.name, "")
@@ -155,6 +157,19 @@
         configuration = self.agreement.configuration
         return self.agreement.identity in configuration.voters + configuration.learners
 
+    @property
+    def seeks_leader(self) -> bool:
+        """Whether this controller has to find the leader, as the leader does not contact it.
+
+        Its own log may be older than a change of the members: a voter that was replaced while it
+        was down finds itself a voter in it. A learner is not contacted either if the present leader
+        does not know its address.
+        """
+        if not self.is_member:
+            return True
+        agreement = self.agreement
+        return agreement.leader_silence_s(boot_seconds()) > agreement.leader_silence_limit_s
+
     def keep_links(self) -> None:
         """Keep links to all other members from now on, even when there is nothing to send."""
         self._network.dials_eagerly = True
@@ -170,14 +185,25 @@
             self._network.set_address(member.name, member.address)
 
     def answer_membership_call(self, call: AwaitMembershipCall) -> CallAnswer:
-        """Answer a controller that waits to be added; the leader also records it as waiting."""
+        """Answer a controller that the leader does not contact; the leader also records it."""
         leader = self.leader_address(self._advertise)
         if self.leads:
-            self.non_members[call.identity.name] = call.identity
-            self.waiting.record(call.identity, call.address, boot_seconds())
+            self._record_announcement(call)
         retry_after_ms = int(self.waiting.interval_s * MS_PER_S)
         return CallAnswer(leader=leader, members=self._members(), retry_after_ms=retry_after_ms)
 
+    def _record_announcement(self, call: AwaitMembershipCall) -> None:
+        """Record a controller as waiting, or the address of a member.
+
+        The leader that added a member may have lost the leadership before it recorded the address.
+        """
+        configuration = self.agreement.configuration
+        if call.identity in configuration.voters + configuration.learners:
+            self._network.set_address(call.identity.name, call.address)
+            return
+        self.non_members[call.identity.name] = call.identity
+        self.waiting.record(call.identity, call.address, boot_seconds())
+
     def _members(self) -> tuple[PeerAddress, ...]:
         """Return the members whose address this controller knows."""
         own = self.agreement.identity.name
@@ -316,12 +342,12 @@
         return kept + self.agreement.handle(failed, now)
 
     async def _announce_when_due(self, now: float) -> None:
-        """Announce a waiting controller to all declared controllers.
+        """Announce a controller that the leader does not contact to all declared controllers.
 
         The announcement is repeated, because a controller that restarts forgets it. Where
         controllers find each other automatically, ``MembershipSearch`` does this.
         """
-        if self._advertise or self.is_member or now < self._next_announcement_at:
+        if self._advertise or not self.seeks_leader or now < self._next_announcement_at:
             return
         self._next_announcement_at = now + ANNOUNCEMENT_INTERVAL_S
         query = FoundingQuery(self._voter_names)
--- a/limedyke/core/agreement/state.py
+++ b/limedyke/core/agreement/state.py
@@ -65,6 +65,7 @@
         self.timing = timing
         self.rng = rng
         self.now = now
+        self.started_at = now
         self.log = EntryLog(stored.snapshot, stored.entries)
         self.term = stored.hard_state.term
         self.vote = stored.hard_state.vote
--- a/limedyke/core/agreement/view.py
+++ b/limedyke/core/agreement/view.py
@@ -45,6 +45,17 @@
         """Time of the last contact with a leader; store it before executing commands."""
         return self._state.leader_contact_at
 
+    def leader_silence_s(self, now: float) -> float:
+        """Return the seconds since the last contact with a leader, or since the start if later."""
+        if self._state.role is Role.LEADER:
+            return 0.0
+        return now - max(self._state.leader_contact_at, self._state.started_at)
+
+    @property
+    def leader_silence_limit_s(self) -> float:
+        """After a longer silence the other voters have elected a leader, if they can."""
+        return self._state.timing.election_timeout_maximum_s
+
     @property
     def configuration(self) -> MemberConfiguration:
         """The newest configuration, committed or not."""
