--- a/features/soak/configuration/disks.py
+++ b/features/soak/configuration/disks.py
@@ -17,6 +17,7 @@
 from limedyke.storage.open_log import open_durable_log
 
 LOG_FOLDER = "agreement"
+COPY_ATTEMPTS = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,7 +66,7 @@
         return None
     with tempfile.TemporaryDirectory() as copied:
         copy = Path(copied) / LOG_FOLDER
-        shutil.copytree(log_folder, copy)
+        _copy_folder(log_folder, copy)
         opened = open_durable_log(copy, ControllerIdentity(controller, ""), sync=False)
         if opened.is_err():
             return None
@@ -75,6 +76,21 @@
         return _summary(log.identity, stored)
 
 
+def _copy_folder(source: Path, copy: Path) -> None:
+    """Copy a folder; begin anew when a running process renames or removes a file meanwhile.
+
+    :raises shutil.Error: when the folder does not hold still for ``COPY_ATTEMPTS``
+    """
+    for attempt in range(COPY_ATTEMPTS):
+        try:
+            shutil.copytree(source, copy)
+            return
+        except shutil.Error:
+            if attempt == COPY_ATTEMPTS - 1:
+                raise
+            shutil.rmtree(copy)
+
+
 def _summary(identity: ControllerIdentity, stored: StoredState) -> ControllerDisk:
     configuration = stored.snapshot.configuration
     version = ControlState.from_bytes(stored.snapshot.data).version
