End the search for the leader with the first answer that names it

What operators saw: a controller that came back or was new was a voter half a second later than needed, which counts against the time until the next loss may come.

Cause: the search asks two controllers at a time and waited for both; where one of them belongs to a machine that is gone, that is the time limit of a dial.

Evidence: with one that doesn't answer the announcement did not come in 0.4 s (membership_search.feature, 1 of 3 scenarios fails before, 3 of 3 pass, six times).

--- a/limedyke/controller/membership_search.py
+++ b/limedyke/controller/membership_search.py
@@ -94,6 +94,9 @@
         async with curio.TaskGroup() as tasks:
             for address in chosen:
                 await tasks.spawn(self._query_controller, address)
+            async for _ in tasks:
+                if self._replica.leader_address(""):
+                    await tasks.cancel_remaining()
         if self._replica.leader_address(""):
             return 0.0
         return self._next_retry_delay_s()
