Play controllers that keep their voters on virtual time, to two lost disks

The simulator played three controllers whose voters operators manage, and plans instead of versioned declarations; the simulation of the agreement has neither the shell's search for the leader nor the choice of voters. None of them could show that a confirmed declaration is lost.

Five controllers with four successors run on the simulator's machines: late starts, losses within the number to be borne, power lost everywhere, and two lost disks at the end. At each confirmation the disks are examined as a loss of power would leave them, for each further loss that may come. What the soak reads from real disks is judged by the same code (limedyke_lab/controller_disks.py).

--- a/features/lab_mutants.feature
+++ b/features/lab_mutants.feature
@@ -38,3 +38,7 @@
   Scenario: mutants: every mutant of what counts as a claim to lead is caught
     When mutants: the mutants of the area "claims" are run
     Then mutants: the run ends with 0 and no mutant was missed
+
+  Scenario: mutants: every mutant of what a confirmed declaration rests on is caught
+    When mutants: the mutants of the area "voters" are run
+    Then mutants: the run ends with 0 and no mutant was missed
--- a/features/soak/configuration/closing.py
+++ b/features/soak/configuration/closing.py
@@ -10,14 +10,10 @@
 from features.soak.checks import Violation
 from features.soak.configuration.checks import SERVES_AGAIN, SURVIVES
 from features.soak.configuration.deployment import TOLERATED_LOSSES, ConfigurationDeployment
-from features.soak.configuration.disks import (
-    ControllerDisk,
-    controller_name,
-    fatal_losses,
-    read_disk,
-)
+from features.soak.configuration.disks import controller_name, read_disk
 from features.soak.configuration.documents import COMMON_DATABASE
 from features.soak.configuration.observers import OPENED, ControllerReader, open_session
+from limedyke_lab.controller_disks import ControllerDisk, fatal_losses
 
 POWER_OFF_S = 0.9
 RECOVERY_S = 12.0
--- a/features/steps/configuration_soak_steps.py
+++ b/features/steps/configuration_soak_steps.py
@@ -7,12 +7,12 @@
 from behave import given, then, when
 
 from features.soak.configuration.checks import check
-from features.soak.configuration.disks import ControllerDisk, fatal_losses
 from features.soak.configuration.documents import Content, Flaw, build_content
 from features.soak.configuration.history import ConfigurationHistory, Probe, Read, Sending
 from features.soak.configuration.plan import draw_plan
 from features.soak.configuration.run import report, run_soak
 from limedyke.messages.agreement import ControllerIdentity, MemberConfiguration
+from limedyke_lab.controller_disks import ControllerDisk, fatal_losses
 
 CONTROLLERS = ("c1", "c2", "c3")
 PROXY = "p1"
--- a/features/steps/confirmed_changes_steps.py
+++ b/features/steps/confirmed_changes_steps.py
@@ -16,13 +16,7 @@
     TOLERATED_LOSSES,
     ConfigurationDeployment,
 )
-from features.soak.configuration.disks import (
-    LOG_FOLDER,
-    ControllerDisk,
-    controller_name,
-    fatal_losses,
-    newest_disk,
-)
+from features.soak.configuration.disks import LOG_FOLDER, controller_name
 from features.soak.configuration.documents import build_content
 from features.soak.configuration.http_calls import put_configuration
 from features.soak.configuration.operators import Operators
@@ -32,6 +26,7 @@
 from limedyke.core.agreement.records import Snapshot
 from limedyke.messages.agreement import ControllerIdentity, MemberConfiguration
 from limedyke.storage.open_log import open_durable_log
+from limedyke_lab.controller_disks import ControllerDisk, fatal_losses, newest_disk
 
 PROXIES = 3
 LATE_S, VERY_LATE_S = 9.0, 12.0
--- a/limedyke_lab/cli.py
+++ b/limedyke_lab/cli.py
@@ -144,6 +144,14 @@
             seeds, workers, trace, seconds, replay
         )
 
+    def voters(self, seeds: str = "1-20", workers: int = 0) -> int:
+        """Run controllers that keep their voters in virtual time, with losses and operators.
+
+        :param seeds: a range A-B, or several separated by commas
+        :param workers: number of processes; 0 for one per core
+        """
+        return resolve_name("limedyke_lab.simulator.voters.command:simulate_voters")(seeds, workers)
+
     def mutants(self) -> int:
         """Disable each safeguard in turn and check that a test fails."""
         return resolve_name("limedyke_lab.mutants:run_mutants")()
--- a/limedyke_lab/simulator/controllers.py
+++ b/limedyke_lab/simulator/controllers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import random
 from collections.abc import Callable
 from pathlib import Path
@@ -17,6 +18,7 @@
 from limedyke.settings.secrets import Secrets
 from limedyke.storage.durable_log import DurableLog
 from limedyke.storage.open_log import open_durable_log
+from limedyke_lab.controller_disks import ControllerDisk, summarize_disk
 from limedyke_lab.simulated_disk import SimulatedDisk, SimulatedPowerLoss
 from limedyke_lab.simulator.history import History
 from limedyke_lab.simulator.machine.curio_process import CurioProcess
@@ -47,6 +49,8 @@
     """A simulated controller process and its disk.
 
     :param on_exit: called when the process has exited on its own
+
+    :ivar settings: what the next process reads at its start
     """
 
     def __init__(
@@ -65,7 +69,7 @@
         self.lost_disk = False
         self.power_loss_pending = False
         self._history = history
-        self._settings = settings
+        self.settings = settings
         self._secrets = secrets
         self._rng = rng
         self._on_exit = on_exit
@@ -100,7 +104,7 @@
         identity = ControllerIdentity(self.name, f"{self._rng.getrandbits(64):016x}")
         log = await self._open_log(identity)
         self._controller = _ReportingController(
-            self._record_storage_failure, self._settings, self._secrets, log
+            self._record_storage_failure, self.settings, self._secrets, log
         )
         await self._controller.run()
 
@@ -137,6 +141,17 @@
         else:
             self._disk.kill_process()
 
+    def disk_after_power_loss(self) -> ControllerDisk | None:
+        """Return what the disk would hold if power were lost now; None if it holds no log."""
+        disk = copy.deepcopy(self._disk)
+        disk.crash()
+        identity = ControllerIdentity(self.name, "")
+        opened = open_durable_log(FOLDER, identity, disk, segment_bytes=SEGMENT_BYTES)
+        if opened.is_err():
+            return None
+        log = opened.unwrap()
+        return summarize_disk(log.identity, log.take_stored_state())
+
     def lose_disk(self) -> None:
         """Replace the disk with an empty one."""
         self._disk = SimulatedDisk(self._rng)
--- a/limedyke_lab/simulator/run.py
+++ b/limedyke_lab/simulator/run.py
@@ -88,7 +88,7 @@
     """
     with (
         logbook.NullHandler().applicationbound(),
-        _garbage_collection_disabled(),
+        garbage_collection_disabled(),
         tempfile.TemporaryDirectory() as folder,
     ):
         return _run_in(Path(folder), options, mutations)
@@ -108,7 +108,7 @@
 
 
 @contextlib.contextmanager
-def _garbage_collection_disabled() -> Iterator[None]:
+def garbage_collection_disabled() -> Iterator[None]:
     """Disable garbage collection during a run, and collect the run's objects after it.
 
     A collection would finalise the coroutines of crashed processes at a time that does not
