Give up a dial of another controller only while it hangs

What operators saw: after a restart of all controllers the links between those that start a moment apart come up a handshake later than they could, and with them the leader.

Cause: an attempt is given up as soon as the other side dials, since an attempt that began while its machine was off hangs for a second. One whose connection is open is about to end, and was given up as well.

Only an attempt that has no connection yet is given up at once; a handshake gets half a second more, as the process at its other end may be gone.

--- a/features/controller_links.feature
+++ b/features/controller_links.feature
@@ -17,6 +17,17 @@
     When controller links: a sends to b again and again
     Then controller links: b receives it within 250 ms
 
+  # The later one gave up its own attempt in the midst of the handshake, as the other's arrived, and began anew.
+  Scenario Outline: controller links: of peers <delay> ms apart that start together none gives up its attempt
+    Given controller links: controllers a and b that start 5 ms one after the other, <delay> ms apart
+    Then controller links: both are connected within 1 s, and each has dialled once
+
+    Examples:
+      | delay |
+      | 10    |
+      | 20    |
+      | 40    |
+
   Scenario Outline: controller links: a link that goes silent is replaced, <why>: <verdict>
     Given controller links: controllers a and b that run without knowing each other
     And controller links: the safeguard "keepalive" is <safeguard>
--- a/features/steps/controller_links_steps.py
+++ b/features/steps/controller_links_steps.py
@@ -8,6 +8,7 @@
 import curio
 from behave import given, then, when
 
+from features.support.far_address import FarAddress
 from limedyke.controller import peer_network
 from limedyke.controller.peer_network import PeerNetwork
 from limedyke.messages.agreement import ControllerIdentity, PreVoteResponse
@@ -115,6 +116,48 @@
     context.kernel.run(context.b.start)
 
 
+@given(
+    "controller links: controllers a and b that start {later:d} ms one after the other, "
+    "{delay:d} ms apart"
+)
+def step_together(context, later, delay):
+    _make(context)
+    context.attempts = []
+    dial = peer_network.dial
+
+    async def count_and_dial(address, *arguments):
+        context.attempts.append(address)
+        return await dial(address, *arguments)
+
+    patch = mock.patch.object(peer_network, "dial", count_and_dial)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+    async def start():
+        for peer, other in ((context.a, context.b), (context.b, context.a)):
+            way = FarAddress(other.address, delay / 1_000)
+            await curio.spawn(way.run, daemon=True)
+            peer.network.set_address(other.identity.name, way.address)
+        for peer in (context.a, context.b):
+            await peer.start()
+            await curio.sleep(later / 1_000)
+
+    context.kernel.run(start)
+
+
+@then("controller links: both are connected within {limit:d} s, and each has dialled once")
+def step_both_connected(context, limit):
+    async def send_both_ways():
+        while context.a.received_at is None or context.b.received_at is None:
+            await context.a.network.send(context.b.identity, MESSAGE)
+            await context.b.network.send(context.a.identity, MESSAGE)
+            await curio.sleep(PAUSE_S)
+
+    context.kernel.run(curio.ignore_after, limit, send_both_ways)
+    assert context.a.received_at and context.b.received_at, "not connected"
+    assert len(context.attempts) == 2, context.attempts
+
+
 @when("controller links: a learns the address of b and sends to it")
 def step_learns(context):
     context.a.network.set_address("b", context.b.address)
--- a/limedyke/controller/peer_network.py
+++ b/limedyke/controller/peer_network.py
@@ -28,6 +28,8 @@
 DIAL_TIMEOUT_S = 1.0
 INITIAL_REDIAL_DELAY_S = 0.05
 MAXIMUM_REDIAL_DELAY_S = 0.5
+HANDSHAKE_LIMIT_S = 0.5
+"""A handshake over two regions takes 0.18 s; one with a process that has ended takes for ever."""
 PROBE_INTERVAL_S = 1.0
 """A silent link is detected after at most the interval plus the timeout, 1.5 s. The probes cost the
 five controllers of a cluster 40 small messages a second in total."""
@@ -163,11 +165,13 @@
             await curio.ignore_after(delay_s, outgoing.has_dialled_us.wait)
 
     async def _dial_until_dialled(self, outgoing: _OutgoingQueue) -> Link | None:
-        """Dial a peer; abandon the attempt if the peer dials this controller meanwhile.
+        """Dial a peer; abandon an attempt that hangs when the peer dials this controller.
 
         An attempt that began while the peer's machine was off hangs until its packet is
-        retransmitted a second later.
+        retransmitted a second later. One that is connected is about to succeed: two peers that
+        start together would abandon theirs in turn.
         """
+        connected = curio.Event()
         async with curio.TaskGroup(wait=any) as tasks:
             dialling = await tasks.spawn(
                 dial,
@@ -176,12 +180,19 @@
                 self._keys,
                 self._source_ip,
                 DIAL_TIMEOUT_S,
+                connected,
             )
-            await tasks.spawn(outgoing.has_dialled_us.wait)
+            await tasks.spawn(self._wait_until_abandoned, outgoing, connected)
         if dialling.cancelled or dialling.exception is not None:
             return None
         return dialling.result.ok_value if isinstance(dialling.result, Ok) else None
 
+    async def _wait_until_abandoned(self, outgoing: _OutgoingQueue, connected: curio.Event) -> None:
+        """Return when an attempt is to be abandoned, as the peer has dialled this controller."""
+        await outgoing.has_dialled_us.wait()
+        if connected.is_set():
+            await curio.sleep(HANDSHAKE_LIMIT_S)
+
     async def _use_link(self, link: Link, outgoing: _OutgoingQueue) -> None:
         """Send to a peer until the link closes or goes silent, or the peer's address changes."""
         address = outgoing.address
--- a/limedyke/transport/link.py
+++ b/limedyke/transport/link.py
@@ -251,12 +251,14 @@
     keys: KeyLookup,
     source_ip: str = "",
     timeout_s: float = 3.0,
+    connected: curio.Event | None = None,
 ) -> Result[Link, Failure]:
     """Connect to a peer and authenticate both sides.
 
     :param address: ``ip:port`` of the peer
     :param keys: returns the key expected of the peer, by role and name
     :param source_ip: local address to connect from, or empty
+    :param connected: set once the connection is open, before the handshake
     :returns: the link; PEER_UNREACHABLE if the peer doesn't answer or the connection is lost in
         the handshake, which may be temporary; OPERATOR_REFUSED if one side rejects the other's
         proof
@@ -271,6 +273,8 @@
     except (OSError, curio.TaskTimeout) as error:
         await sock.close()
         return Err(Failure(ResultCode.PEER_UNREACHABLE, f"{address}: {error or 'timeout'}"))
+    if connected is not None:
+        await connected.set()
     return await _run_handshake(Link(sock, identity.meter), _Side.DIALLER, identity, keys)
 
 
