Vote for a candidate that this log does not name, if that one's log is longer

What callers saw: a change is confirmed by three of five voters, two disks are lost as all machines lose power, three voters are left, two of them with the change, and no controller is ever elected: nothing is read back.

Cause: a voter answered only candidates that its own log names. One that had missed the addition of two others ignored both, and they need its vote. It didn't know their addresses either. The class: who may ask was judged by the state that is to be brought up to date (Raft: requests are processed without regard to the receiver's own configuration).

A candidate that is no member by this log is answered if its log is longer: only then may the entry that added it be what is missing here. It stays unanswered if the log knows it as the earlier incarnation of a member. Its address is learnt from the call by which it asks for the leader, and dialled only to answer it.

--- a/features/confirmed_changes.feature
+++ b/features/confirmed_changes.feature
@@ -39,3 +39,9 @@
   Scenario: confirmed changes: a learner is taken in although the leader that added it ended with its address
     Given confirmed changes: two of three voters, and a learner whose address they do not know
     Then confirmed changes: the three that run are the voters within 6 s
+
+  # A voter ignored candidates that its own log does not name, so that three of five voters elected nobody.
+  Scenario: confirmed changes: a voter that missed two additions votes for a controller that it does not know
+    Given confirmed changes: five voters, of which one missed that two were added, and two lost their disks
+    Then confirmed changes: the confirmed version is read back within 12 s
+    And confirmed changes: the five that run are the voters within 6 s
--- a/features/steps/confirmed_changes_steps.py
+++ b/features/steps/confirmed_changes_steps.py
@@ -18,13 +18,21 @@
 )
 from features.soak.configuration.disks import LOG_FOLDER, controller_name
 from features.soak.configuration.documents import build_content
-from features.soak.configuration.http_calls import put_configuration
+from features.soak.configuration.http_calls import get_configuration, put_configuration
 from features.soak.configuration.operators import Operators
 from features.soak.fault_injection import CONTROLLER_PROGRAM, SoakDeployment
 from features.steps.platform_processes_steps import run
-from features.support.line_platform.deployment import CONTROLLERS, NETWORK
-from limedyke.core.agreement.records import Snapshot
+from features.support.line_platform.deployment import (
+    CONTROLLERS,
+    FIRST_INTERNAL_PORT,
+    NETWORK,
+    SEED_COUNT,
+)
+from limedyke.core.agreement.records import Snapshot, genesis_snapshot
+from limedyke.core.control.state import ControlState
 from limedyke.messages.agreement import ControllerIdentity, MemberConfiguration
+from limedyke.messages.control_entries import ControllerAddress, DeclareVersion, RecordControllers
+from limedyke.messages.declaration import Declaration
 from limedyke.storage.open_log import open_durable_log
 from limedyke_lab.controller_disks import ControllerDisk, fatal_losses, newest_disk
 
@@ -170,12 +178,20 @@
     }
     voters = tuple(identities[ip] for ip in CONTROLLERS)
     configuration = MemberConfiguration("x", voters, (identities[LEARNER],))
-    genesis = Snapshot(1, 1, configuration)
     deployment.controllers = tuple(ip for ip in (*CONTROLLERS, LEARNER) if ip != gone)
     for ip in deployment.controllers:
-        log = open_durable_log(deployment.data_folder(ip) / LOG_FOLDER, identities[ip]).unwrap()
-        log.install_snapshot(genesis, keep_entries=False).unwrap()
-        log.close()
+        _write_log(deployment, identities[ip], ip, Snapshot(1, 1, configuration))
+    _start_controllers(context)
+
+
+def _write_log(deployment, identity: ControllerIdentity, ip: str, snapshot: Snapshot) -> None:
+    log = open_durable_log(deployment.data_folder(ip) / LOG_FOLDER, identity).unwrap()
+    log.install_snapshot(snapshot, keep_entries=False).unwrap()
+    log.close()
+
+
+def _start_controllers(context) -> None:
+    deployment = context.deployment
 
     def end() -> None:
         context.kernel.run(deployment.stop)
@@ -186,11 +202,57 @@
         deployment.start_process(ip, CONTROLLER_PROGRAM)
 
 
-@then("confirmed changes: the three that run are the voters within {limit:d} s")
-def step_three_voters(context, limit):
+@given(
+    "confirmed changes: five voters, of which one missed that two were added, and two lost their "
+    "disks"
+)
+def step_missed_additions(context):
+    """Start from logs as a loss of power leaves them: two empty, one of the founding."""
+    context.kernel = curio.Kernel()
+    deployment = context.deployment = ConfigurationDeployment(context.folder, PROXIES)
+    context.power_loss = PowerLoss(deployment)
+    identities = {
+        ip: ControllerIdentity(controller_name(ip), f"{number:016x}")
+        for number, ip in enumerate(FIVE_CONTROLLERS)
+    }
+    founders = tuple(identities[ip] for ip in FIVE_CONTROLLERS[:SEED_COUNT])
+    _write_log(
+        deployment,
+        founders[-1],
+        FIVE_CONTROLLERS[SEED_COUNT - 1],
+        genesis_snapshot("x", founders),
+    )
+    context.content = build_content(1, "a")
+    state = ControlState()
+    state.apply(2, DeclareVersion(1, context.content.body, Declaration()))
+    addresses = tuple(
+        ControllerAddress(identity.name, f"{ip}:{FIRST_INTERNAL_PORT}")
+        for ip, identity in identities.items()
+    )
+    state.apply(3, RecordControllers(addresses))
+    configuration = MemberConfiguration("x", tuple(identities.values()))
+    for ip in FIVE_CONTROLLERS[SEED_COUNT:]:
+        snapshot = Snapshot(3, 2, configuration, state.to_bytes())
+        _write_log(deployment, identities[ip], ip, snapshot)
+    _start_controllers(context)
+
+
+@then("confirmed changes: the confirmed version is read back within {limit:d} s")
+def step_version_read(context, limit):
+    deployment = context.deployment
+
+    async def is_read() -> bool:
+        replies = [await get_configuration(ip) for ip in deployment.controllers]
+        return context.content.body in [reply.body for reply in replies]
+
+    run(context, deployment.wait_until, is_read, limit, "the version")
+
+
+@then("confirmed changes: the {count:w} that run are the voters within {limit:d} s")
+def step_running_vote(context, count, limit):
     deployment = context.deployment
 
     async def are_voters() -> bool:
         return all_vote(context.power_loss.read_disks().values())
 
-    run(context, deployment.wait_until, are_voters, limit, "three voters")
+    run(context, deployment.wait_until, are_voters, limit, f"{count} voters")
--- a/limedyke/controller/membership_search.py
+++ b/limedyke/controller/membership_search.py
@@ -40,7 +40,7 @@
         self._replica = replica
         self._ask_leader = ask_leader
         self._ask = ask
-        self._call = AwaitMembershipCall(replica.agreement.identity, advertise)
+        self._advertise = advertise
         self._lost = curio.Event()
         self._is_seeking = False
         self._retry_delay_s = INITIAL_RETRY_DELAY_S
@@ -73,12 +73,16 @@
             event = "leader-sought" if is_seeking else "leader-found"
             EVENTS.info(event, is_member=self._replica.is_member, role=self._replica.agreement.role)
 
+    def _make_call(self) -> AwaitMembershipCall:
+        replica = self._replica
+        return AwaitMembershipCall(replica.agreement.identity, self._advertise, replica.is_member)
+
     async def _step(self) -> float:
         """Announce this controller to the leader, or look for the leader; return the next delay."""
         leader = self._replica.leader_address("")
         if not leader:
             return await self._look_for_leader()
-        answer = await self._ask_leader(leader, self._call)
+        answer = await self._ask_leader(leader, self._make_call())
         if answer.code:
             self._replica.forget_leader()
             return self._next_retry_delay_s()
@@ -102,7 +106,7 @@
         return self._next_retry_delay_s()
 
     async def _query_controller(self, address: str) -> None:
-        answer = await self._ask(address, self._call)
+        answer = await self._ask(address, self._make_call())
         if not answer.code:
             self._replica.learn_members(answer)
 
--- a/limedyke/controller/peer_network.py
+++ b/limedyke/controller/peer_network.py
@@ -41,10 +41,14 @@
 
 
 class _OutgoingQueue:
-    """Messages waiting for one peer; the oldest are dropped beyond the limit."""
+    """Messages waiting for one peer; the oldest are dropped beyond the limit.
 
-    def __init__(self, address: str) -> None:
+    :param is_caller: whether only its own call made it known; it is dialled only for a message
+    """
+
+    def __init__(self, address: str, is_caller: bool = False) -> None:
         self.address = address
+        self.is_caller = is_caller
         self.mailbox: Mailbox[AgreementEnvelope] = Mailbox(QUEUE_LIMIT)
         self.has_dialled_us = curio.Event()
         self.is_wanted = False
@@ -94,8 +98,20 @@
         known = self._outgoing.get(name)
         if known is not None:
             known.address = address
+            known.is_caller = False
             return
-        self._outgoing[name] = _OutgoingQueue(address)
+        self._add(name, _OutgoingQueue(address))
+
+    def learn_caller(self, name: str, address: str) -> None:
+        """Learn the address of a controller that this one may have to answer.
+
+        It may be a candidate that was added by an entry which this controller's log lacks.
+        """
+        if name != self._identity.name and name not in self._outgoing:
+            self._add(name, _OutgoingQueue(address, is_caller=True))
+
+    def _add(self, name: str, outgoing: _OutgoingQueue) -> None:
+        self._outgoing[name] = outgoing
         self._unstarted.append(name)
 
     async def send(self, to: ControllerIdentity, message: PeerMessage) -> None:
@@ -119,12 +135,13 @@
 
     def _take_wanted(self) -> list[str]:
         """Remove and return the peers to which a link is to be kept from now on."""
-        wanted = [
-            name for name in self._unstarted if self.dials_eagerly or self._outgoing[name].is_wanted
-        ]
+        wanted = [name for name in self._unstarted if self._is_dialled(self._outgoing[name])]
         self._unstarted = [name for name in self._unstarted if name not in wanted]
         return wanted
 
+    def _is_dialled(self, outgoing: _OutgoingQueue) -> bool:
+        return outgoing.is_wanted or (self.dials_eagerly and not outgoing.is_caller)
+
     async def serve(self, link: Link) -> None:
         """Receive from a peer that dialled this controller.
 
--- a/limedyke/controller/replica.py
+++ b/limedyke/controller/replica.py
@@ -189,6 +189,8 @@
         leader = self.leader_address(self._advertise)
         if self.leads:
             self._record_announcement(call)
+        elif call.finds_itself_member:
+            self._network.learn_caller(call.identity.name, call.address)
         retry_after_ms = int(self.waiting.interval_s * MS_PER_S)
         return CallAnswer(leader=leader, members=self._members(), retry_after_ms=retry_after_ms)
 
--- a/limedyke/core/agreement/election.py
+++ b/limedyke/core/agreement/election.py
@@ -98,7 +98,7 @@
     def on_pre_vote_request(self, sender: ControllerIdentity, request: PreVoteRequest) -> None:
         """Answer whether a vote would be granted; the term and vote do not change."""
         state = self._state
-        if not state.is_member(sender):
+        if not self._may_be_member(sender, request):
             return
         granted = (
             request.term > state.term
@@ -139,7 +139,7 @@
     def on_vote_request(self, sender: ControllerIdentity, request: VoteRequest) -> None:
         """Grant at most one vote per term, and none while another leader's lease may be valid."""
         state = self._state
-        if not state.is_member(sender):
+        if not self._may_be_member(sender, request):
             return
         if not request.leadership_transfer and self._bound_by_other_lease(sender):
             return
@@ -189,6 +189,20 @@
             return True
         return state.lease_may_be_valid() and sender != state.vouched_for
 
+    def _may_be_member(
+        self, sender: ControllerIdentity, request: PreVoteRequest | VoteRequest
+    ) -> bool:
+        """Tell whether a candidate is answered.
+
+        This log may lack the entry that added the candidate; that candidate's log is longer then.
+        """
+        state = self._state
+        if state.is_member(sender):
+            return True
+        position = (state.log.last_term, state.log.last_index)
+        holds_more = (request.last_term, request.last_index) > position
+        return holds_more and not state.was_replaced(sender)
+
     def _is_up_to_date(self, last_index: int, last_term: int) -> bool:
         log = self._state.log
         return (last_term, last_index) >= (log.last_term, log.last_index)
--- a/limedyke/core/agreement/entry_log.py
+++ b/limedyke/core/agreement/entry_log.py
@@ -3,11 +3,19 @@
 from __future__ import annotations
 
 from limedyke.core.agreement.records import Snapshot, decode_configuration
-from limedyke.messages.agreement import EntryKind, LogEntry, MemberConfiguration
+from limedyke.messages.agreement import (
+    ControllerIdentity,
+    EntryKind,
+    LogEntry,
+    MemberConfiguration,
+)
 
 
 class EntryLog:
-    """Entries after ``base_index``, without gaps, and the configurations among them."""
+    """Entries after ``base_index``, without gaps, and the configurations among them.
+
+    :ivar known_members: the members of all configurations that this log has held since the start
+    """
 
     def __init__(self, snapshot: Snapshot, entries: tuple[LogEntry, ...] = ()) -> None:
         self.snapshot = snapshot
@@ -15,6 +23,8 @@
         self.base_term = snapshot.term
         self._entries: list[LogEntry] = []
         self._configurations: list[tuple[int, MemberConfiguration]] = []
+        self.known_members: set[ControllerIdentity] = set()
+        self._note_members(snapshot.configuration)
         self.append(entries)
 
     @property
@@ -84,6 +94,10 @@
             if entry.kind == EntryKind.CONFIGURATION:
                 configuration = decode_configuration(entry.payload)
                 self._configurations.append((entry.index, configuration))
+                self._note_members(configuration)
+
+    def _note_members(self, configuration: MemberConfiguration) -> None:
+        self.known_members.update(configuration.voters, configuration.learners)
 
     def truncate_after(self, index: int) -> None:
         """Drop the entries after ``index``."""
@@ -124,6 +138,7 @@
 
     def install(self, snapshot: Snapshot) -> None:
         """Adopt the leader's snapshot; keep later entries if the log holds its last entry."""
+        self._note_members(snapshot.configuration)
         if self.holds(snapshot.index, snapshot.term):
             self.compact(snapshot, retained_entries=0)
             return
--- a/limedyke/core/agreement/state.py
+++ b/limedyke/core/agreement/state.py
@@ -143,6 +143,16 @@
         configuration = self.configuration
         return identity in configuration.voters or identity in configuration.learners
 
+    def was_replaced(self, identity: ControllerIdentity) -> bool:
+        """Tell whether a former member's name belongs to another incarnation, as it lost its disk.
+
+        A member that was only removed may have been added again since.
+        """
+        configuration = self.configuration
+        names = {member.name for member in configuration.voters + configuration.learners}
+        is_former = identity in self.log.known_members and not self.is_member(identity)
+        return is_former and identity.name in names
+
     def other_members(self) -> tuple[ControllerIdentity, ...]:
         """Return all voters and learners except this controller."""
         members = dict.fromkeys(itertools.chain(*self.voter_sets, self.configuration.learners))
--- a/limedyke/messages/calls.py
+++ b/limedyke/messages/calls.py
@@ -56,14 +56,16 @@
 @message(227)
 @dataclass(frozen=True, slots=True)
 class AwaitMembershipCall:
-    """A controller outside the cluster asks to be added; any controller answers.
+    """A controller that no leader contacts asks for the leader; any controller answers.
 
     :param identity: identity of the controller, with the incarnation of its data folder
     :param address: where the other controllers reach it (``ip:port``)
+    :param finds_itself_member: whether it is a voter or learner by its own log
     """
 
     identity: ControllerIdentity
     address: str
+    finds_itself_member: bool = False
 
 
 Call = DeclareCall | ReadDeclarationCall | AnnounceCall | WithdrawCall | AwaitMembershipCall
--- a/limedyke_lab/controller_disks.py
+++ b/limedyke_lab/controller_disks.py
@@ -102,7 +102,8 @@
 
 
 def _would_vote(voter: ControllerDisk, candidate: ControllerDisk) -> bool:
+    """Tell whether a voter grants its vote; an unknown candidate needs a longer log."""
     configuration = voter.configuration
     is_known = candidate.identity in configuration.voters + configuration.learners
-    position = (candidate.last_term, candidate.last_index)
-    return is_known and position >= (voter.last_term, voter.last_index)
+    positions = [(disk.last_term, disk.last_index) for disk in (candidate, voter)]
+    return positions[0] >= positions[1] if is_known else positions[0] > positions[1]
