Count the silence of a voter that is gone through a change of the leader

What callers saw: three machines are replaced one after the other, the leader among them, each within what the deployment bears; after the third no change is confirmed and nothing is read back, for good.

Cause: a new leader took its own start for the last response of each voter. One that was gone before got the whole time again, so none had been given up when the third was lost: three of five voters were gone, their successors learners.

A leader now counts a voter that has not answered it from when it last heard that one on its link, before it led. A process that has just started has heard nobody and counts from its start, as before.

The simulation starts a controller again with the seeds of the moment, as machines would, and can await the leader that adds a learner.

--- a/features/mutants/voters_safeguards.py
+++ b/features/mutants/voters_safeguards.py
@@ -12,6 +12,7 @@
 from limedyke.core.agreement.voter_policy import VoterPolicy
 from limedyke.core.control.apply_result import ApplyResult
 from limedyke.core.control.state import ControlState
+from limedyke.messages.agreement import ControllerIdentity
 from limedyke.messages.calls import (
     AwaitMembershipCall,
     Call,
@@ -32,9 +33,15 @@
 ONE_IS_REPLACED = (Fault(FaultKind.REPLACE, 14.5, 0.0, 1),)
 LEADER_LOST_AFTER_IT_ADDED_A_LEARNER = (
     Fault(FaultKind.REPLACE, 14.5, 0.0, 4),
-    Fault(FaultKind.DARK, 15.625, 6.0, 0),
+    Fault(FaultKind.DARK_ADDING_LEADER, 15.0, 6.0, 0),
 )
-LEADER_LOST_SEED = 2
+LEADER_LOST_SEED = 6
+LEADER_IS_REPLACED_AMONG_THREE = (
+    Fault(FaultKind.REPLACE, 14.5, 0.0, 4),
+    Fault(FaultKind.REPLACE, 16.7, 0.0, 0),
+    Fault(FaultKind.REPLACE, 19.6, 0.0, 0),
+)
+LEADER_REPLACED_SEED = 2
 SCRIPT_S = 9.0
 SURVIVES, READ_BACK, ONE_CONTENT, DID_NOT_RUN = (
     "survives",
@@ -80,6 +87,11 @@
         self.waiting.record(call.identity, call.address, boot_seconds())
 
 
+def _heard_by_this_leader(self: Replica) -> dict[ControllerIdentity, float]:
+    progress = self.agreement.member_progress()
+    return {member: found.last_response_at for member, found in progress.items()}
+
+
 def _nobody_is_silent(self: VoterPolicy, members: object, last_response_at: object) -> None:
     return None
 
@@ -153,6 +165,13 @@
         (VoterPolicy, "_most_silent", _nobody_is_silent),
         ONE_IS_REPLACED,
     ),
+    _mutant(
+        "a change of the leader ends the silence of a voter that is gone",
+        SURVIVES,
+        (Replica, "members_heard_at", _heard_by_this_leader),
+        LEADER_IS_REPLACED_AMONG_THREE,
+        LEADER_REPLACED_SEED,
+    ),
     _mutant(
         "other content replaces that of a version",
         ONE_CONTENT,
--- a/features/steps/voters_simulation_steps.py
+++ b/features/steps/voters_simulation_steps.py
@@ -5,11 +5,12 @@
 from behave import given, then, when
 
 from limedyke.result_codes import ResultCode
+from limedyke_lab.simulator.voters.faults import Fault, FaultKind
 from limedyke_lab.simulator.voters.record import Sent, Shown, VoterRecord
 from limedyke_lab.simulator.voters.run import run_voters
 
 REFUSED = ResultCode.TOO_FEW_VOTERS.value.number
-SHORT_S = 6.0
+SHORT_S, SCRIPT_S = 6.0, 9.0
 
 
 @given("voters simulation: a sound record")
@@ -61,6 +62,16 @@
     assert result.confirmed >= count, result.confirmed
 
 
+@then("voters simulation: seed {seed:d} with these faults breaks no promise")
+def step_script(context, seed):
+    script = [
+        Fault(FaultKind(row["kind"]), float(row["time"]), 0.0, int(row["target"]))
+        for row in context.table
+    ]
+    result = run_voters(seed, SCRIPT_S, script=script)
+    assert not result.violations, (result.violations[:3], result.trace)
+
+
 @then("voters simulation: seed {seed:d} is played alike twice")
 def step_repeats(context, seed):
     assert run_voters(seed, SHORT_S) == run_voters(seed, SHORT_S)
--- a/features/voters_simulation.feature
+++ b/features/voters_simulation.feature
@@ -27,5 +27,20 @@
       | 3    |
       | 4    |
 
+  # The next leader counted the silence of a voter that was gone from its own start, and replaced it later than a third
+  # controller could be lost; three of five voters were gone then.
+  Scenario Outline: voters simulation: three controllers are replaced in turn, the leader among them, seed <seed>
+    Then voters simulation: seed <seed> with these faults breaks no promise
+      | kind    | time   | target   |
+      | replace | 14.5   | 4        |
+      | replace | 16.7   | <leader> |
+      | replace | 19.6   | 0        |
+
+    Examples:
+      | seed | leader |
+      | 2    | 0      |
+      | 3    | 0      |
+      | 4    | 0      |
+
   Scenario: voters simulation: the same seed is played alike twice
     Then voters simulation: seed 5 is played alike twice
--- a/limedyke/controller/leading/voter_manager.py
+++ b/limedyke/controller/leading/voter_manager.py
@@ -42,11 +42,10 @@
 
     def _next_change(self) -> MembershipChange | None:
         agreement = self._replica.agreement
-        progress = agreement.member_progress()
         return self._policy.next_change(
             agreement.configuration,
             [learner for learner, lag in agreement.learner_lag().items() if lag == 0],
-            {member: found.last_response_at for member, found in progress.items()},
+            self._replica.members_heard_at(),
             self._replica.waiting.all(),
             boot_seconds(),
         )
--- a/limedyke/controller/peer_network.py
+++ b/limedyke/controller/peer_network.py
@@ -9,6 +9,7 @@
 import curio
 from result import Err, Ok
 
+from limedyke.controller.clock import boot_seconds
 from limedyke.controller.mailbox import Mailbox
 from limedyke.core.agreement.envelope import open_envelope, seal
 from limedyke.core.backoff import Backoff
@@ -61,6 +62,8 @@
     :param link_identity: proves this process to its peers
     :param receive: called with each message addressed to this incarnation
 
+    :ivar heard_at: when a controller last sent something on its link to this one, by name, in
+        seconds of the controller's clock
     :ivar dials_eagerly: whether peers are dialled as soon as they are known, and not only once
         there is a message for them. Members dial eagerly; controllers that wait to be added do not,
         as there may be hundreds of them
@@ -79,6 +82,7 @@
         self._keys = keys
         self._source_ip = source_ip
         self._receive = receive
+        self.heard_at: dict[str, float] = {}
         self._outgoing: dict[str, _OutgoingQueue] = {}
         self._unstarted: list[str] = []
         self._has_unstarted = curio.Event()
@@ -152,6 +156,7 @@
             await outgoing.has_dialled_us.set()
         while True:
             envelope = await link.receive()
+            self.heard_at[link.peer_name] = boot_seconds()
             if isinstance(envelope, LinkProbe):
                 await link.send(LinkProbe(envelope.sequence, True))
                 continue
--- a/limedyke/controller/replica.py
+++ b/limedyke/controller/replica.py
@@ -251,6 +251,20 @@
         """The addresses of the other controllers, by name."""
         return self._network.addresses
 
+    def members_heard_at(self) -> dict[ControllerIdentity, float]:
+        """Return, on the leader, when each other member was last heard.
+
+        For a member that has not responded to this leader yet, what this controller heard before it
+        led counts: a change of the leader does not make a member that is gone a new one.
+        """
+        heard_at = self._network.heard_at
+        return {
+            member: progress.last_response_at
+            if progress.has_responded
+            else min(progress.last_response_at, heard_at.get(member.name, float("inf")))
+            for member, progress in self.agreement.member_progress().items()
+        }
+
     def learn_address(self, name: str, address: str) -> None:
         """Set the address of another controller."""
         self._network.set_address(name, address)
--- a/limedyke/core/agreement/progress.py
+++ b/limedyke/core/agreement/progress.py
@@ -10,7 +10,9 @@
     """Replication progress towards one member.
 
     :param next_index: the next entry to send
-    :param last_response_at: time of the member's last response, by the leader's clock
+    :param last_response_at: time of the member's last response, by the leader's clock; the start of
+        the leadership before the first
+    :param has_responded: whether it has responded to this leadership
     :param match_index: the last entry known to be synced on the member
     :param acknowledged_round: the newest heartbeat round that the member answered; 0 for none
     :param probing: whether to wait for one response before sending further entries
@@ -23,6 +25,7 @@
     next_index: int
     last_response_at: float
     match_index: int = 0
+    has_responded: bool = False
     acknowledged_round: int = 0
     probing: bool = True
     in_flight: int = 0
--- a/limedyke/core/agreement/replication.py
+++ b/limedyke/core/agreement/replication.py
@@ -104,6 +104,7 @@
     def _record_response(self, progress: Progress, round_number: int) -> None:
         progress.acknowledged_round = max(progress.acknowledged_round, round_number)
         progress.last_response_at = self._state.now
+        progress.has_responded = True
 
     def _record_match(self, progress: Progress, match_index: int) -> None:
         progress.match_index = max(progress.match_index, match_index)
--- a/limedyke/core/agreement/voter_policy.py
+++ b/limedyke/core/agreement/voter_policy.py
@@ -73,7 +73,8 @@
         """Return the next change, or None if none is needed.
 
         :param caught_up: learners that hold all committed entries
-        :param last_response_at: when each other member last responded to the leader
+        :param last_response_at: when each other member last responded, or was heard before the
+            leader began to lead
         :param waiting: the controllers that have announced themselves
         """
         for learner in configuration.learners:
--- a/limedyke_lab/simulator/controllers.py
+++ b/limedyke_lab/simulator/controllers.py
@@ -141,6 +141,13 @@
         else:
             self._disk.kill_process()
 
+    def unrecorded_learners(self) -> list[str]:
+        """Return the learners in its log whose address it has not applied."""
+        replica = self._controller._replica
+        recorded = replica.state.controllers
+        learners = replica.agreement.configuration.learners
+        return [learner.name for learner in learners if learner.name not in recorded]
+
     def disk_after_power_loss(self) -> ControllerDisk | None:
         """Return what the disk would hold if power were lost now; None if it holds no log."""
         disk = copy.deepcopy(self._disk)
--- a/limedyke_lab/simulator/voters/faults.py
+++ b/limedyke_lab/simulator/voters/faults.py
@@ -27,6 +27,8 @@
     """No other controller reaches it, nor does it reach one."""
     DARK = "dark"
     """It is gone for some seconds and comes back with its disk."""
+    DARK_ADDING_LEADER = "dark-adding-leader"
+    """The leader goes dark once it has added a learner whose address is not recorded yet."""
     LOSE_DISK = "lose-disk"
     REPLACE = "replace"
     """It is gone for good, and an empty one starts at another address."""
@@ -34,7 +36,11 @@
     POWER_LOSS_ALL = "power-loss-all"
 
 
-LOSSES = frozenset(FaultKind) - {FaultKind.KILL_ALL, FaultKind.POWER_LOSS_ALL}
+LOSSES = frozenset(FaultKind) - {
+    FaultKind.KILL_ALL,
+    FaultKind.POWER_LOSS_ALL,
+    FaultKind.DARK_ADDING_LEADER,
+}
 """Faults that count as the loss of a controller until it has had time to catch up."""
 
 
--- a/limedyke_lab/simulator/voters/world.py
+++ b/limedyke_lab/simulator/voters/world.py
@@ -36,6 +36,7 @@
 SUCCESSOR_AFTER_S = 1.0
 CATCH_UP_S = 4.0
 """Seconds for which a controller counts as lost after it has come back."""
+ADDITION_WAIT_S, POLL_S = 4.0, 0.002
 CONTROLLER_HOST, OPERATOR_HOST = 10, 80
 
 
@@ -126,11 +127,19 @@
         controller.process.boot()
 
     def _restart_as_joiner(self, name: str) -> None:
-        """Start a process again; only the very first start of the system founds a cluster."""
+        """Start a process again, with the settings of the moment.
+
+        Only the very first start of the system founds a cluster; the seeds are present machines.
+        """
+        if name not in self.present:
+            return
         controller = self._controllers[name]
-        controller.settings = controller.settings.model_copy(update={"join": True})
+        controller.settings = voter_settings(self.present[name], self._seeds(), joins=True)
         self._boot(name)
 
+    def _seeds(self) -> tuple[Place, ...]:
+        return tuple(self.present.values())[:SEEDS]
+
     def _on_exit(self, controller: SimulatedController) -> None:
         self._crash(controller.name)
         self.kernel.call_later(RESTART_S, self._restart_as_joiner, controller.name)
@@ -152,6 +161,9 @@
 
     def inject(self, fault: Fault) -> None:
         """Inject a fault, unless it would lose more controllers than are to be borne."""
+        if fault.kind is FaultKind.DARK_ADDING_LEADER:
+            self._await_addition(fault.seconds, self.kernel.now + ADDITION_WAIT_S)
+            return
         if fault.kind not in LOSSES:
             self.history.add("fault", fault=str(fault.kind))
             self._restart_all(loses_power=fault.kind is FaultKind.POWER_LOSS_ALL)
@@ -165,6 +177,17 @@
         self.history.add("fault", fault=str(fault.kind), process=name)
         self._losses()[fault.kind](name, fault.seconds)
 
+    def _await_addition(self, seconds: float, until: float) -> None:
+        """Switch the leader off once it has added a learner and not recorded its address."""
+        for name in self._running():
+            if self._controllers[name].leads and self._controllers[name].unrecorded_learners():
+                if name not in self._counted and self._further_losses():
+                    self.history.add("fault", fault="dark-adding-leader", process=name)
+                    self._switch_off(name, seconds, loses_power=True)
+                return
+        if self.kernel.now < until:
+            self.kernel.call_later(POLL_S, self._await_addition, seconds, until)
+
     def _restart_all(self, loses_power: bool) -> None:
         """Restart all processes; nothing may be lost before they have had time to catch up."""
         self._caught_up_at = self.kernel.now + RESTART_S + CATCH_UP_S
@@ -236,9 +259,8 @@
         self._crash(name, loses_power=True)
         del self.present[name]
         place = self._places[len(self._controllers)]
-        seeds = tuple(self.present.values())[:SEEDS]
         self._count_until(place.name, SUCCESSOR_AFTER_S)
-        self._add_controller(place, seeds, joins=True)
+        self._add_controller(place, self._seeds(), joins=True)
         self.kernel.call_later(SUCCESSOR_AFTER_S, self._boot, place.name)
 
     # ----- promises -----
