Count a declaration under way at the end of the voters' simulation as open

Cause: the simulation recorded a sending once its answer had come. Of the two sendings of that declaration the first was told LD4001 at 57.70 s, which is true; the second had begun at 57.80 s, was taken and read, and had no answer when the run ended at 58 s. So the only record was of the first.

A sending is now recorded when it begins and stays open until its answer: nothing else is excused by this.

--- a/features/steps/voters_simulation_steps.py
+++ b/features/steps/voters_simulation_steps.py
@@ -44,6 +44,12 @@
     context.record.shown.append(Shown("a", 3, b"3", 5.0))
 
 
+@when("voters simulation: a declaration is shown while it is being sent")
+def step_under_way(context):
+    context.record.begin(3, b"3", 4.0)
+    context.record.shown.append(Shown("a", 3, b"3", 5.0))
+
+
 @then('voters simulation: the promise "{promise}" is broken')
 def step_broken(context, promise):
     found = {violation.partition(":")[0] for violation in context.record.broken_promises()}
--- a/features/voters_simulation.feature
+++ b/features/voters_simulation.feature
@@ -17,6 +17,11 @@
     Given voters simulation: a sound record
     Then voters simulation: no promise is broken
 
+  Scenario: voters simulation: a declaration without an answer may be shown
+    Given voters simulation: a sound record
+    When voters simulation: a declaration is shown while it is being sent
+    Then voters simulation: no promise is broken
+
   Scenario Outline: voters simulation: seed <seed> breaks no promise
     Then voters simulation: seed <seed> breaks no promise, and 30 changes are confirmed
 
--- a/limedyke_lab/simulator/voters/operator.py
+++ b/limedyke_lab/simulator/voters/operator.py
@@ -15,7 +15,7 @@
 from limedyke.transport.link import LinkIdentity
 from limedyke_lab.simulator.layout import LINK_PORT, Place
 from limedyke_lab.simulator.machine.kernel import Kernel
-from limedyke_lab.simulator.voters.record import Sent, Shown, VoterRecord
+from limedyke_lab.simulator.voters.record import Shown, VoterRecord
 
 MIN_PAUSE_S, MAX_PAUSE_S = 0.1, 0.6
 RETRY_PAUSE_S = 0.1
@@ -108,10 +108,10 @@
             await curio.sleep(RETRY_PAUSE_S)
 
     async def _send(self, version: int, document: bytes) -> int:
-        sent_at = self._kernel.now
+        number = self._record.begin(version, document, self._kernel.now)
         answer = await self._ask(DeclareCall(version, document, Declaration()))
         code = None if answer.code == NO_ANSWER else answer.code
-        self._record.sent.append(Sent(version, document, sent_at, self._kernel.now, code))
+        self._record.end(number, code, self._kernel.now)
         if answer.code == 0:
             self._confirmed(version)
         return answer.code
--- a/limedyke_lab/simulator/voters/record.py
+++ b/limedyke_lab/simulator/voters/record.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+import math
+from dataclasses import dataclass, field, replace
 
 from limedyke.result_codes import CODE_BY_NUMBER, Outcome
 
@@ -11,6 +12,7 @@
 class Sent:
     """One declaration sent to one controller.
 
+    :param ended_at: infinity while no answer has come
     :param code: number of the result code; 0 if it was confirmed, None without an answer
     """
 
@@ -49,6 +51,15 @@
     shown: list[Shown] = field(default_factory=list)
     violations: list[str] = field(default_factory=list)
 
+    def begin(self, version: int, document: bytes, now: float) -> int:
+        """Record that a declaration is being sent, and return the number to end it by."""
+        self.sent.append(Sent(version, document, now, math.inf, None))
+        return len(self.sent) - 1
+
+    def end(self, number: int, code: int | None, now: float) -> None:
+        """Record how a sending ended."""
+        self.sent[number] = replace(self.sent[number], ended_at=now, code=code)
+
     def confirmed_version(self, moment: float) -> int:
         """Return the highest version confirmed by a time; 0 if there is none."""
         confirmed = [s.version for s in self.sent if s.code == 0 and s.ended_at <= moment]
