Play the mutant of refusals in a run whose refusals are all answered

What was seen: lab_mutants.feature, "every mutant of what a confirmed declaration rests on is caught", fails in each run: "MISSED what is refused is proposed all the same".

--- a/features/mutants/voters_safeguards.py
+++ b/features/mutants/voters_safeguards.py
@@ -42,6 +42,8 @@
     Fault(FaultKind.REPLACE, 19.6, 0.0, 0),
 )
 LEADER_REPLACED_SEED = 2
+REFUSED_SEED = 2
+"""Each sending of some declarations that are read is answered, as the check needs."""
 SCRIPT_S = 9.0
 SURVIVES, READ_BACK, ONE_CONTENT, DID_NOT_RUN = (
     "survives",
@@ -187,5 +189,6 @@
         "what is refused is proposed all the same",
         DID_NOT_RUN,
         (LeaderCalls, "_declare", _refuse_and_propose),
+        seed=REFUSED_SEED,
     ),
 )
