Keep sessions open in the configuration soak, and stop processes in series

The soak asked each proxy for new sessions only. Callers keep theirs for long, and a database that is removed, or one of the version before, could go on being served there without any check that sees it; stops came one at a time.

All controllers, or all proxies, are told to stop one after the other while other faults go on.

--- a/features/configuration_soak.feature
+++ b/features/configuration_soak.feature
@@ -11,6 +11,7 @@
       | damage                                                            | promise                                   |
       | a proxy serves a removed database 3.1 s after the confirmation    | a confirmed change is in force in time    |
       | a proxy does not know an added database 3.1 s after it            | a confirmed change is in force in time    |
+      | an open session is served a removed database 3.1 s after it       | a confirmed change is in force in time    |
       | a controller shows a version older than one confirmed before      | a read shows every change confirmed before |
       | a controller shows a document that nobody sent                    | a read shows every change confirmed before |
       | a controller shows other content under a confirmed version        | one version has one content               |
@@ -57,3 +58,4 @@
   Scenario: configuration soak: real processes by a fixed seed
     When configuration soak: seed 3 is played for 8 s
     Then configuration soak: it broke no promise, and confirmed 50 changes
+    And configuration soak: 100 reads in open sessions were answered
--- a/features/soak/configuration/faults.py
+++ b/features/soak/configuration/faults.py
@@ -4,6 +4,7 @@
 
 import signal
 import time
+from collections.abc import Sequence
 
 import curio
 
@@ -71,9 +72,19 @@
                 deployment.signal(proxies[fault.target % len(proxies)], signal.SIGKILL)
             case FaultKind.STOP_PROXY:
                 deployment.signal(proxies[fault.target % len(proxies)], signal.SIGTERM)
+            case FaultKind.ROLL_CONTROLLERS:
+                await self._roll(deployment.running_controllers(), fault.for_s)
+            case FaultKind.ROLL_PROXIES:
+                await self._roll(proxies, fault.for_s)
             case FaultKind.PAUSE_PROXY:
                 await deployment.pause(proxies[fault.target % len(proxies)], fault.for_s)
 
+    async def _roll(self, machines: Sequence[str], for_s: float) -> None:
+        """Tell processes to stop, spread over a time; each is started again when it has ended."""
+        for ip in machines:
+            self._deployment.signal(ip, signal.SIGTERM)
+            await curio.sleep(for_s / len(machines))
+
     async def _lose(self, fault: Fault, ip: str) -> None:
         """Lose one controller, until it or its successor has had time to catch up."""
         deployment = self._deployment
--- a/features/soak/configuration/history.py
+++ b/features/soak/configuration/history.py
@@ -48,11 +48,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Probe:
-    """A session asked of one proxy for the marker of a configuration.
+    """A session asked of one proxy for the marker of a configuration, or a read in an open one.
 
     :param process: number of the proxy's process among all of the run
-    :param is_served: whether the proxy opened the session; False if it said that there is no such
-        database
+    :param is_served: whether the proxy opened the session or served the read; False if it said that
+        there is no such database
+    :param in_open_session: whether it was a read
     """
 
     ip: str
@@ -61,6 +62,7 @@
     sent_at: float
     ended_at: float
     is_served: bool
+    in_open_session: bool = False
 
 
 @dataclass(slots=True)
--- a/features/soak/configuration/plan.py
+++ b/features/soak/configuration/plan.py
@@ -35,6 +35,9 @@
     KILL_PROXIES = "kill-proxies"
     STOP_PROXY = "stop-proxy"
     PAUSE_PROXY = "pause-proxy"
+    ROLL_CONTROLLERS = "roll-controllers"
+    """Each controller in turn is told to stop, and started again."""
+    ROLL_PROXIES = "roll-proxies"
     HANG_UP = "hang-up"
     """All processes are told to read their settings again."""
 
--- a/features/soak/configuration/run.py
+++ b/features/soak/configuration/run.py
@@ -30,12 +30,15 @@
 from features.soak.configuration.observers import ControllerReader, ProxyProber
 from features.soak.configuration.operators import Operators
 from features.soak.configuration.plan import Closing, Plan, draw_plan
+from features.soak.configuration.sessions import OpenSession
 
 DEFAULT_SECONDS = 15.0
 START_TIMEOUT_S = 40.0
 """Seconds until the first change is confirmed, as machines start up to 12 s late."""
 PROXIES = 4
 OPERATORS = 3
+OPEN_SESSIONS = 3
+"""Sessions that are kept open at each proxy."""
 CALM_S = 10.0
 """Seconds without a fault in which every proxy in touch must apply each change in time."""
 POLL_INTERVAL_S = 0.1
@@ -46,6 +49,7 @@
     """Result of one seed.
 
     :param faults: number of faults that were brought about
+    :param probes: answers of proxies, those to reads in open sessions among them
     """
 
     seed: int
@@ -55,6 +59,7 @@
     confirmed: int
     reads: int
     probes: int
+    session_reads: int
     folder: Path
 
 
@@ -108,6 +113,11 @@
                 ip, history, lambda ip=ip: deployment.process_number(ip), self._seed
             )
             self._tasks.append(await curio.spawn(prober.run))
+            for number in range(OPEN_SESSIONS):
+                session = OpenSession(
+                    ip, history, lambda ip=ip: deployment.process_number(ip), number, self._seed
+                )
+                self._tasks.append(await curio.spawn(session.run))
 
     async def _read_controllers(self) -> None:
         """Read from every controller that runs, also from those that come later."""
@@ -147,6 +157,7 @@
             len(confirmed),
             sum(bool(read.body) for read in history.reads),
             len(history.probes),
+            sum(probe.in_open_session for probe in history.probes),
             self._folder,
         )
 
@@ -165,7 +176,8 @@
     """Format the result of a seed."""
     head = (
         f"seed={result.seed} faults={result.faults} confirmed={result.confirmed} "
-        f"reads={result.reads} probes={result.probes} violations={len(result.violations)}"
+        f"reads={result.reads} probes={result.probes} session_reads={result.session_reads} "
+        f"violations={len(result.violations)}"
     )
     if not result.violations:
         return head
--- a/features/steps/configuration_soak_steps.py
+++ b/features/steps/configuration_soak_steps.py
@@ -55,6 +55,13 @@
     _probe(context, FIRST, CONFIRMED_AT[2] + late, True)
 
 
+@when("configuration soak: an open session is served a removed database 3.1 s after it")
+def step_session_served(context):
+    at = CONFIRMED_AT[2] + 3.1
+    read = Probe(PROXY, 1, FIRST.marker, at, at + 0.01, is_served=True, in_open_session=True)
+    context.history.probes.append(read)
+
+
 @when("configuration soak: a proxy does not know an added database 3.1 s after it")
 def step_does_not_know(context):
     _probe(context, SECOND, CONFIRMED_AT[2] + 3.1, False)
@@ -224,3 +231,8 @@
 def step_played(context, count):
     assert not context.result.violations, report(context.result)
     assert context.result.confirmed >= count, report(context.result)
+
+
+@then("configuration soak: {count:d} reads in open sessions were answered")
+def step_session_reads(context, count):
+    assert context.result.session_reads >= count, report(context.result)
