--- a/limedyke/controller/peer_network.py
+++ b/limedyke/controller/peer_network.py
@@ -30,7 +30,7 @@
 INITIAL_REDIAL_DELAY_S = 0.05
 MAXIMUM_REDIAL_DELAY_S = 0.5
 HANDSHAKE_LIMIT_S = 0.5
-"""A handshake over two regions takes 0.18 s; one with a process that has ended takes for ever."""
+"""Longer than a handshake across regions takes; one with a process that has ended never ends."""
 PROBE_INTERVAL_S = 1.0
 """A silent link is detected after at most the interval plus the timeout, 1.5 s. The probes cost the
 five controllers of a cluster 40 small messages a second in total."""
