--- a/features/soak/configuration/sessions.py
+++ b/features/soak/configuration/sessions.py
@@ -11,11 +11,7 @@
 from curio import socket
 
 from features.soak.configuration.history import ConfigurationHistory, Probe
-from features.soak.configuration.observers import (
-    NOT_DECLARED,
-    RECEIVE_BYTES,
-    RECENT_MARKERS,
-)
+from features.soak.configuration.observers import NOT_DECLARED, RECEIVE_BYTES, RECENT_MARKERS
 from features.support.line_platform.deployment import FRONT_PORT
 
 READ_INTERVAL_S = 0.2
@@ -72,7 +68,8 @@
             reads_left = READS_AFTER_REMOVAL
             while opened and reads_left:
                 read = await self._read(sock, marker, process)
-                reads_left -= read is not None and not read.is_served
+                if read is not None and not read.is_served:
+                    reads_left -= 1
                 await curio.sleep(READ_INTERVAL_S)
 
     async def _read(self, sock: socket.socket, marker: str, process: int) -> Probe | None:
