--- a/features/soak/configuration/checks.py
+++ b/features/soak/configuration/checks.py
@@ -72,6 +72,7 @@
 
 
 def _late(history: ConfigurationHistory, probe: Probe, allowed_s: float) -> Iterator[str]:
+    """Yield a probe that obeys an older version than the one confirmed ``allowed_s`` before."""
     due = history.acknowledged_version(probe.sent_at - allowed_s)
     if _obeys_older(history, probe, due):
         yield f"{_describe(probe)}, version {due} was due"
