Read answers in the soak's open sessions with the client of the line protocol

What callers saw: nothing. OpenSession read whole answers with a loop of its own, beside LineClient in features/support/statement_path.py, which the other soak and the tests of statements use.

It uses LineClient now; its time limits, what it records and every check stay as they were. An answer cut off ends the session at once, where the next read ended it before.

--- a/features/soak/configuration/sessions.py
+++ b/features/soak/configuration/sessions.py
@@ -11,15 +11,17 @@
 from curio import socket
 
 from features.soak.configuration.history import ConfigurationHistory, Probe
-from features.soak.configuration.observers import NOT_DECLARED, RECEIVE_BYTES, RECENT_MARKERS
+from features.soak.configuration.observers import NOT_DECLARED, OPENED, RECENT_MARKERS
 from features.support.line_platform.deployment import FRONT_PORT
+from features.support.statement_path import LineClient
 
 READ_INTERVAL_S = 0.2
 RETRY_INTERVAL_S = 0.3
 ANSWER_TIMEOUT_S = 2.5
 READS_AFTER_REMOVAL = 10
-END_OF_ANSWER = b"READY"
-SERVED = b"DATAROW"
+READY = OPENED.decode()
+NO_DATABASE = NOT_DECLARED.decode()
+SERVED = "DATAROW"
 
 
 class OpenSession:
@@ -42,7 +44,7 @@
         self._process = process
         self._name = f"{ip}-{number}"
         self._generator = random.Random(f"session {self._name} {seed}")
-        self._reads = 0
+        self._sessions = 0
 
     async def run(self) -> None:
         """Use sessions until cancelled."""
@@ -62,47 +64,33 @@
         """
         process = self._process()
         async with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+            self._sessions += 1
+            client = LineClient(sock, f"{self._name}-{self._sessions}-")
             async with curio.timeout_after(ANSWER_TIMEOUT_S):
                 await sock.connect((self._ip, FRONT_PORT))
-                opened = await self._ask(sock, f"START {marker} u1\r\n")
+                await client.send(f"START {marker} u1\r\n")
+                is_opened = (await client.receive()).startswith(READY)
             reads_left = READS_AFTER_REMOVAL
-            while opened and reads_left:
-                read = await self._read(sock, marker, process)
+            while is_opened and reads_left:
+                read = await self._read(client, marker, process)
                 if read is not None and not read.is_served:
                     reads_left -= 1
                 await curio.sleep(READ_INTERVAL_S)
 
-    async def _read(self, sock: socket.socket, marker: str, process: int) -> Probe | None:
-        """Read once; record and return the answer, None if it says neither yes nor no."""
-        self._reads += 1
+    async def _read(self, client: LineClient, marker: str, process: int) -> Probe | None:
+        """Read once; record and return the answer, None if it says neither yes nor no.
+
+        :raises ConnectionResetError: when the connection ends before the answer does
+        """
         sent_at = time.monotonic()
         async with curio.timeout_after(ANSWER_TIMEOUT_S):
-            answer = await self._ask(sock, f"QUERY {self._name}-{self._reads} READ 1\r\n")
-        if not answer.startswith((SERVED, NOT_DECLARED)):
+            await client.ask("READ 1")
+        lines = client.last_answer
+        if not lines or not lines[-1].startswith(READY):
+            raise ConnectionResetError(f"{self._ip} closed the session")
+        if not lines[0].startswith((SERVED, NO_DATABASE)):
             return None
-        is_served = answer.startswith(SERVED)
+        is_served = lines[0].startswith(SERVED)
         probe = Probe(self._ip, process, marker, sent_at, time.monotonic(), is_served, True)
         self._history.probes.append(probe)
         return probe
-
-    async def _ask(self, sock: socket.socket, line: str) -> bytes:
-        """Send a line and return the whole answer; empty if the session was not opened.
-
-        :raises OSError: when the connection ends
-        """
-        await sock.sendall(line.encode())
-        answer = b""
-        while not _is_whole(answer):
-            received = await sock.recv(RECEIVE_BYTES)
-            if not received and not answer:
-                raise ConnectionResetError(f"{self._ip} closed the session")
-            if not received:
-                return b""
-            answer += received
-        return answer
-
-
-def _is_whole(answer: bytes) -> bool:
-    """Tell whether an answer has come to its end, the line that says that the session is ready."""
-    lines = answer.split(b"\r\n")
-    return len(lines) > 1 and lines[-2].startswith(END_OF_ANSWER)
